Serve the whole path as separate processes

Cause: the project was empty; the users ask for the whole path first. Conclusion: each part is thin and is replaced or filled in behind its interface from here on.

--- /dev/null
+++ b/cardamompier.go
@@ -0,0 +1,140 @@
+// Package cardamompier is the embeddable entry host: it answers model and
+// application requests for client accounts and sends the work to upstreams.
+//
+// A Server is made by New from checked settings, runs until its context ends
+// or Drain is called, and is released by Close. The parts that it is made of
+// are packages of their own and can be embedded apart.
+package cardamompier
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/do/v2"
+
+	"github.com/cardamompier/cardamompier/config"
+	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/settings"
+)
+
+// drainNotice is how long a leaving host still answers after it said that it
+// leaves, so that callers with a kept address notice.
+const drainNotice = 200 * time.Millisecond
+
+// ListenError is an address that could not be listened on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Server is one entry host.
+type Server struct {
+	settings settings.Settings
+	logger   hclog.Logger
+	injector *do.RootScope
+
+	gateway  *gateway.Gateway
+	follower *config.Follower
+	poller   *hosts.Poller
+	registry *membership.Registry
+
+	callers, inner                *http.Server
+	callerListener, innerListener net.Listener
+	background                    sync.WaitGroup
+	stop                          context.CancelFunc
+}
+
+// New provisions a server and opens its listeners. It returns *settings.Error
+// or *ListenError.
+func New(s settings.Settings, logger hclog.Logger) (*Server, error) {
+	s = s.WithDefaults()
+	if err := s.Validate("given"); err != nil {
+		return nil, err
+	}
+	injector := provide(s, logger)
+	srv := &Server{
+		settings: s, logger: logger, injector: injector,
+		gateway:  do.MustInvoke[*gateway.Gateway](injector),
+		follower: do.MustInvoke[*config.Follower](injector),
+		poller:   do.MustInvoke[*hosts.Poller](injector),
+		registry: do.MustInvoke[*membership.Registry](injector),
+	}
+	srv.callers = srv.gateway.Server()
+	srv.inner = srv.innerServer()
+	return srv, srv.listen()
+}
+
+func (s *Server) listen() error {
+	var err error
+	if s.callerListener, err = net.Listen("tcp", s.settings.Listen); err != nil {
+		return &ListenError{Address: s.settings.Listen, Cause: err}
+	}
+	if s.innerListener, err = net.Listen("tcp", s.settings.InnerListen); err != nil {
+		_ = s.callerListener.Close()
+		return &ListenError{Address: s.settings.InnerListen, Cause: err}
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then drains: no accepted request is cut while
+// drainTimeout lasts. It returns the drain's error.
+func (s *Server) Run(ctx context.Context, drainTimeout time.Duration) error {
+	background, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.start(func() { s.follower.Run(background) })
+	s.start(func() { s.poller.Run(background) })
+	s.start(func() { s.registry.Run(background) })
+	s.start(func() { s.serve(s.callers, s.callerListener) })
+	s.start(func() { s.serve(s.inner, s.innerListener) })
+	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
+	<-ctx.Done()
+	return s.drain(drainTimeout)
+}
+
+func (s *Server) start(run func()) {
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		run()
+	}()
+}
+
+func (s *Server) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		events.ListenerFailed.Log(s.logger, "address", listener.Addr().String(), "error", err)
+	}
+}
+
+// drain announces that the host leaves, ends the work in progress and stops.
+func (s *Server) drain(timeout time.Duration) error {
+	events.ProcessDraining.Log(s.logger, "host", s.settings.HostID)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := s.registry.Leave(ctx); err != nil {
+		events.RegisterFailed.Log(s.logger, "error", err)
+	}
+	time.Sleep(drainNotice)
+	err := s.gateway.Drain(ctx)
+	if shutdownErr := s.callers.Shutdown(ctx); err == nil {
+		err = shutdownErr
+	}
+	s.stop()
+	_ = s.inner.Shutdown(ctx)
+	s.background.Wait()
+	events.ProcessStopped.Log(s.logger, "host", s.settings.HostID)
+	return err
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,77 @@
+// Command standin runs the small stand-ins for outside systems. It is for
+// tests and demonstrations only.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/standin/desk"
+	"github.com/cardamompier/cardamompier/standin/enginesim"
+	"github.com/cardamompier/cardamompier/standin/platform"
+)
+
+const (
+	exitFailed    = 1
+	exitUsage     = 2
+	headerTimeout = 5 * time.Second
+)
+
+func main() {
+	listen, id, hostFile, tokenTime := "", "engine", "", 5*time.Millisecond
+	flaggy.SetName("standin")
+	flaggy.SetDescription("Stand-ins for outside systems, for tests.")
+	flaggy.String(&listen, "l", "listen", "IP number and port")
+	platformCommand := flaggy.NewSubcommand("platform")
+	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
+	engineCommand := flaggy.NewSubcommand("engine")
+	engineCommand.String(&id, "", "id", "the engine's name")
+	engineCommand.Duration(&tokenTime, "", "token-time", "time of one token")
+	deskCommand := flaggy.NewSubcommand("desk")
+	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand} {
+		flaggy.AttachSubcommand(c, 1)
+	}
+	flaggy.Parse()
+	switch {
+	case platformCommand.Used:
+		serve(listen, platform.New(readHosts(hostFile)).Handler())
+	case engineCommand.Used:
+		serve(listen, enginesim.New(enginesim.Options{ID: id, TokenTime: tokenTime, Salt: enginesim.SaltOf(id)}).Handler())
+	case deskCommand.Used:
+		serve(listen, (&desk.Desk{}).Handler())
+	default:
+		flaggy.ShowHelp("a command is needed")
+		os.Exit(exitUsage)
+	}
+}
+
+func readHosts(path string) []hosts.Host {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		fail(err)
+	}
+	var list []hosts.Host
+	if err := json.Unmarshal(data, &list); err != nil {
+		fail(err)
+	}
+	return list
+}
+
+func serve(listen string, handler http.Handler) {
+	server := &http.Server{Addr: listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	fail(server.ListenAndServe())
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "standin:", err)
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/config/files.go
@@ -0,0 +1,239 @@
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Endings of the files that a publish collects.
+const (
+	ServiceFileSuffix = ".service.json"
+	AccountFileSuffix = ".account.json"
+)
+
+// maxFileSize bounds one file, in bytes.
+const maxFileSize = 64 << 10
+
+// FileError is a file that was refused, with what was expected.
+type FileError struct {
+	File string
+	// Line is 1-based; zero when the fault has no line.
+	Line     int
+	Field    string
+	Expected string
+	Cause    error
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		b.WriteString(":" + itoa(uint64(e.Line)))
+	}
+	if e.Field != "" {
+		b.WriteString(": field " + e.Field)
+	}
+	b.WriteString(": expected " + e.Expected)
+	if e.Cause != nil {
+		b.WriteString(": " + e.Cause.Error())
+	}
+	return b.String()
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// Files is the checked content of a directory of service and account files.
+type Files struct {
+	Services map[string]Service
+	Accounts map[string]Account
+}
+
+// ReadDir reads and checks every service and account file below dir. It
+// returns the first fault of each file, or the files whole.
+func ReadDir(dir string) (Files, []*FileError) {
+	files := Files{Services: map[string]Service{}, Accounts: map[string]Account{}}
+	var faults []*FileError
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		if fault := files.add(path); fault != nil {
+			faults = append(faults, fault)
+		}
+		return nil
+	})
+	if err != nil {
+		faults = append(faults, &FileError{File: dir, Expected: "a readable directory", Cause: err})
+	}
+	if len(faults) == 0 && len(files.Services)+len(files.Accounts) == 0 {
+		faults = append(faults, &FileError{File: dir, Expected: "at least one *" + ServiceFileSuffix + " or *" + AccountFileSuffix})
+	}
+	return files, faults
+}
+
+func (f *Files) add(path string) *FileError {
+	isService := strings.HasSuffix(path, ServiceFileSuffix)
+	if !isService && !strings.HasSuffix(path, AccountFileSuffix) {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return &FileError{File: path, Expected: "a readable file", Cause: err}
+	}
+	if isService {
+		return f.addService(path, data)
+	}
+	return f.addAccount(path, data)
+}
+
+func (f *Files) addService(path string, data []byte) *FileError {
+	service, fault := ParseService(path, data)
+	if fault != nil {
+		return fault
+	}
+	if _, twice := f.Services[service.Name]; twice {
+		return faultAt(path, data, "service", "a name that no other file uses")
+	}
+	f.Services[service.Name] = service
+	return nil
+}
+
+func (f *Files) addAccount(path string, data []byte) *FileError {
+	account, fault := ParseAccount(path, data)
+	if fault != nil {
+		return fault
+	}
+	if _, twice := f.Accounts[account.Name]; twice {
+		return faultAt(path, data, "account", "a name that no other file uses")
+	}
+	f.Accounts[account.Name] = account
+	return nil
+}
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+const expectedName = "a lower-case letter, then up to 62 letters, digits or hyphens"
+
+// ParseService decodes and checks a service file and fills in its defaults.
+func ParseService(path string, data []byte) (Service, *FileError) {
+	var s Service
+	if fault := decodeStrict(path, data, &s); fault != nil {
+		return s, fault
+	}
+	if s.Kind == KindModel {
+		s.Idempotent = true
+		s.MaxTokens = orDefault(s.MaxTokens, DefaultMaxTokens)
+	}
+	s.Deadline = orDefault(s.Deadline, DefaultDeadline)
+	switch {
+	case !namePattern.MatchString(s.Name):
+		return s, faultAt(path, data, "service", expectedName)
+	case s.Kind != KindModel && s.Kind != KindPlain:
+		return s, faultAt(path, data, "kind", `"model" or "plain"`)
+	case !namePattern.MatchString(s.Pool):
+		return s, faultAt(path, data, "pool", expectedName)
+	case s.Kind == KindModel && s.Model == "":
+		return s, faultAt(path, data, "model", "the model's name")
+	case s.Kind == KindPlain && s.Model+s.Adapter != "":
+		return s, faultAt(path, data, "model", "no model or adapter for a plain service")
+	case s.Deadline < 0:
+		return s, faultAt(path, data, "deadline", "a positive time span")
+	case s.MaxTokens < 0:
+		return s, faultAt(path, data, "max_tokens", "a positive number")
+	}
+	return s, nil
+}
+
+// ParseAccount decodes and checks a client account file and fills in its defaults.
+func ParseAccount(path string, data []byte) (Account, *FileError) {
+	var a Account
+	if fault := decodeStrict(path, data, &a); fault != nil {
+		return a, fault
+	}
+	a.Weight = orDefault(a.Weight, DefaultWeight)
+	switch {
+	case !namePattern.MatchString(a.Name):
+		return a, faultAt(path, data, "account", expectedName)
+	case len(a.KeyDigests) == 0:
+		return a, faultAt(path, data, "key_digests", "at least one digest")
+	case a.RequestsPerSecond < 0:
+		return a, faultAt(path, data, "requests_per_second", "zero or more")
+	case a.TokensPerSecond < 0:
+		return a, faultAt(path, data, "tokens_per_second", "zero or more")
+	case a.Weight < 0:
+		return a, faultAt(path, data, "weight", "a positive number")
+	}
+	for _, digest := range a.KeyDigests {
+		if !validDigest(digest) {
+			return a, faultAt(path, data, "key_digests", `"sha256:" and 64 hex digits, never a key itself`)
+		}
+	}
+	return a, nil
+}
+
+func validDigest(text string) bool {
+	raw, err := hex.DecodeString(strings.TrimPrefix(text, digestPrefix))
+	return err == nil && strings.HasPrefix(text, digestPrefix) && len(raw) == 32
+}
+
+// decodeStrict decodes one JSON value, refusing unknown fields and trailing data.
+func decodeStrict(path string, data []byte, into any) *FileError {
+	if len(data) > maxFileSize {
+		return &FileError{File: path, Expected: "at most " + itoa(maxFileSize) + " bytes"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	if err == nil && decoder.More() {
+		return &FileError{File: path, Line: lineAt(data, decoder.InputOffset()), Expected: "one JSON object and nothing after it"}
+	}
+	if err == nil {
+		return nil
+	}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &FileError{File: path, Line: lineAt(data, typeErr.Offset), Field: typeErr.Field, Expected: "a " + typeErr.Type.String(), Cause: err}
+	}
+	var syntaxErr *json.SyntaxError
+	if errors.As(err, &syntaxErr) {
+		return &FileError{File: path, Line: lineAt(data, syntaxErr.Offset), Expected: "valid JSON", Cause: err}
+	}
+	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		name := strings.Trim(field, `"`)
+		return &FileError{File: path, Line: lineOfField(data, name), Field: name, Expected: "a known field"}
+	}
+	return &FileError{File: path, Line: lineAt(data, decoder.InputOffset()), Expected: "valid JSON", Cause: err}
+}
+
+func faultAt(path string, data []byte, field, expected string) *FileError {
+	return &FileError{File: path, Line: lineOfField(data, field), Field: field, Expected: expected}
+}
+
+func lineAt(data []byte, offset int64) int {
+	offset = min(max(offset, 0), int64(len(data)))
+	return 1 + bytes.Count(data[:offset], []byte("\n"))
+}
+
+// lineOfField returns the line of a field's first mention, or 1.
+func lineOfField(data []byte, field string) int {
+	at := bytes.Index(data, []byte(`"`+field+`"`))
+	return lineAt(data, int64(at))
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/events/list.go
@@ -0,0 +1,41 @@
+package events
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of a process's life: 1000 to 1099.
+var (
+	ProcessStarted  = define(1000, "process started", hclog.Info, "The daemon listens on the addresses given.")
+	ProcessDraining = define(1001, "process draining", hclog.Info, "A stop was asked for; no new work is taken.")
+	ProcessStopped  = define(1002, "process stopped", hclog.Info, "All work in progress has ended.")
+	ListenerFailed  = define(1003, "listener failed", hclog.Error, "An address could not be served.")
+)
+
+// Events of a request: 1100 to 1199.
+var (
+	RequestAccepted = define(1100, "request accepted", hclog.Debug, "A request passed all checks.")
+	RequestRefused  = define(1101, "request refused", hclog.Info, "A request was refused; type and ran say why and whether it ran.")
+	RequestFinished = define(1102, "request finished", hclog.Debug, "A request's answer is complete.")
+	AttemptFailed   = define(1103, "attempt failed", hclog.Warn, "One attempt at an upstream failed.")
+)
+
+// Events of the configuration: 1200 to 1299.
+var (
+	ConfigInForce      = define(1200, "configuration in force", hclog.Info, "A newer revision is used from now on.")
+	ConfigReadFailed   = define(1201, "configuration read failed", hclog.Warn, "The configuration could not be read; the last revision stays.")
+	ConfigOlderIgnored = define(1202, "older configuration ignored", hclog.Warn, "A source offered a revision older than the one in force.")
+)
+
+// Events of membership and the host list: 1300 to 1399.
+var (
+	HostListFailed = define(1300, "host list read failed", hclog.Warn, "The platform's host list could not be read; the last one stays.")
+	MemberJoined   = define(1301, "member joined", hclog.Info, "An entry host joined.")
+	MemberLeft     = define(1302, "member left", hclog.Info, "An entry host left or was found dead.")
+	RegisterFailed = define(1303, "registration failed", hclog.Warn, "This entry host could not be registered with the platform.")
+)
+
+// Events of orders: 1400 to 1499.
+var (
+	OrderClaimed      = define(1400, "order claimed", hclog.Debug, "An order's claim is recorded.")
+	OrderOutcomeLost  = define(1401, "order outcome unknown", hclog.Warn, "An order may have run; its outcome is not known.")
+	OrderRecordFailed = define(1402, "order record failed", hclog.Warn, "An order's claim or outcome could not be recorded.")
+)
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,149 @@
+// Package gateway serves the callers of client accounts: it authenticates,
+// checks, accepts and answers requests, and turns every typed error into a
+// status once, here.
+//
+// It leaves the work at upstreams to package dispatch.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/config"
+	"github.com/cardamompier/cardamompier/dispatch"
+	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/order"
+)
+
+const (
+	maxBodySize      = 4 << 20 // bytes
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 2 * time.Minute
+	maxHeaderSize    = 16 << 10 // bytes
+	notReadyWait     = time.Second
+	apiVersion       = "0.1.0"
+	headerRequestID  = "X-Request-Id"
+	headerIdempotent = "Idempotency-Key"
+)
+
+// Refusals counts refused requests by their code.
+var Refusals = metrics.New("refusals_total", "Refused requests, by the code that the caller got.")
+
+// Accepted counts accepted requests by service.
+var Accepted = metrics.New("accepted_total", "Accepted requests, by service.")
+
+// Parts are what a Gateway is made of.
+type Parts struct {
+	Config     *config.Follower
+	Members    *membership.Registry
+	Dispatcher *dispatch.Dispatcher
+	Ledger     order.Ledger
+	Journals   *journal.Store
+	Logger     hclog.Logger
+}
+
+// Gateway is the caller-facing server. Use New.
+type Gateway struct {
+	Parts
+	mux      *http.ServeMux
+	api      huma.API
+	draining atomic.Bool
+	// work counts accepted requests that have not ended.
+	work sync.WaitGroup
+}
+
+// New returns a gateway of the given parts.
+func New(parts Parts) *Gateway {
+	g := &Gateway{Parts: parts, mux: http.NewServeMux()}
+	description := huma.DefaultConfig("cardamompier", apiVersion)
+	description.CreateHooks = nil // no $schema links in answers
+	g.api = humago.New(g.mux, description)
+	g.registerAddresses()
+	g.registerChat()
+	g.registerRequests()
+	g.mux.HandleFunc("/services/{service}/{path...}", g.servePlain)
+	return g
+}
+
+// Server returns an HTTP server for the gateway with its limits set.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler:           g.mux,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderSize,
+	}
+}
+
+// API returns the OpenAPI description of the caller-facing endpoints.
+func (g *Gateway) API() *huma.OpenAPI { return g.api.OpenAPI() }
+
+// Drain refuses new work and waits until the work in progress has ended or
+// ctx ends, whose error it returns.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		g.work.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// call is an authenticated request to a service.
+type call struct {
+	account *config.Account
+	service *config.Service
+}
+
+// authenticate returns the client account of an Authorization header.
+func (g *Gateway) authenticate(header string) (*config.Account, *config.Snapshot, *apierr.Error) {
+	snapshot := g.Config.Current()
+	if snapshot == nil {
+		return nil, nil, apierr.New(apierr.CodeNotReady, "no configuration is known yet").WithRetryAfter(notReadyWait)
+	}
+	key, found := strings.CutPrefix(header, "Bearer ")
+	if !found {
+		return nil, nil, apierr.New(apierr.CodeUnauthenticated, "an Authorization header with a bearer key is needed")
+	}
+	account, ok := snapshot.Authenticate(key)
+	if !ok {
+		return nil, nil, apierr.New(apierr.CodeUnauthenticated, "the key is not known")
+	}
+	return account, snapshot, nil
+}
+
+// authorize authenticates a request and checks that it may call the service.
+func (g *Gateway) authorize(header, service string, kind config.Kind) (call, *apierr.Error) {
+	if g.draining.Load() {
+		return call{}, apierr.New(apierr.CodeDraining, "this host is stopping; ask another address").WithRetryAfter(notReadyWait)
+	}
+	account, snapshot, refusal := g.authenticate(header)
+	if refusal != nil {
+		return call{}, refusal
+	}
+	s, ok := snapshot.Services[service]
+	if !ok || s.Kind != kind {
+		return call{}, apierr.New(apierr.CodeUnknownService, "there is no such service of this kind")
+	}
+	if !account.Allows(service) {
+		return call{}, apierr.New(apierr.CodeForbidden, "the client account may not call this service")
+	}
+	return call{account: account, service: s}, nil
+}
--- /dev/null
+++ b/gateway/problem.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/events"
+)
+
+// problem is an apierr.Error as huma writes it.
+type problem struct {
+	apierr.Body
+	err *apierr.Error
+}
+
+var _ huma.StatusError = (*problem)(nil)
+
+// Error implements error.
+func (p *problem) Error() string { return p.err.Error() }
+
+// GetStatus implements huma.StatusError.
+func (p *problem) GetStatus() int { return p.err.Status() }
+
+func init() {
+	// huma's own refusals, such as a body that fails its schema, take the same form.
+	huma.NewError = func(status int, message string, causes ...error) huma.StatusError {
+		code := apierr.CodeInvalidRequest
+		if status == http.StatusRequestEntityTooLarge {
+			code = apierr.CodeRequestTooLarge
+		}
+		if status >= http.StatusInternalServerError {
+			code = apierr.CodeInternal
+		}
+		for _, cause := range causes {
+			if cause != nil {
+				message += ": " + cause.Error()
+			}
+		}
+		Refusals.Inc(string(code))
+		err := apierr.New(code, message)
+		return &problem{err: err, Body: apierr.BodyFor(err, "")}
+	}
+}
+
+// refuse counts and logs a refusal and returns it in huma's form.
+func (g *Gateway) refuse(err *apierr.Error, requestID string) error {
+	g.countRefusal(err, requestID)
+	p := &problem{err: err, Body: apierr.BodyFor(err, requestID)}
+	if seconds := err.RetryAfterSeconds(); seconds > 0 {
+		return huma.ErrorWithHeaders(p, http.Header{"Retry-After": {strconv.Itoa(seconds)}})
+	}
+	return p
+}
+
+// writeRefusal counts, logs and writes a refusal outside of huma.
+func (g *Gateway) writeRefusal(w http.ResponseWriter, err *apierr.Error, requestID string) {
+	g.countRefusal(err, requestID)
+	if seconds := err.RetryAfterSeconds(); seconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(err.Status())
+	_ = json.NewEncoder(w).Encode(apierr.BodyFor(err, requestID))
+}
+
+func (g *Gateway) countRefusal(err *apierr.Error, requestID string) {
+	Refusals.Inc(string(err.Code))
+	events.RequestRefused.Log(g.Logger, "request", requestID, "type", err.Code, "ran", err.Ran, "error", errors.Unwrap(err))
+}
--- /dev/null
+++ b/kv/kvmem/lease.go
@@ -0,0 +1,66 @@
+package kvmem
+
+import (
+	"context"
+	"time"
+
+	"github.com/cardamompier/cardamompier/kv"
+)
+
+// Grant implements kv.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.begin(ctx, opGrant, ""); err != nil {
+		return 0, err
+	}
+	if ttl <= 0 {
+		return 0, &kv.Error{Op: opGrant, Reason: kv.ReasonInvalid}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	id := s.lastID
+	lease := &leaseState{ttl: ttl, keys: map[string]struct{}{}}
+	lease.timer = time.AfterFunc(ttl, func() { s.expire(id) })
+	s.leases[id] = lease
+	return id, s.faults.answer(opGrant, "")
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	if err := s.begin(ctx, opKeepAlive, ""); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease, ok := s.leases[id]
+	if !ok {
+		return &kv.Error{Op: opKeepAlive, Reason: kv.ReasonLeaseExpired}
+	}
+	lease.timer.Reset(lease.ttl)
+	return s.faults.answer(opKeepAlive, "")
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	if err := s.begin(ctx, opRevoke, ""); err != nil {
+		return err
+	}
+	s.expire(id)
+	return s.faults.answer(opRevoke, "")
+}
+
+func (s *Store) expire(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	lease.timer.Stop()
+	delete(s.leases, id)
+	for key := range lease.keys {
+		if s.entries[key].Lease == id {
+			s.remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/kv/kvmem/store.go
@@ -0,0 +1,195 @@
+// Package kvmem is the in-memory twin of the platform's key-value service. It
+// keeps the service's semantics and injects its faults: outages, slowness,
+// answers lost after the write took effect, stale reads and rate limits.
+//
+// Tests use it directly; the stand-in process serves it over HTTP.
+package kvmem
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cardamompier/cardamompier/kv"
+)
+
+// Store is an in-memory kv.Store. Use New.
+type Store struct {
+	mu       sync.Mutex
+	revision kv.Version
+	entries  map[string]kv.Entry
+	history  []kv.Event // in order of revision
+	leases   map[kv.LeaseID]*leaseState
+	lastID   kv.LeaseID
+	changed  chan struct{} // closed and replaced at each change
+	previous map[string]kv.Entry
+	faults   faultState
+}
+
+type leaseState struct {
+	ttl   time.Duration
+	timer *time.Timer
+	keys  map[string]struct{}
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		entries:  map[string]kv.Entry{},
+		previous: map[string]kv.Entry{},
+		leases:   map[kv.LeaseID]*leaseState{},
+		changed:  make(chan struct{}),
+		faults:   newFaultState(),
+	}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if err := s.begin(ctx, opGet, key); err != nil {
+		return kv.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.entries[key]
+	if s.faults.takeStaleRead() {
+		entry, ok = s.previous[key]
+	}
+	if !ok {
+		return kv.Entry{}, &kv.Error{Op: opGet, Key: key, Reason: kv.ReasonNotFound}
+	}
+	return entry, s.faults.answer(opGet, key)
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]kv.Entry, kv.Version, error) {
+	if err := s.begin(ctx, opList, prefix); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []kv.Entry
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, entry)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, s.revision, s.faults.answer(opList, prefix)
+}
+
+// CompareAndSwap implements kv.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, w kv.Write) (kv.Version, error) {
+	if len(w.Value) > kv.MaxValueSize {
+		return 0, &kv.Error{Op: opSwap, Key: w.Key, Reason: kv.ReasonTooLarge}
+	}
+	if err := s.begin(ctx, opSwap, w.Key); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.entries[w.Key].Version; current != w.Expect {
+		return 0, &kv.Error{Op: opSwap, Key: w.Key, Reason: kv.ReasonConflict, Current: current}
+	}
+	if w.Lease != 0 {
+		lease, ok := s.leases[w.Lease]
+		if !ok {
+			return 0, &kv.Error{Op: opSwap, Key: w.Key, Reason: kv.ReasonLeaseExpired}
+		}
+		lease.keys[w.Key] = struct{}{}
+	}
+	s.revision++
+	value := append([]byte{}, w.Value...)
+	s.put(kv.Entry{Key: w.Key, Value: value, Version: s.revision, Lease: w.Lease})
+	return s.revision, s.faults.answer(opSwap, w.Key)
+}
+
+// Delete implements kv.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect kv.Version) error {
+	if err := s.begin(ctx, opDelete, key); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.entries[key]
+	if !ok || entry.Version != expect {
+		return &kv.Error{Op: opDelete, Key: key, Reason: kv.ReasonConflict, Current: entry.Version}
+	}
+	s.remove(key)
+	return s.faults.answer(opDelete, key)
+}
+
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Version) ([]kv.Event, kv.Version, error) {
+	if err := s.begin(ctx, opWatch, prefix); err != nil {
+		return nil, 0, err
+	}
+	for {
+		s.mu.Lock()
+		events, revision, changed := s.since(prefix, after), s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return events, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-s.faults.outageBegan():
+			return nil, 0, &kv.Error{Op: opWatch, Key: prefix, Reason: kv.ReasonUnavailable}
+		case <-ctx.Done():
+			return nil, max(revision, after), nil
+		}
+	}
+}
+
+// since returns the latest change of each key under prefix after a revision.
+func (s *Store) since(prefix string, after kv.Version) []kv.Event {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	latest := map[string]kv.Event{}
+	for _, event := range s.history[first:] {
+		if strings.HasPrefix(event.Key, prefix) {
+			latest[event.Key] = event
+		}
+	}
+	events := make([]kv.Event, 0, len(latest))
+	for _, event := range latest {
+		events = append(events, event)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Version < events[j].Version })
+	return events
+}
+
+// begin counts the call and applies the faults that come before it takes effect.
+func (s *Store) begin(ctx context.Context, op, key string) error {
+	return s.faults.before(ctx, op, key)
+}
+
+func (s *Store) put(entry kv.Entry) {
+	if old, ok := s.entries[entry.Key]; ok {
+		s.previous[entry.Key] = old
+	}
+	s.entries[entry.Key] = entry
+	s.record(kv.Event{Entry: entry})
+}
+
+func (s *Store) remove(key string) {
+	entry := s.entries[key]
+	s.previous[key] = entry
+	delete(s.entries, key)
+	s.revision++
+	s.record(kv.Event{Entry: kv.Entry{Key: key, Version: s.revision}, Deleted: true})
+}
+
+// maxHistory bounds the changes kept for watches, in events.
+const maxHistory = 100_000
+
+func (s *Store) record(event kv.Event) {
+	s.history = append(s.history, event)
+	if len(s.history) > maxHistory {
+		s.history = append([]kv.Event{}, s.history[maxHistory/2:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/provide.go
@@ -0,0 +1,65 @@
+package cardamompier
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/samber/do/v2"
+
+	"github.com/cardamompier/cardamompier/config"
+	"github.com/cardamompier/cardamompier/dispatch"
+	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/hosts/hosthttp"
+	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/kv/kvhttp"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/settings"
+)
+
+const (
+	hostListInterval = 500 * time.Millisecond
+	journalRetention = 2 * time.Minute
+)
+
+// provide declares how each part of an entry host is made.
+func provide(s settings.Settings, logger hclog.Logger) *do.RootScope {
+	i := do.New()
+	do.ProvideValue[kv.Store](i, kvhttp.NewClient(s.Platform.KeyValue))
+	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
+	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
+		return config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config")), nil
+	})
+	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
+		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
+	})
+	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
+		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
+	})
+	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
+		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
+	})
+	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
+		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
+	})
+	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
+		return gateway.New(gateway.Parts{
+			Config:     do.MustInvoke[*config.Follower](i),
+			Members:    do.MustInvoke[*membership.Registry](i),
+			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
+			Ledger:     do.MustInvoke[order.Ledger](i),
+			Journals:   journal.NewStore(journalRetention),
+			Logger:     logger.Named("gateway"),
+		}), nil
+	})
+	return i
+}
+
+func memberOf(s settings.Settings) membership.Member {
+	return membership.Member{
+		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerListen,
+		FailureDomain: s.FailureDomain, Region: s.Region,
+	}
+}
--- /dev/null
+++ b/status.go
@@ -0,0 +1,52 @@
+package cardamompier
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/cardamompier/cardamompier/membership"
+)
+
+const innerHeaderTimeout = 5 * time.Second
+
+// PathStatus is where the inner listener serves Status.
+const PathStatus = "/status"
+
+// Status is what an entry host says of itself to operators.
+type Status struct {
+	Host          string `json:"host"`
+	FailureDomain string `json:"failure_domain"`
+	// Revision of the configuration in force; zero when none is known.
+	Revision uint64              `json:"revision"`
+	Ready    bool                `json:"ready"`
+	Leaving  bool                `json:"leaving"`
+	Members  []membership.Member `json:"members"`
+	// HostListAgeMS is the age of the upstream list, in milliseconds.
+	HostListAgeMS int64 `json:"host_list_age_ms"`
+}
+
+// Status returns the host's status.
+func (s *Server) Status() Status {
+	out := Status{
+		Host: s.settings.HostID, FailureDomain: s.settings.FailureDomain,
+		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members,
+		HostListAgeMS: time.Since(s.poller.Current().ReadAt).Milliseconds(),
+	}
+	if snapshot := s.follower.Current(); snapshot != nil {
+		out.Revision, out.Ready = snapshot.Revision, !out.Leaving
+	}
+	return out
+}
+
+// innerServer serves operators and other entry hosts, never callers.
+func (s *Server) innerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Status())
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
+}
