--- a/cardamompier.go
+++ b/cardamompier.go
@@ -21,6 +21,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/gateway"
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/settings"
 )
@@ -133,6 +134,8 @@
 		err = shutdownErr
 	}
 	s.stop()
+	do.MustInvoke[*inner.Client](s.injector).Close()
+	do.MustInvoke[*inner.Server](s.injector).Close()
 	_ = s.inner.Shutdown(ctx)
 	s.background.Wait()
 	events.ProcessStopped.Log(s.logger, "host", s.settings.HostID)
--- /dev/null
+++ b/inner/client.go
@@ -0,0 +1,227 @@
+package inner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const dialTimeout = time.Second
+
+// Client calls other entry hosts. It keeps one connection to each address
+// that it was asked to call, and opens it again when it broke.
+type Client struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{peers: map[string]*peer{}} }
+
+// peer is the connection to one address.
+type peer struct {
+	address string
+	dialing sync.Mutex // held while the connection is opened
+
+	mu       sync.Mutex
+	conn     *websocket.Conn
+	lastCall uint64
+	waiting  map[uint64]chan envelope
+}
+
+// Call sends a message and decodes its answer into resp, which may be nil. It
+// returns *Error.
+func (c *Client) Call(ctx context.Context, address string, kind Kind, req, resp any) error {
+	p := c.peer(address)
+	fail := func(reason Reason, cause error) error {
+		return &Error{Peer: address, Kind: kind, Reason: reason, Cause: cause}
+	}
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return fail(ReasonConnect, err)
+	}
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return fail(ReasonCodec, err)
+	}
+	call, answers := p.begin()
+	defer p.end(call)
+	if err := write(ctx, conn, envelope{Call: call, Kind: kind, Body: body}); err != nil {
+		p.drop(conn)
+		return fail(ReasonBroken, err)
+	}
+	select {
+	case answer, ok := <-answers:
+		if !ok {
+			return fail(ReasonBroken, nil)
+		}
+		return decodeAnswer(answer, address, kind, resp)
+	case <-ctx.Done():
+		return fail(ReasonTimeout, ctx.Err())
+	}
+}
+
+// Send sends a one-way message. It returns *Error when it surely did not leave.
+func (c *Client) Send(ctx context.Context, address string, kind Kind, message any) error {
+	p := c.peer(address)
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return &Error{Peer: address, Kind: kind, Reason: ReasonConnect, Cause: err}
+	}
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return &Error{Peer: address, Kind: kind, Reason: ReasonCodec, Cause: err}
+	}
+	if err := write(ctx, conn, envelope{Kind: kind, Body: body}); err != nil {
+		p.drop(conn)
+		return &Error{Peer: address, Kind: kind, Reason: ReasonBroken, Cause: err}
+	}
+	return nil
+}
+
+// Forget closes the connection to an address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p, ok := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if ok {
+		p.close()
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	peers := c.peers
+	c.peers = map[string]*peer{}
+	c.mu.Unlock()
+	for _, p := range peers {
+		p.close()
+	}
+}
+
+func decodeAnswer(answer envelope, address string, kind Kind, resp any) error {
+	if answer.Failure == codeUnknownKind {
+		return &Error{Peer: address, Kind: kind, Reason: ReasonUnknownKind}
+	}
+	if answer.Failure != "" {
+		return &Error{Peer: address, Kind: kind, Reason: ReasonHandler, Code: answer.Failure}
+	}
+	if resp == nil {
+		return nil
+	}
+	if err := cbor.Unmarshal(answer.Body, resp); err != nil {
+		return &Error{Peer: address, Kind: kind, Reason: ReasonCodec, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = &peer{address: address, waiting: map[uint64]chan envelope{}}
+		c.peers[address] = p
+	}
+	return p
+}
+
+// connect returns the open connection, or opens one.
+func (p *peer) connect(ctx context.Context) (*websocket.Conn, error) {
+	if conn := p.current(); conn != nil {
+		return conn, nil
+	}
+	p.dialing.Lock()
+	defer p.dialing.Unlock()
+	if conn := p.current(); conn != nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, res, err := websocket.Dial(ctx, "ws://"+p.address+Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if res.Body != nil {
+		_ = res.Body.Close()
+	}
+	conn.SetReadLimit(maxMessageSize)
+	p.mu.Lock()
+	p.conn = conn
+	p.mu.Unlock()
+	go p.readLoop(conn)
+	return conn, nil
+}
+
+func (p *peer) current() *websocket.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
+}
+
+func (p *peer) readLoop(conn *websocket.Conn) {
+	defer p.drop(conn)
+	for {
+		_, data, err := conn.Read(context.Background())
+		if err != nil {
+			return
+		}
+		Bytes.Add(labelReceived, int64(len(data)))
+		Messages.Inc(labelReceived)
+		var answer envelope
+		if cbor.Unmarshal(data, &answer) != nil {
+			return
+		}
+		p.deliver(answer)
+	}
+}
+
+func (p *peer) deliver(answer envelope) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answers, ok := p.waiting[answer.Call]; ok {
+		answers <- answer
+		delete(p.waiting, answer.Call)
+	}
+}
+
+func (p *peer) begin() (uint64, <-chan envelope) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastCall++
+	answers := make(chan envelope, 1)
+	p.waiting[p.lastCall] = answers
+	return p.lastCall, answers
+}
+
+func (p *peer) end(call uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, call)
+}
+
+// drop forgets a broken connection and fails the calls that wait on it.
+func (p *peer) drop(conn *websocket.Conn) {
+	_ = conn.CloseNow()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != conn {
+		return
+	}
+	p.conn = nil
+	for call, answers := range p.waiting {
+		close(answers)
+		delete(p.waiting, call)
+	}
+}
+
+func (p *peer) close() {
+	if conn := p.current(); conn != nil {
+		p.drop(conn)
+	}
+}
--- a/provide.go
+++ b/provide.go
@@ -11,6 +11,7 @@
 	"github.com/cardamompier/cardamompier/gateway"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
+	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
@@ -28,6 +29,8 @@
 func provide(s settings.Settings, logger hclog.Logger) *do.RootScope {
 	i := do.New()
 	do.ProvideValue[kv.Store](i, kvhttp.NewClient(s.Platform.KeyValue))
+	do.ProvideValue(i, inner.NewServer())
+	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
 		return config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config")), nil
--- a/status.go
+++ b/status.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/do/v2"
+
+	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
@@ -43,6 +46,7 @@
 // innerServer serves operators and other entry hosts, never callers.
 func (s *Server) innerServer() *http.Server {
 	mux := http.NewServeMux()
+	mux.Handle("GET "+inner.Path, do.MustInvoke[*inner.Server](s.injector))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
