Add the dissemination of versioned values between entry hosts

Cause: configuration documents, quarantine lists, load digests and account usage have to reach every entry host, and each would have built its own way.

The neighbours are all registered hosts for now.

--- a/cardamompier.go
+++ b/cardamompier.go
@@ -20,6 +20,7 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
@@ -52,6 +53,7 @@
 	follower *config.Follower
 	poller   *hosts.Poller
 	registry *membership.Registry
+	spreader *gossip.Spreader
 
 	callers, inner                *http.Server
 	callerListener, innerListener net.Listener
@@ -73,6 +75,7 @@
 		follower: do.MustInvoke[*config.Follower](injector),
 		poller:   do.MustInvoke[*hosts.Poller](injector),
 		registry: do.MustInvoke[*membership.Registry](injector),
+		spreader: do.MustInvoke[*gossip.Spreader](injector),
 	}
 	srv.callers = srv.gateway.Server()
 	srv.inner = srv.innerServer()
@@ -99,6 +102,7 @@
 	s.start(func() { s.follower.Run(background) })
 	s.start(func() { s.poller.Run(background) })
 	s.start(func() { s.registry.Run(background) })
+	s.start(func() { s.spreader.Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -70,6 +70,18 @@
 	return r.self
 }
 
+// Neighbours returns the inner addresses that this host spreads values to.
+func (r *Registry) Neighbours() []string {
+	var out []string
+	self := r.Self().ID
+	for _, m := range r.View().Members {
+		if m.ID != self {
+			out = append(out, m.InnerAddress)
+		}
+	}
+	return out
+}
+
 // Run registers and refreshes until ctx ends, then deregisters.
 func (r *Registry) Run(ctx context.Context) {
 	ticker := time.NewTicker(refreshInterval)
--- a/provide.go
+++ b/provide.go
@@ -9,6 +9,7 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
 	"github.com/cardamompier/cardamompier/inner"
@@ -41,6 +42,13 @@
 	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
 		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
 	})
+	do.ProvideValue(i, gossip.NewTable(s.HostID))
+	do.Provide(i, func(i do.Injector) (*gossip.Spreader, error) {
+		neighbours := do.MustInvoke[*membership.Registry](i).Neighbours
+		spreader := gossip.NewSpreader(do.MustInvoke[*gossip.Table](i), s.InnerListen, do.MustInvoke[*inner.Client](i), neighbours)
+		spreader.Register(do.MustInvoke[*inner.Server](i))
+		return spreader, nil
+	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
 	})
