--- a/cardamompier.go
+++ b/cardamompier.go
@@ -20,7 +20,6 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/gateway"
-	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
@@ -53,11 +52,10 @@
 	follower *config.Follower
 	poller   *hosts.Poller
 	registry *membership.Registry
-	spreader *gossip.Spreader
 
 	callers, inner                *http.Server
 	callerListener, innerListener net.Listener
-	background                    sync.WaitGroup
+	background, registryEnded     sync.WaitGroup
 	stop                          context.CancelFunc
 }
 
@@ -75,7 +73,6 @@
 		follower: do.MustInvoke[*config.Follower](injector),
 		poller:   do.MustInvoke[*hosts.Poller](injector),
 		registry: do.MustInvoke[*membership.Registry](injector),
-		spreader: do.MustInvoke[*gossip.Spreader](injector),
 	}
 	srv.callers = srv.gateway.Server()
 	srv.inner = srv.innerServer()
@@ -101,8 +98,7 @@
 	s.stop = stop
 	s.start(func() { s.follower.Run(background) })
 	s.start(func() { s.poller.Run(background) })
-	s.start(func() { s.registry.Run(background) })
-	s.start(func() { s.spreader.Run(background) })
+	s.registryEnded.Go(func() { s.registry.Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
@@ -129,15 +125,14 @@
 	events.ProcessDraining.Log(s.logger, "host", s.settings.HostID)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := s.registry.Leave(ctx); err != nil {
-		events.RegisterFailed.Log(s.logger, "error", err)
-	}
+	s.registry.Leave(ctx)
 	time.Sleep(drainNotice)
 	err := s.gateway.Drain(ctx)
 	if shutdownErr := s.callers.Shutdown(ctx); err == nil {
 		err = shutdownErr
 	}
 	s.stop()
+	s.registryEnded.Wait()
 	do.MustInvoke[*inner.Client](s.injector).Close()
 	do.MustInvoke[*inner.Server](s.injector).Close()
 	_ = s.inner.Shutdown(ctx)
--- a/cmd/cardamompier/status.go
+++ b/cmd/cardamompier/status.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sort"
 	"time"
 
 	"github.com/integrii/flaggy"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier"
 	"github.com/cardamompier/cardamompier/kv"
@@ -45,19 +47,32 @@
 	return 0
 }
 
-// readStatuses asks every registered entry host for its status.
+// readStatuses asks every entry host for its status: the seeds, the members
+// that they know, and so on.
 func readStatuses(ctx context.Context, store kv.Store) ([]hostStatus, error) {
-	entries, _, err := store.List(ctx, membership.KeyPrefix)
+	members, _, err := membership.ReadSeeds(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]hostStatus, 0, len(entries))
-	for _, entry := range entries {
-		var m membership.Member
-		if err := json.Unmarshal(entry.Value, &m); err == nil {
-			out = append(out, readStatus(ctx, m))
+	asked, known := map[string]bool{}, map[string]bool{}
+	all := []hostStatus{}
+	for len(members) > 0 {
+		m := members[0]
+		members = members[1:]
+		if asked[m.ID] {
+			continue
+		}
+		asked[m.ID] = true
+		s := readStatus(ctx, m)
+		all = append(all, s)
+		members = append(members, s.Members...)
+		for _, other := range s.Members {
+			known[other.ID] = true
 		}
 	}
+	// A seed that no member knows has ended since the list was written.
+	out := lo.Filter(all, func(s hostStatus, _ int) bool { return len(known) == 0 || known[s.Host] })
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
 	return out, nil
 }
 
--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -37,7 +37,7 @@
 func (g *Gateway) addresses() Addresses {
 	out := Addresses{Addresses: []Address{}, KeepSeconds: addressKeepSeconds}
 	for _, m := range g.Members.View().Members {
-		if !m.Leaving {
+		if m.Usable() {
 			out.Addresses = append(out.Addresses, Address{Host: m.ID, Address: m.Address, FailureDomain: m.FailureDomain})
 		}
 	}
--- a/gossip/repair.go
+++ b/gossip/repair.go
@@ -20,25 +20,33 @@
 // repair compares the table with one neighbour's and exchanges what differs.
 func (s *Spreader) repair(ctx context.Context) {
 	neighbours := s.neighbours()
-	if len(neighbours) > 0 {
-		s.RepairWith(ctx, neighbours[rand.IntN(len(neighbours))])
+	if len(neighbours) == 0 {
+		return
 	}
-}
-
-// RepairWith compares the table with one host's and exchanges what differs.
-// It reports whether the host answered.
-func (s *Spreader) RepairWith(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	address := neighbours[rand.IntN(len(neighbours))]
 	var differ diffReply
 	request := diffRequest{From: s.self, Hashes: s.table.hashes()}
-	if s.transport.Call(ctx, address, inner.KindStateDiff, request, &differ) != nil {
-		return false
+	if s.transport.Call(ctx, address, inner.KindStateDiff, request, &differ) == nil && len(differ.Buckets) > 0 {
+		s.exchange(ctx, address, differ.Buckets)
 	}
-	if len(differ.Buckets) == 0 {
-		return true
+}
+
+// ExchangeAll compares all names with one host and exchanges what differs, for
+// a host that joins or comes back. It reports whether the host answered.
+func (s *Spreader) ExchangeAll(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	buckets := make([]int, bucketCount)
+	for i := range buckets {
+		buckets[i] = i
 	}
-	request = diffRequest{From: s.self, Buckets: differ.Buckets, Digests: s.table.digests(differ.Buckets)}
+	return s.exchange(ctx, address, buckets)
+}
+
+func (s *Spreader) exchange(ctx context.Context, address string, buckets []int) bool {
+	request := diffRequest{From: s.self, Buckets: buckets, Digests: s.table.digests(buckets)}
 	var reply diffReply
 	if s.transport.Call(ctx, address, inner.KindStateDiff, request, &reply) != nil {
 		return false
--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -197,19 +197,25 @@
 // fetch pulls announced items that are newer than the known ones.
 func (s *Spreader) fetch(from string, announced []digest) {
 	var names []string
-	s.mu.Lock()
 	for _, d := range announced {
-		if !s.pulling[d.Name] && s.table.wants(d) {
-			s.pulling[d.Name] = true
+		if s.table.wants(d) && s.startPull(d.Name) {
 			names = append(names, d.Name)
 		}
 	}
-	s.mu.Unlock()
 	for _, name := range names {
 		s.pull(from, name)
 	}
 }
 
+// startPull reports whether no pull of the name is under way.
+func (s *Spreader) startPull(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	started := !s.pulling[name]
+	s.pulling[name] = true
+	return started
+}
+
 func (s *Spreader) pull(from, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -44,6 +44,7 @@
 	gone        map[string]bool // owners whose values are not taken
 	subscribers []*subscriber
 	onNew       func(item Item, from string)
+	filter      func(Item) bool
 	// pending are calls of subscribers that were not made yet; one goroutine at
 	// a time makes them, in order.
 	pending   []func()
@@ -154,6 +155,10 @@
 	delete(t.gone, owner)
 }
 
+// Filter sets a function that refuses items; it is called before each new item
+// and must not use the table. Set it before the table is used.
+func (t *Table) Filter(accepts func(Item) bool) { t.filter = accepts }
+
 // Remove forgets a name on this host only, for example after its retention.
 func (t *Table) Remove(name string) {
 	t.mu.Lock()
@@ -164,6 +169,9 @@
 // put stores an item that is newer than the known one. From is the address of
 // the host that sent it; empty for this host.
 func (t *Table) put(item Item, from string) bool {
+	if t.filter != nil && !t.filter(item) {
+		return false
+	}
 	t.mu.Lock()
 	known, ok := t.items[item.Name]
 	if (ok && item.Version <= known.Version) || t.gone[item.Owner] {
--- a/inner/client.go
+++ b/inner/client.go
@@ -9,7 +9,11 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// idleTimeout closes a connection that carried no message for so long.
+	idleTimeout = 30 * time.Second
+)
 
 // Client calls other entry hosts. It keeps one connection to each address
 // that it was asked to call, and opens it again when it broke.
@@ -30,6 +34,7 @@
 	conn     *websocket.Conn
 	lastCall uint64
 	waiting  map[uint64]chan envelope
+	idle     *time.Timer // drops conn
 }
 
 // Call sends a message and decodes its answer into resp, which may be nil. It
@@ -153,17 +158,35 @@
 	conn.SetReadLimit(maxMessageSize)
 	p.mu.Lock()
 	p.conn = conn
+	p.idle = time.AfterFunc(idleTimeout, func() { p.dropIdle(conn) })
 	p.mu.Unlock()
 	go p.readLoop(conn)
 	return conn, nil
 }
 
+// current returns the open connection, if there is one, to be used now.
 func (p *peer) current() *websocket.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.conn != nil {
+		p.idle.Reset(idleTimeout)
+	}
 	return p.conn
 }
 
+// dropIdle closes a connection on which no call waits.
+func (p *peer) dropIdle(conn *websocket.Conn) {
+	p.mu.Lock()
+	busy := len(p.waiting) > 0
+	if busy {
+		p.idle.Reset(idleTimeout)
+	}
+	p.mu.Unlock()
+	if !busy {
+		p.drop(conn)
+	}
+}
+
 func (p *peer) readLoop(conn *websocket.Conn) {
 	defer p.drop(conn)
 	for {
@@ -214,6 +237,7 @@
 		return
 	}
 	p.conn = nil
+	p.idle.Stop()
 	for call, answers := range p.waiting {
 		close(answers)
 		delete(p.waiting, call)
--- /dev/null
+++ b/membership/seeds.go
@@ -0,0 +1,179 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/metrics"
+)
+
+// SeedKey is where the list of seeds is stored.
+const SeedKey = "entry/seeds"
+
+const (
+	seedCount = 5
+	// keeperCount is the number of members that check the list.
+	keeperCount       = 3
+	seedCheckInterval = 3 * time.Second
+	joinRetryInterval = 500 * time.Millisecond
+	seedCallTimeout   = 2 * time.Second
+)
+
+// SeedCalls counts calls on the key-value service for the list of seeds.
+var SeedCalls = metrics.New("member_seed_calls_total", "Calls on the key-value service for the list of seeds, by kind.")
+
+const (
+	labelRead  = "read"
+	labelWrite = "write"
+)
+
+// seedList is the stored list.
+type seedList struct {
+	Members []Member `json:"members"`
+}
+
+// ReadSeeds returns the members in the stored list; none when there is no list.
+// It may be a little out of date: ask one of them for all members.
+func ReadSeeds(ctx context.Context, store kv.Store) ([]Member, kv.Version, error) {
+	SeedCalls.Inc(labelRead)
+	entry, err := store.Get(ctx, SeedKey)
+	if kv.ReasonOf(err) == kv.ReasonNotFound {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var list seedList
+	if json.Unmarshal(entry.Value, &list) != nil {
+		return nil, entry.Version, nil // written over by the next keeper
+	}
+	return list.Members, entry.Version, nil
+}
+
+func writeSeeds(ctx context.Context, store kv.Store, members []Member, expect kv.Version) error {
+	SeedCalls.Inc(labelWrite)
+	value, err := json.Marshal(seedList{Members: members})
+	if err != nil {
+		return err
+	}
+	_, err = store.CompareAndSwap(ctx, kv.Write{Key: SeedKey, Value: value, Expect: expect})
+	return err
+}
+
+// seedLoop joins, and then checks the list while this host is a keeper.
+func (r *Registry) seedLoop(ctx context.Context) {
+	for ctx.Err() == nil && !r.joined.Load() {
+		r.joined.Store(r.join(ctx))
+		if !r.joined.Load() {
+			sleep(ctx, joinRetryInterval)
+		}
+	}
+	for ctx.Err() == nil {
+		if r.isKeeper() {
+			r.checkSeeds(ctx)
+		}
+		sleep(ctx, seedCheckInterval)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// join exchanges records with the first seed that answers. When none does,
+// this host makes itself a seed.
+func (r *Registry) join(ctx context.Context) bool {
+	answered := false
+	for _, address := range r.Seeds {
+		answered = r.contact(ctx, address) || answered
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedCallTimeout)
+	defer cancel()
+	if answered {
+		return true
+	}
+	seeds, version, err := ReadSeeds(ctx, r.Store)
+	if err != nil {
+		events.RegisterFailed.Log(r.Logger, "error", err)
+		return len(r.View().Members) > 1
+	}
+	for _, seed := range seeds {
+		if seed.ID != r.Options.Self.ID && r.contact(ctx, seed.InnerAddress) {
+			return true
+		}
+	}
+	return writeSeeds(ctx, r.Store, []Member{r.Self()}, version) == nil
+}
+
+func (r *Registry) contact(ctx context.Context, address string) bool {
+	return address != r.Options.Self.InnerAddress && r.spreader.ExchangeAll(ctx, address)
+}
+
+func (r *Registry) isKeeper() bool {
+	for _, m := range r.View().Chosen(SeedKey, keeperCount) {
+		if m.ID == r.Options.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSeeds contacts seeds that are not known here, and replaces those that
+// take no part any more.
+func (r *Registry) checkSeeds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, seedCallTimeout)
+	defer cancel()
+	seeds, version, err := ReadSeeds(ctx, r.Store)
+	if err != nil {
+		if ctx.Err() == nil {
+			events.RegisterFailed.Log(r.Logger, "error", err)
+		}
+		return
+	}
+	for _, seed := range seeds {
+		if _, known := r.View().Member(seed.ID); !known {
+			r.contact(ctx, seed.InnerAddress)
+		}
+	}
+	wanted, changed := chooseSeeds(seeds, r.View())
+	if changed {
+		_ = writeSeeds(ctx, r.Store, wanted, version) // the next check sees whether it was lost
+	}
+}
+
+// chooseSeeds keeps the seeds that are usable and fills up with others, each
+// time from the failure domain with the fewest seeds.
+func chooseSeeds(seeds []Member, view *View) ([]Member, bool) {
+	var out []Member
+	inDomain := map[string]int{}
+	taken := map[string]bool{}
+	add := func(m Member) {
+		out = append(out, m)
+		inDomain[m.FailureDomain]++
+		taken[m.ID] = true
+	}
+	for _, seed := range seeds {
+		if m, ok := view.Member(seed.ID); ok && m.Usable() && m.InnerAddress == seed.InnerAddress {
+			add(seed)
+		}
+	}
+	changed := len(out) != len(seeds)
+	candidates := view.Chosen(SeedKey, len(view.Members))
+	for len(out) < min(seedCount, len(candidates)) {
+		best := -1
+		for i, m := range candidates {
+			if !taken[m.ID] && (best < 0 || inDomain[m.FailureDomain] < inDomain[candidates[best].FailureDomain]) {
+				best = i
+			}
+		}
+		add(candidates[best])
+		changed = true
+	}
+	return out, changed
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+)
+
+// ringCount is the number of rings on which each member has a successor that
+// it probes and sends values to.
+const ringCount = 4
+
+// View is an immutable list of the members that may be running, this host
+// included, in order of their ids.
+type View struct {
+	// ReadAt is when the view was made from the records known then.
+	ReadAt     time.Time
+	Members    []Member
+	byID       map[string]Member
+	neighbours []Member
+}
+
+func newView(members map[string]Member, self string) *View {
+	v := &View{ReadAt: time.Now(), byID: map[string]Member{}}
+	for id, m := range members {
+		if m.present() {
+			v.Members = append(v.Members, m)
+			v.byID[id] = m
+		}
+	}
+	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].ID < v.Members[j].ID })
+	v.neighbours = successors(v.Members, self)
+	return v
+}
+
+// Member returns a member by its id.
+func (v *View) Member(id string) (Member, bool) {
+	m, ok := v.byID[id]
+	return m, ok
+}
+
+// Usable returns the members that take new work, as far as is known.
+func (v *View) Usable() []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() })
+}
+
+// InDomain returns the usable members in a failure domain.
+func (v *View) InDomain(domain string) []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() && m.FailureDomain == domain })
+}
+
+// OutsideDomain returns the usable members in other failure domains.
+func (v *View) OutsideDomain(domain string) []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() && m.FailureDomain != domain })
+}
+
+// Chosen returns up to count usable members in the rendezvous order of a key:
+// hosts with the same view choose the same, and a change of the members moves
+// few choices.
+func (v *View) Chosen(key string, count int) []Member {
+	usable := v.Usable()
+	sort.Slice(usable, func(i, j int) bool {
+		return xxhash.Sum64String(key+"/"+usable[i].ID) < xxhash.Sum64String(key+"/"+usable[j].ID)
+	})
+	return usable[:min(count, len(usable))]
+}
+
+// successors returns the member after self on each ring, each member once. A
+// ring is the order of the members by a hash of the ring's number and the id.
+func successors(members []Member, self string) []Member {
+	taken := map[string]bool{self: true}
+	var out []Member
+	for ring := range byte(ringCount) {
+		own := ringHash(ring, self)
+		best, distance := -1, uint64(0)
+		for i, m := range members {
+			// The subtraction wraps, as the ring does.
+			if d := ringHash(ring, m.ID) - own; !taken[m.ID] && (best < 0 || d < distance) {
+				best, distance = i, d
+			}
+		}
+		if best >= 0 {
+			taken[members[best].ID] = true
+			out = append(out, members[best])
+		}
+	}
+	return out
+}
+
+func ringHash(ring byte, id string) uint64 {
+	return xxhash.Sum64String(string([]byte{'0' + ring, '/'}) + id)
+}
--- a/provide.go
+++ b/provide.go
@@ -39,15 +39,14 @@
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
 		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
 	})
-	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
-		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
-	})
 	do.ProvideValue(i, gossip.NewTable(s.HostID))
-	do.Provide(i, func(i do.Injector) (*gossip.Spreader, error) {
-		neighbours := do.MustInvoke[*membership.Registry](i).Neighbours
-		spreader := gossip.NewSpreader(do.MustInvoke[*gossip.Table](i), s.InnerListen, do.MustInvoke[*inner.Client](i), neighbours)
-		spreader.Register(do.MustInvoke[*inner.Server](i))
-		return spreader, nil
+	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
+		registry := membership.New(membership.Options{
+			Self: memberOf(s), Seeds: s.Seeds, Store: do.MustInvoke[kv.Store](i), Table: do.MustInvoke[*gossip.Table](i),
+			Transport: do.MustInvoke[*inner.Client](i), Logger: logger.Named("membership"),
+		})
+		registry.Register(do.MustInvoke[*inner.Server](i))
+		return registry, nil
 	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
@@ -70,7 +69,7 @@
 
 func memberOf(s settings.Settings) membership.Member {
 	return membership.Member{
-		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerListen,
+		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerAdvertise,
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
 }
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -66,6 +66,7 @@
 	p := w.start(ts, name, "cardamompierd", "-s", file)
 	p.address, p.inner = s.Listen, s.InnerListen
 	awaitListening(ts, p, p.address)
+	awaitJoined(p)
 	ts.Setenv(strings.ToUpper(name), p.address)
 	ts.Setenv(strings.ToUpper(name)+"_INNER", p.inner)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 )
 
 // Settings are the settings of one entry host.
@@ -27,6 +28,12 @@
 	// InnerListen is the IP number and port for other entry hosts and for
 	// operators. Required; callers must not reach it.
 	InnerListen string `json:"inner_listen"`
+	// InnerAdvertise is the IP number and port that other entry hosts are told.
+	// Default InnerListen.
+	InnerAdvertise string `json:"inner_advertise"`
+	// Seeds are inner addresses of entry hosts that are asked first at a start,
+	// before the key-value service. Default none.
+	Seeds []string `json:"seeds,omitempty"`
 	// Platform says where the platform's services are.
 	Platform Platform `json:"platform"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error". Default "info".
@@ -86,6 +93,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
 	}
+	if s.InnerAdvertise == "" {
+		s.InnerAdvertise = s.InnerListen
+	}
 	if s.Region == "" {
 		s.Region = "default"
 	}
@@ -111,6 +121,10 @@
 		return refuse("advertise", "an IP number and port")
 	case !isAddress(s.InnerListen):
 		return refuse("inner_listen", "an IP number and port")
+	case !isAddress(s.InnerAdvertise):
+		return refuse("inner_advertise", "an IP number and port")
+	case !lo.EveryBy(s.Seeds, isAddress):
+		return refuse("seeds", "IP numbers and ports")
 	case !isURL(s.Platform.KeyValue):
 		return refuse("platform.key_value", "an http URL")
 	case !isURL(s.Platform.HostList):
--- a/status.go
+++ b/status.go
@@ -22,10 +22,12 @@
 	Host          string `json:"host"`
 	FailureDomain string `json:"failure_domain"`
 	// Revision of the configuration in force; zero when none is known.
-	Revision uint64              `json:"revision"`
-	Ready    bool                `json:"ready"`
-	Leaving  bool                `json:"leaving"`
-	Members  []membership.Member `json:"members"`
+	Revision uint64 `json:"revision"`
+	Ready    bool   `json:"ready"`
+	Leaving  bool   `json:"leaving"`
+	// Joined says that the host found the other entry hosts, or is the first.
+	Joined  bool                `json:"joined"`
+	Members []membership.Member `json:"members"`
 	// HostListAgeMS is the age of the upstream list, in milliseconds.
 	HostListAgeMS int64 `json:"host_list_age_ms"`
 }
@@ -34,7 +36,7 @@
 func (s *Server) Status() Status {
 	out := Status{
 		Host: s.settings.HostID, FailureDomain: s.settings.FailureDomain,
-		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members,
+		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members, Joined: s.registry.Joined(),
 		HostListAgeMS: time.Since(s.poller.Current().ReadAt).Milliseconds(),
 	}
 	if snapshot := s.follower.Current(); snapshot != nil {
