--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -46,6 +46,7 @@
 	flags = append([]string{"-l", address, kind}, append(flags, args[3:]...)...)
 	p := w.start(ts, name, "standin", flags...)
 	p.address = address
+	w.domainOf[name] = domain
 	awaitListening(ts, p, address)
 	ts.Setenv(strings.ToUpper(name), address)
 	w.addHost(ts, hosts.Host{ID: name, Address: address, FailureDomain: domain, Pool: pool, State: hosts.StateLive})
@@ -65,6 +66,7 @@
 	ts.Check(os.WriteFile(file, data, 0o600))
 	p := w.start(ts, name, "cardamompierd", "-s", file)
 	p.address, p.inner = s.Listen, s.InnerListen
+	w.domainOf[name] = s.FailureDomain
 	awaitListening(ts, p, p.address)
 	ts.Setenv(strings.ToUpper(name), p.address)
 	ts.Setenv(strings.ToUpper(name)+"_INNER", p.inner)
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -57,6 +57,7 @@
 			"order":      cmdOrder,
 			"get":        cmdGet,
 			"eventually": cmdEventually,
+			"soak":       cmdSoak,
 		},
 	})
 }
@@ -67,6 +68,7 @@
 	platform  string // URL
 	hosts     []hosts.Host
 	processes map[string]*process
+	domainOf  map[string]string // failure domain by process name
 }
 
 // process is one running program.
@@ -80,7 +82,7 @@
 type worldKey struct{}
 
 func setUp(env *testscript.Env) error {
-	w := &world{dir: env.WorkDir, processes: map[string]*process{}}
+	w := &world{dir: env.WorkDir, processes: map[string]*process{}, domainOf: map[string]string{}}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.killAll)
--- a/status.go
+++ b/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -48,6 +49,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+inner.Path, do.MustInvoke[*inner.Server](s.injector))
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Status())
