--- a/inner/server.go
+++ b/inner/server.go
@@ -122,6 +122,16 @@
 	return handle(ctx, message.Body)
 }
 
+// Answer handles one message and returns the encoded answer, for transports
+// other than the WebSocket connections. It returns *Failure.
+func (s *Server) Answer(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
+	result, err := s.dispatch(ctx, envelope{Kind: kind, Body: body})
+	if err != nil {
+		return nil, &Failure{Code: codeOf(err)}
+	}
+	return cbor.Marshal(result)
+}
+
 func codeOf(err error) string {
 	var failure *Failure
 	if errors.As(err, &failure) {
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,209 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/cardamompier/cardamompier/gossip"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/inner/innermem"
+	"github.com/cardamompier/cardamompier/kv/kvmem"
+	"github.com/cardamompier/cardamompier/membership"
+)
+
+// convergence bounds the time from the last fault to equal views: a suspicion
+// that began last, tries of the dead, and their refutations.
+const convergence = 2*membership.SuspicionTimeout + 20*membership.RevivalInterval
+
+// host is one member of a test's fleet.
+type host struct {
+	id       string
+	registry *membership.Registry
+	table    *gossip.Table
+	stop     context.CancelFunc
+	ended    chan struct{}
+}
+
+// fleet is the members of one test.
+type fleet struct {
+	network *innermem.Network
+	store   *kvmem.Store
+	hosts   map[string]*host
+	dead    map[string]bool
+}
+
+func newFleet(seed uint64, count int) *fleet {
+	f := &fleet{network: innermem.New(seed), store: kvmem.New(), hosts: map[string]*host{}, dead: map[string]bool{}}
+	f.network.SetDelay(5 * time.Millisecond)
+	for i := range count {
+		f.start(fmt.Sprintf("n%d", i), fmt.Sprintf("d%d", i%4))
+	}
+	return f
+}
+
+func (f *fleet) start(id, domain string, seeds ...string) *host {
+	h := &host{id: id, table: gossip.NewTable(id), ended: make(chan struct{})}
+	h.registry = membership.New(membership.Options{
+		Self:  membership.Member{ID: id, Address: id, InnerAddress: id, FailureDomain: domain},
+		Seeds: seeds, Store: f.store, Table: h.table, Transport: f.network.Client(id), Logger: hclog.NewNullLogger(),
+	})
+	h.registry.BeforeTick(func() { f.network.AwaitRunning(id) })
+	server := inner.NewServer()
+	h.registry.Register(server)
+	f.network.Serve(id, server)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	go func() { h.registry.Run(ctx); close(h.ended) }()
+	f.hosts[id] = h
+	return h
+}
+
+// kill ends a host without a word.
+func (f *fleet) kill(id string) {
+	f.network.Serve(id, nil)
+	f.dead[id] = true
+}
+
+func (f *fleet) heal() {
+	f.network.SetLoss(0)
+	for a := range f.hosts {
+		f.network.Resume(a)
+		for b := range f.hosts {
+			f.network.Cut(a, b, false)
+		}
+	}
+}
+
+func (f *fleet) close() {
+	f.heal()
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		<-h.ended
+	}
+	time.Sleep(time.Minute) // calls in flight end
+}
+
+// check returns how the views differ from the truth; empty when they agree.
+func (f *fleet) check() string {
+	for _, h := range f.hosts {
+		if f.dead[h.id] {
+			continue
+		}
+		view := h.registry.View()
+		for _, other := range f.hosts {
+			m, present := view.Member(other.id)
+			if f.dead[other.id] && present {
+				return fmt.Sprintf("%s holds the dead %s for %s", h.id, other.id, m.State)
+			}
+			if !f.dead[other.id] && (!present || m.State != membership.StateAlive) {
+				known, _ := h.registry.Knows(other.id)
+				return fmt.Sprintf("%s holds the live %s for %s", h.id, other.id, known.State)
+			}
+			if !f.dead[other.id] && m.Leaving != other.registry.Self().Leaving {
+				return fmt.Sprintf("%s has an older record of the leaving %s", h.id, other.id)
+			}
+		}
+	}
+	return ""
+}
+
+// TestViewsConvergeAfterFaults drives random faults and then heals: no live
+// member stays declared dead, every dead one is noticed, and a leaving one is
+// never seen as not leaving again.
+func TestViewsConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		count := rapid.IntRange(3, 9).Draw(rt, "hosts")
+		steps := rapid.IntRange(1, 12).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(seed, count)
+			defer f.close()
+			time.Sleep(10 * time.Second)
+			if wrong := f.check(); wrong != "" {
+				rt.Fatalf("before the faults: %s", wrong)
+			}
+			watch := f.watchLeaving(rt)
+			for range steps {
+				f.step(rt)
+			}
+			f.heal()
+			time.Sleep(convergence)
+			watch()
+			if wrong := f.check(); wrong != "" {
+				rt.Fatalf("after the faults: %s", wrong)
+			}
+		})
+	})
+}
+
+// step induces one random fault and lets time pass.
+func (f *fleet) step(rt *rapid.T) {
+	pick := func(label string) string {
+		return fmt.Sprintf("n%d", rapid.IntRange(0, len(f.hosts)-1).Draw(rt, label))
+	}
+	switch rapid.SampledFrom([]string{"loss", "pause", "resume", "cut", "split", "heal", "kill", "leave"}).Draw(rt, "fault") {
+	case "loss":
+		f.network.SetLoss(rapid.Float64Range(0, 0.5).Draw(rt, "share"))
+	case "pause":
+		f.network.Pause(pick("host"))
+	case "resume":
+		f.network.Resume(pick("host"))
+	case "cut":
+		f.network.Cut(pick("a"), pick("b"), true)
+	case "split":
+		f.split()
+	case "heal":
+		f.heal()
+	case "kill":
+		if id := pick("host"); len(f.hosts)-len(f.dead) > 2 {
+			f.kill(id)
+		}
+	case "leave":
+		h := f.hosts[pick("host")]
+		go h.registry.Leave(context.Background())
+	}
+	time.Sleep(time.Duration(rapid.IntRange(0, 30).Draw(rt, "seconds")) * time.Second)
+}
+
+// split cuts the first half of the hosts from the others.
+func (f *fleet) split() {
+	for i := range len(f.hosts) / 2 {
+		for j := len(f.hosts) / 2; j < len(f.hosts); j++ {
+			f.network.Cut(fmt.Sprintf("n%d", i), fmt.Sprintf("n%d", j), true)
+		}
+	}
+}
+
+// watchLeaving fails when a host that was seen leaving is seen otherwise.
+func (f *fleet) watchLeaving(rt *rapid.T) func() {
+	wrong := make(chan string, 1)
+	for _, h := range f.hosts {
+		seen := map[string]bool{}
+		h.table.SubscribePrefix("member/", func(gossip.Item) {
+			for _, m := range h.registry.View().Members {
+				if seen[m.ID] && !m.Leaving {
+					select {
+					case wrong <- h.id + " of " + m.ID:
+					default:
+					}
+				}
+				seen[m.ID] = seen[m.ID] || m.Leaving
+			}
+		})
+	}
+	return func() {
+		select {
+		case key := <-wrong:
+			rt.Fatalf("leaving was undone: view %s", key)
+		default:
+		}
+	}
+}
