--- a/membership/faults_test.go
+++ b/membership/faults_test.go
@@ -27,8 +27,8 @@
 	})
 }
 
-// until waits for a condition and returns how long it took.
-func until(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+// until waits for a condition in the test's time.
+func until(t *testing.T, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
 	start := time.Now()
 	for !holds() {
@@ -37,7 +37,6 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return time.Since(start)
 }
 
 // everywhere reports whether all other running hosts hold a member for state.
@@ -61,28 +60,77 @@
 	})
 }
 
+// accusations counts the records at a host that hold another member but
+// except for suspect or worse.
+func (f *fleet) accusations(at, except string, from membership.State) *atomic.Int64 {
+	var count atomic.Int64
+	h := f.hosts[at]
+	h.table.SubscribePrefix("member/", func(item gossip.Item) {
+		if m, _ := h.registry.Knows(item.Name[len("member/"):]); m.ID != except && m.State >= from {
+			count.Add(1)
+		}
+	})
+	return &count
+}
+
 func TestPausedObserverAccusesNobody(t *testing.T) {
 	for _, pause := range []time.Duration{10 * time.Second, 5 * time.Minute} {
 		withFleet(t, 9, func(t *testing.T, f *fleet) {
-			// What the others say of it spreads to it only after the wake.
-			var accused atomic.Int64
-			f.hosts["n1"].table.SubscribePrefix("member/", func(item gossip.Item) {
-				if m, _ := f.hosts["n1"].registry.Knows(item.Name[len("member/"):]); m.ID != "n0" && m.State != membership.StateAlive {
-					accused.Add(1)
-				}
-			})
-			f.network.Pause("n0")
-			time.Sleep(pause)
-			f.network.Resume("n0")
-			until(t, 30*time.Second, "equal views", func() bool { return f.check() == "" })
-			time.Sleep(time.Minute)
+			accused := f.accusations("n1", "n0", membership.StateSuspect)
+			// Some of the pauses begin while a probe waits for its answer.
+			f.network.SetDelay(300 * time.Millisecond)
+			for range 12 {
+				time.Sleep(90 * time.Millisecond)
+				f.network.Pause("n0")
+				time.Sleep(pause)
+				f.network.Resume("n0")
+				until(t, time.Minute, "equal views", func() bool { return f.check() == "" })
+			}
 			if accused.Load() != 0 {
-				t.Fatalf("after a pause of %s the observer accused others %d times", pause, accused.Load())
+				t.Fatalf("after pauses of %s the observer accused others %d times", pause, accused.Load())
 			}
 		})
 	}
 }
 
+// TestPauseOfAllCountsAgainstNobody: a member that is suspected when every
+// host stops keeps the rest of its time to refute.
+func TestPauseOfAllCountsAgainstNobody(t *testing.T) {
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
+		died := f.accusations("n1", "", membership.StateDead)
+		f.network.Pause("n0")
+		until(t, 5*time.Second, "suspected everywhere", func() bool { return f.everywhere("n0", membership.StateSuspect) })
+		for id := range f.hosts {
+			f.network.Pause(id)
+		}
+		time.Sleep(time.Minute)
+		for id := range f.hosts {
+			if id != "n0" {
+				f.network.Resume(id)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		f.heal()
+		until(t, 10*time.Second, "equal views", func() bool { return f.check() == "" })
+		if died.Load() != 0 {
+			t.Fatalf("%d members were declared dead", died.Load())
+		}
+	})
+}
+
+func TestCutLinksOfOneHostAccuseNobody(t *testing.T) {
+	withFleet(t, 9, func(t *testing.T, f *fleet) {
+		accused := f.accusations("n8", "", membership.StateSuspect)
+		for _, other := range []string{"n1", "n2", "n3", "n4"} {
+			f.network.Cut("n0", other, true)
+		}
+		time.Sleep(time.Minute)
+		if accused.Load() != 0 {
+			t.Fatalf("%d accusations while every member has another way to n0", accused.Load())
+		}
+	})
+}
+
 func TestPausedMemberIsNotLost(t *testing.T) {
 	withFleet(t, 9, func(t *testing.T, f *fleet) {
 		f.network.Pause("n0")
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -47,7 +47,7 @@
 	return f
 }
 
-func (f *fleet) start(id, domain string, seeds ...string) *host {
+func (f *fleet) start(id, domain string, seeds ...string) {
 	h := &host{id: id, table: gossip.NewTable(id), ended: make(chan struct{})}
 	h.registry = membership.New(membership.Options{
 		Self:  membership.Member{ID: id, Address: id, InnerAddress: id, FailureDomain: domain},
@@ -61,7 +61,6 @@
 	h.stop = stop
 	go func() { h.registry.Run(ctx); close(h.ended) }()
 	f.hosts[id] = h
-	return h
 }
 
 // kill ends a host without a word.
