Soak: reclaim whole failure domains, race operators, longer answers

Cause: the soak had neither a failure domain at once nor racing operators, and its answers ended within any notice.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -52,7 +52,7 @@
 	w.addHost(ts, hosts.Host{ID: name, Address: address, FailureDomain: domain, Pool: pool, State: hosts.StateLive})
 }
 
-// entry NAME DOMAIN: starts an entry host; $NAME and $NAME_INNER are its addresses.
+// entry NAME DOMAIN [FLAG...]: starts an entry host; $NAME and $NAME_INNER are its addresses.
 func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
 	name := args[0]
@@ -64,7 +64,7 @@
 	ts.Check(err)
 	file := filepath.Join(w.dir, name+".settings.json")
 	ts.Check(os.WriteFile(file, data, 0o600))
-	p := w.start(ts, name, "cardamompierd", "-s", file)
+	p := w.start(ts, name, "cardamompierd", append([]string{"-s", file}, args[2:]...)...)
 	p.address, p.inner = s.Listen, s.InnerListen
 	w.domainOf[name] = s.FailureDomain
 	awaitListening(ts, p, p.address)
--- a/scenario/soak_callers_test.go
+++ b/scenario/soak_callers_test.go
@@ -18,7 +18,9 @@
 const (
 	callerAttempts = 60
 	callerPause    = 100 * time.Millisecond
-	longestAnswer  = 120 // tokens
+	shortAnswer    = 120  // tokens
+	longAnswer     = 1200 // tokens
+	longShare      = 0.1
 	orderShare     = 0.4
 )
 
@@ -140,7 +142,10 @@
 
 // askChat streams one answer, reconnecting elsewhere until it is whole.
 func (s *soak) askChat(random *rand.Rand) {
-	want := 1 + random.IntN(longestAnswer)
+	want := 1 + random.IntN(shortAnswer)
+	if random.Float64() < longShare {
+		want = 1 + random.IntN(longAnswer)
+	}
 	reader := &answerReader{want: want}
 	body := fmt.Sprintf(`{"model":"badge-wording","stream":true,"messages":[{"role":"user","content":"tokens=%d names"}]}`, want)
 	for range callerAttempts {
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"syscall"
@@ -23,8 +25,8 @@
 	pauseLength = 2 * time.Second
 	// outageLength is how long the key-value service stays down.
 	outageLength = 1500 * time.Millisecond
-	// noticeLength is the time between an upstream's notice and its end.
-	noticeLength = 3 * time.Second
+	// noticeLength is the time between a host's reclaim notice and its end.
+	noticeLength = 4 * time.Second
 	// soakSpanVariable lengthens the soak beyond the script's span.
 	soakSpanVariable = "SOAK_SPAN"
 	soakSeedVariable = "SOAK_SEED"
@@ -119,7 +121,9 @@
 		{name: "platform outage", induce: s.outage},
 		{name: "answers lost", induce: s.loseAnswers},
 		{name: "upstream reclaimed", induce: s.reclaimEngine},
+		{name: "failure domain reclaimed", induce: s.reclaimDomain},
 		{name: "publish", induce: s.publish},
+		{name: "operators race", induce: s.race},
 		{name: "entry host killed", unannounced: true, induce: s.killEntry},
 		{name: "upstream killed", unannounced: true, induce: s.killEngine},
 	}
@@ -169,10 +173,35 @@
 	s.retired[old] = true
 }
 
+// stopEntry gives an entry host notice and ends it when the notice is over.
 func (s *soak) stopEntry() {
-	name, p := s.pickEntry()
+	name, _ := s.pickEntry()
+	s.reclaimEntry(name)
+}
+
+func (s *soak) reclaimEntry(name string) {
+	p := s.world.processes[name]
 	s.replaceEntry(name)
 	_ = p.command.Process.Signal(syscall.SIGTERM)
+	time.AfterFunc(noticeLength, func() { _ = p.command.Process.Signal(syscall.SIGKILL) })
+}
+
+// reclaimDomain gives notice to every host of a failure domain at once.
+func (s *soak) reclaimDomain() {
+	domain := string(rune('a' + s.random.IntN(4)))
+	s.mu.Lock()
+	names := s.liveNames()
+	s.mu.Unlock()
+	for _, name := range names {
+		if s.world.domainOf[name] == domain {
+			s.reclaimEntry(name)
+		}
+	}
+	for _, name := range append([]string{}, s.engines...) {
+		if s.world.domainOf[name] == domain {
+			s.reclaimEngineNamed(name)
+		}
+	}
 }
 
 func (s *soak) killEntry() {
@@ -201,7 +230,10 @@
 
 // reclaimEngine gives an engine notice, starts another, and ends the first.
 func (s *soak) reclaimEngine() {
-	old := s.engines[s.random.IntN(len(s.engines))]
+	s.reclaimEngineNamed(s.engines[s.random.IntN(len(s.engines))])
+}
+
+func (s *soak) reclaimEngineNamed(old string) {
 	p := s.world.processes[old]
 	s.replaceEngine(old)
 	time.AfterFunc(noticeLength, func() { _ = p.command.Process.Signal(syscall.SIGKILL) })
@@ -233,9 +265,35 @@
 
 // publish changes a service file's deadline and publishes the folder.
 func (s *soak) publish() {
-	file := s.ts.MkAbs("services/badge-wording.service.json")
-	deadline := 60 + s.random.IntN(60)
-	text := fmt.Sprintf(`{"service":"badge-wording","kind":"model","pool":"badge-runners","model":"badge-7b","deadline":"%ds"}`, deadline)
+	s.writeService("services", "badge-wording", 60+s.random.IntN(60))
+	s.runPublish("services")
+}
+
+// race has two operators publish at once, on the same service and on another.
+func (s *soak) race() {
+	var operators sync.WaitGroup
+	for i, dir := range []string{"operator-1", "operator-2"} {
+		s.ts.Check(os.MkdirAll(s.ts.MkAbs(dir), 0o700))
+		s.writeService(dir, "badge-wording", 60+s.random.IntN(60))
+		s.writeService(dir, fmt.Sprintf("extra-%d", i), 60+s.random.IntN(60))
+		operators.Add(1)
+		go func() {
+			defer operators.Done()
+			s.runPublish(dir)
+		}()
+	}
+	operators.Wait()
+}
+
+func (s *soak) writeService(dir, name string, deadline int) {
+	file := s.ts.MkAbs(dir + "/" + name + ".service.json")
+	text := fmt.Sprintf(`{"service":"%s","kind":"model","pool":"badge-runners","model":"badge-7b","deadline":"%ds"}`, name, deadline)
 	s.ts.Check(os.WriteFile(file, []byte(text), 0o600))
-	_ = s.ts.Exec("cardamompier", "publish", "--platform", s.world.platform, "--wait", "0s", "services")
+}
+
+// runPublish publishes a folder; a publish may fail while the platform does.
+func (s *soak) runPublish(dir string) {
+	cmd := exec.Command(filepath.Join(binaries, "cardamompier"), "publish", "--platform", s.world.platform, "--wait", "0s", dir)
+	cmd.Dir = s.world.dir
+	_ = cmd.Run()
 }
