Order the configuration by revision and let few hosts watch it

Cause: every entry host watched the service; the follower's watch began after version 1, so that a first write at version 1 was missed; a corrupt document was read five times a second; a lost answer to a publish was reported as unknown at once; there was no history and no removal. Change: documents carry marks (revision, writer, nonce) and tombstones; a publisher sends a write of unknown outcome again as it was and then settles it by the mark of its revision; the replaced revision is archived first; three watchers by rendezvous hashing, checking reads at a rate shared by the group.

--- a/cmd/cardamompier/publish.go
+++ b/cmd/cardamompier/publish.go
@@ -32,15 +32,15 @@
 	store := kvhttp.NewClient(o.platform)
 	writer, _ := os.Hostname()
 	publisher := config.Publisher{Store: store, Writer: writer, Now: time.Now}
-	revision, err := publisher.Publish(ctx, files)
+	published, err := publisher.Publish(ctx, config.Change{Files: files})
 	if err != nil {
 		return fail(exitCodeOf(err), err)
 	}
-	fmt.Printf("published revision %d\n", revision)
+	fmt.Printf("published revision %d\n", published.Revision)
 	if o.wait == 0 {
 		return 0
 	}
-	return waitInForce(ctx, store, revision, o.wait)
+	return waitInForce(ctx, store, published.Revision, o.wait)
 }
 
 func exitCodeOf(err error) int {
--- /dev/null
+++ b/config/fakes_test.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/kv/kvmem"
+)
+
+// hub is a Spreader fake for a group: a value reaches each member after a
+// delay, and is lost with a given probability.
+type hub struct {
+	mu     sync.Mutex
+	ports  []*port
+	random *rand.Rand
+	loss   float64
+	delay  time.Duration
+}
+
+type port struct {
+	hub      *hub
+	mu       sync.Mutex
+	version  uint64
+	value    []byte
+	notify   func(uint64, []byte)
+	detached atomic.Bool
+}
+
+func newHub(seed uint64) *hub { return &hub{random: rand.New(rand.NewPCG(seed, 1))} }
+
+func (h *hub) port() *port {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := &port{hub: h}
+	h.ports = append(h.ports, p)
+	return p
+}
+
+func (h *hub) lost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.Float64() < h.loss
+}
+
+func (p *port) Set(_ string, version uint64, value []byte) bool {
+	if !p.take(version, value) {
+		return false
+	}
+	p.hub.mu.Lock()
+	others := append([]*port{}, p.hub.ports...)
+	p.hub.mu.Unlock()
+	for _, other := range others {
+		if other == p || p.detached.Load() || other.detached.Load() || p.hub.lost() {
+			continue
+		}
+		time.AfterFunc(p.hub.delay, func() { other.take(version, value) })
+	}
+	return true
+}
+
+func (p *port) Subscribe(_ string, notify func(uint64, []byte)) {
+	p.mu.Lock()
+	p.notify = notify
+	version, value := p.version, p.value
+	p.mu.Unlock()
+	if version > 0 {
+		notify(version, value)
+	}
+}
+
+func (p *port) take(version uint64, value []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version <= p.version {
+		return false
+	}
+	p.version, p.value = version, value
+	if p.notify != nil {
+		go p.notify(version, value)
+	}
+	return true
+}
+
+// lateStore is a store whose writes may land after their caller was told that
+// the outcome is unknown, and whose watches may hang.
+type lateStore struct {
+	*kvmem.Store
+	mu     sync.Mutex
+	random *rand.Rand
+	late   float64
+	hang   atomic.Bool
+}
+
+func newLateStore(store *kvmem.Store, seed uint64) *lateStore {
+	return &lateStore{Store: store, random: rand.New(rand.NewPCG(seed, 2))}
+}
+
+const latestWrite = 400 * time.Millisecond
+
+func (s *lateStore) CompareAndSwap(ctx context.Context, w kv.Write) (kv.Version, error) {
+	s.mu.Lock()
+	late, after := s.random.Float64() < s.late, time.Duration(s.random.Int64N(int64(latestWrite)))
+	s.mu.Unlock()
+	if !late {
+		return s.Store.CompareAndSwap(ctx, w)
+	}
+	time.AfterFunc(after, func() { _, _ = s.Store.CompareAndSwap(context.Background(), w) })
+	return 0, &kv.Error{Op: "swap", Key: w.Key, Reason: kv.ReasonUnknown}
+}
+
+func (s *lateStore) setLate(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = share
+}
+
+// Watch hangs until its context ends while hang is set.
+func (s *lateStore) Watch(ctx context.Context, prefix string, after kv.Version) ([]kv.Event, kv.Version, error) {
+	changes, reached, err := s.Store.Watch(ctx, prefix, after)
+	if s.hang.Load() {
+		<-ctx.Done()
+		return nil, after, nil
+	}
+	return changes, reached, err
+}
+
+func quiet() hclog.Logger { return hclog.NewNullLogger() }
+
+func serviceChange(name, model string) Change {
+	service, fault := ParseService(name, []byte(`{"service":"`+name+`","kind":"model","pool":"runners","model":"`+model+`"}`))
+	if fault != nil {
+		panic(fault)
+	}
+	return Change{Files: Files{Services: map[string]Service{name: service}}}
+}
+
+func publisher(store kv.Store, writer string) *Publisher {
+	return &Publisher{Store: store, Writer: writer, Now: time.Now}
+}
--- a/config/files.go
+++ b/config/files.go
@@ -122,6 +122,8 @@
 
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
+const expectedDigest = `"sha256:" and 64 hex digits, never a key itself`
+
 const expectedName = "a lower-case letter, then up to 62 letters, digits or hyphens"
 
 // ParseService decodes and checks a service file and fills in its defaults.
@@ -175,7 +177,7 @@
 	}
 	for _, digest := range a.KeyDigests {
 		if !validDigest(digest) {
-			return a, faultAt(path, data, "key_digests", `"sha256:" and 64 hex digits, never a key itself`)
+			return a, faultAt(path, data, "key_digests", expectedDigest)
 		}
 	}
 	return a, nil
--- /dev/null
+++ b/config/group.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// watcherCount is how many members of a group watch the store.
+const watcherCount = 3
+
+// GroupMember is one entry host that follows the configuration.
+type GroupMember struct {
+	ID            string
+	FailureDomain string
+}
+
+// Group is the set of entry hosts that follow the configuration together, as
+// one of them sees it. The zero Group is a host on its own.
+type Group struct {
+	Self    string
+	Members []GroupMember
+}
+
+// watches says whether Self is one of the group's watchers. A host that does
+// not see itself among the members watches.
+func (g Group) watches() bool {
+	found := false
+	for _, m := range g.Members {
+		found = found || m.ID == g.Self
+	}
+	if !found {
+		return true
+	}
+	for _, id := range Watchers(g.Members) {
+		if id == g.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// Watchers returns the members that watch the store, by rendezvous hashing:
+// those of the highest scores, in different failure domains while there are
+// enough of them. A member that joins or leaves changes at most one of the
+// watchers of its own domain.
+func Watchers(members []GroupMember) []string {
+	ordered := append([]GroupMember{}, members...)
+	sort.Slice(ordered, func(i, j int) bool {
+		a, b := score(ordered[i]), score(ordered[j])
+		return a > b || (a == b && ordered[i].ID < ordered[j].ID)
+	})
+	var chosen, others []string
+	taken := map[string]bool{}
+	for _, m := range ordered {
+		if taken[m.FailureDomain] {
+			others = append(others, m.ID)
+			continue
+		}
+		taken[m.FailureDomain] = true
+		chosen = append(chosen, m.ID)
+	}
+	chosen = append(chosen, others...)
+	return chosen[:min(watcherCount, len(chosen))]
+}
+
+func score(m GroupMember) uint64 { return xxhash.Sum64String(SpreadName + "/" + m.ID) }
--- a/config/publish.go
+++ b/config/publish.go
@@ -3,186 +3,211 @@
 import (
 	"context"
 	"encoding/json"
-	"reflect"
-	"strconv"
+	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"github.com/cardamompier/cardamompier/kv"
 )
 
-// Key is where the configuration is stored.
-const Key = "config/current"
-
-const maxPublishAttempts = 8
-
-// PublishError is a publish that was not accepted, or whose outcome is unknown.
-type PublishError struct {
-	Reason PublishReason
-	// Item is the service or client account that clashed.
-	Item  string
-	Cause error
-}
-
-// PublishReason classifies a failed publish.
-type PublishReason string
-
-// The reasons of a failed publish.
 const (
-	// PublishConflict: another publish changed the same item first.
-	PublishConflict PublishReason = "conflict"
-	// PublishUnavailable: nothing was published.
-	PublishUnavailable PublishReason = "unavailable"
-	// PublishUnknown: the service could not say whether the publish won.
-	PublishUnknown PublishReason = "unknown"
-	// PublishTooLarge: the whole configuration exceeds kv.MaxValueSize.
-	PublishTooLarge PublishReason = "too_large"
-	// PublishCorrupt: the stored configuration could not be read.
-	PublishCorrupt PublishReason = "corrupt"
+	maxPublishAttempts = 16
+	maxSettleAttempts  = 10
+	minPublishBackoff  = 20 * time.Millisecond
+	maxPublishBackoff  = time.Second
 )
 
-// Error implements error.
-func (e *PublishError) Error() string {
-	msg := "publish: " + string(e.Reason)
-	if e.Item != "" {
-		msg += " on " + e.Item
-	}
-	if e.Cause != nil {
-		msg += ": " + e.Cause.Error()
-	}
-	return msg
-}
-
-// Unwrap returns the cause.
-func (e *PublishError) Unwrap() error { return e.Cause }
-
-// Publisher publishes files as a new revision.
+// Publisher publishes changes, each as a new revision.
 type Publisher struct {
 	Store  kv.Store
 	Writer string
 	Now    func() time.Time
 }
 
-// Read returns the stored configuration; an empty document when none was published.
-func Read(ctx context.Context, store kv.Store) (Document, kv.Version, error) {
-	entry, err := store.Get(ctx, Key)
-	if kv.ReasonOf(err) == kv.ReasonNotFound {
-		return Document{Services: map[string]ServiceItem{}, Accounts: map[string]AccountItem{}}, 0, nil
-	}
+// Published is an accepted publish.
+type Published struct {
+	// Revision holds the change.
+	Revision uint64 `json:"revision"`
+	// Changed is false when the configuration already was as wanted.
+	Changed bool `json:"changed"`
+	// Nonce identifies the publish; empty when nothing changed.
+	Nonce string `json:"nonce,omitempty"`
+}
+
+// Publish merges a change into the stored configuration. Publishes of
+// different items all get through; an item that another publish changed since
+// this one started, to something else, is a conflict. It returns *PublishError.
+func (p *Publisher) Publish(ctx context.Context, change Change) (Published, error) {
+	base, version, err := p.read(ctx)
 	if err != nil {
-		return Document{}, 0, err
+		return Published{}, err
 	}
-	doc, err := Decode(entry.Value)
-	return doc, entry.Version, err
+	return p.publish(ctx, change, base, base, version)
 }
 
-// Decode decodes a stored document.
-func Decode(data []byte) (Document, error) {
-	var doc Document
-	if err := json.Unmarshal(data, &doc); err != nil {
-		return Document{}, &PublishError{Reason: PublishCorrupt, Cause: err}
+// PublishFrom is Publish for a change that was prepared from an older revision.
+func (p *Publisher) PublishFrom(ctx context.Context, change Change, revision uint64) (Published, error) {
+	base, err := At(ctx, p.Store, revision)
+	if err != nil {
+		return Published{}, err
+	}
+	current, version, err := p.read(ctx)
+	if err != nil {
+		return Published{}, err
 	}
-	return doc, nil
+	return p.publish(ctx, change, base, current, version)
 }
 
-// Publish merges files into the stored configuration. An item that another
-// publish changed meanwhile, to something else, is a conflict; publishes of
-// different items both get through. It returns the revision that holds the
-// files, which is the old one when nothing changed.
-func (p *Publisher) Publish(ctx context.Context, files Files) (uint64, error) {
-	base, version, err := Read(ctx, p.Store)
+// Rollback publishes the items of an older revision as a new revision.
+func (p *Publisher) Rollback(ctx context.Context, revision uint64) (Published, error) {
+	old, err := At(ctx, p.Store, revision)
 	if err != nil {
-		return 0, &PublishError{Reason: PublishUnavailable, Cause: err}
+		return Published{}, err
 	}
-	current := base
-	for range maxPublishAttempts {
-		next, changed := merge(current, files)
-		if !changed {
-			return current.Revision, nil
+	current, version, err := p.read(ctx)
+	if err != nil {
+		return Published{}, err
+	}
+	return p.publish(ctx, changeTo(current, old), current, current, version)
+}
+
+func (p *Publisher) publish(ctx context.Context, change Change, base, current Document, version kv.Version) (Published, error) {
+	nonce := uuid.NewString()
+	for attempt := range maxPublishAttempts {
+		if clash := clashOf(base, current, change); clash != nil {
+			clash.Nonce = nonce
+			return Published{}, clash
+		}
+		next, changed := merge(current, change)
+		if changed {
+			next.sign(Mark{Revision: current.Revision + 1, Writer: p.Writer, Nonce: nonce, PublishedAt: p.Now().UTC()})
 		}
-		p.sign(&next)
-		revision, err := p.write(ctx, next, version)
-		if err == nil {
-			return revision, nil
+		won, err := p.commit(ctx, current, next, version, changed)
+		if err != nil {
+			return Published{}, err
 		}
-		if kv.ReasonOf(err) != kv.ReasonConflict {
-			return 0, err
+		if won && !changed {
+			return Published{Revision: current.Revision}, nil
 		}
-		if current, version, err = Read(ctx, p.Store); err != nil {
-			return 0, &PublishError{Reason: PublishUnavailable, Cause: err}
+		if won {
+			forget(ctx, p.Store, next.Revision)
+			return Published{Revision: next.Revision, Changed: true, Nonce: nonce}, nil
 		}
-		if item := clash(base, current, files); item != "" {
-			return 0, &PublishError{Reason: PublishConflict, Item: item}
+		pause(ctx, attempt)
+		if current, version, err = p.readSince(ctx, next.Revision, version); err != nil {
+			return Published{}, withNonce(err, nonce)
 		}
 	}
-	return 0, &PublishError{Reason: PublishUnavailable}
+	return Published{}, &PublishError{Reason: PublishUnavailable, Nonce: nonce}
 }
 
-func (p *Publisher) sign(doc *Document) {
-	doc.Writer, doc.Nonce, doc.PublishedAt = p.Writer, uuid.NewString(), p.Now().UTC()
+// commit stores next in the place of current and says whether it won. An
+// unchanged document is stored again, which proves that the one read was not
+// stale. Each revision is archived before its successor replaces it.
+//
+// A write whose answer was lost is sent again as it was: both expect the same
+// version, so at most one takes effect, also when the first one lands late.
+func (p *Publisher) commit(ctx context.Context, current, next Document, version kv.Version, changed bool) (bool, error) {
+	if next.Revision == 0 {
+		return true, nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, &PublishError{Reason: PublishCorrupt, Nonce: next.Nonce, Cause: err}
+	}
+	if err := archive(ctx, p.Store, current); err != nil {
+		return false, &PublishError{Reason: PublishUnavailable, Nonce: next.Nonce, Cause: err}
+	}
+	write := kv.Write{Key: Key, Value: value, Expect: version}
+	maybe := false
+	for attempt := range maxSettleAttempts {
+		_, err = p.Store.CompareAndSwap(ctx, write)
+		switch reason := kv.ReasonOf(err); {
+		case reason == "":
+			return true, nil
+		case reason == kv.ReasonConflict && maybe && changed:
+			return p.settle(ctx, next, version)
+		case reason == kv.ReasonConflict:
+			return false, nil
+		case reason == kv.ReasonTooLarge:
+			return false, &PublishError{Reason: PublishTooLarge, Nonce: next.Nonce, Cause: err}
+		case reason == kv.ReasonUnknown:
+			maybe = true
+		case !maybe && reason != kv.ReasonRateLimited:
+			return false, &PublishError{Reason: PublishUnavailable, Nonce: next.Nonce, Cause: err}
+		}
+		pause(ctx, attempt)
+	}
+	if maybe && changed {
+		return false, unknown(next, err)
+	}
+	return false, &PublishError{Reason: PublishUnavailable, Nonce: next.Nonce, Cause: err}
 }
 
-func (p *Publisher) write(ctx context.Context, doc Document, version kv.Version) (uint64, error) {
-	value, err := json.Marshal(doc)
+// settle tells whether a write with a lost answer won, once the version that
+// it expected is gone and it can no longer take effect.
+func (p *Publisher) settle(ctx context.Context, next Document, version kv.Version) (bool, error) {
+	current, _, err := p.readSince(ctx, next.Revision, version)
 	if err != nil {
-		return 0, &PublishError{Reason: PublishCorrupt, Cause: err}
-	}
-	_, err = p.Store.CompareAndSwap(ctx, kv.Write{Key: Key, Value: value, Expect: version})
-	switch kv.ReasonOf(err) {
-	case "":
-		return doc.Revision, nil
-	case kv.ReasonConflict:
-		return 0, err
-	case kv.ReasonTooLarge:
-		return 0, &PublishError{Reason: PublishTooLarge, Cause: err}
-	case kv.ReasonUnknown:
-		return 0, &PublishError{Reason: PublishUnknown, Cause: err}
-	default:
-		return 0, &PublishError{Reason: PublishUnavailable, Cause: err}
+		return false, unknown(next, err)
+	}
+	mark, kept := current.markOf(next.Revision)
+	if !kept {
+		return false, unknown(next, nil)
 	}
+	return mark.Nonce == next.Nonce, nil
 }
 
-// merge returns the next revision of doc with files laid over it, and whether
-// anything differs.
-func merge(doc Document, files Files) (Document, bool) {
-	next := Document{Revision: doc.Revision + 1, Services: map[string]ServiceItem{}, Accounts: map[string]AccountItem{}}
-	for name, item := range doc.Services {
-		next.Services[name] = item
-	}
-	for name, item := range doc.Accounts {
-		next.Accounts[name] = item
-	}
-	changed := false
-	for name, service := range files.Services {
-		if old, ok := doc.Services[name]; !ok || old.Service != service {
-			next.Services[name] = ServiceItem{Service: service, Changed: next.Revision}
-			changed = true
+func (p *Publisher) read(ctx context.Context) (Document, kv.Version, error) {
+	return p.readUntil(ctx, func(Document, kv.Version) bool { return true })
+}
+
+// readSince reads until the answer is not older than a write that is known to
+// have replaced the given version.
+func (p *Publisher) readSince(ctx context.Context, revision uint64, replaced kv.Version) (Document, kv.Version, error) {
+	return p.readUntil(ctx, func(doc Document, version kv.Version) bool {
+		return doc.Revision >= revision && version > replaced
+	})
+}
+
+func (p *Publisher) readUntil(ctx context.Context, fresh func(Document, kv.Version) bool) (Document, kv.Version, error) {
+	var last error
+	for attempt := range maxSettleAttempts {
+		doc, version, err := Read(ctx, p.Store)
+		if err == nil && fresh(doc, version) {
+			return doc, version, nil
 		}
-	}
-	for name, account := range files.Accounts {
-		if old, ok := doc.Accounts[name]; !ok || !reflect.DeepEqual(old.Account, account) {
-			next.Accounts[name] = AccountItem{Account: account, Changed: next.Revision}
-			changed = true
+		var failed *PublishError
+		if errors.As(err, &failed) {
+			return Document{}, 0, err
+		}
+		if last = err; kv.ReasonOf(err) == kv.ReasonUnavailable {
+			break
 		}
+		pause(ctx, attempt)
 	}
-	return next, changed
+	return Document{}, 0, &PublishError{Reason: PublishUnavailable, Cause: last}
 }
 
-// clash returns the first item in files that changed between two revisions to
-// something other than what files hold.
-func clash(base, current Document, files Files) string {
-	for name, service := range files.Services {
-		if now := current.Services[name]; now.Changed != base.Services[name].Changed && now.Service != service {
-			return "service " + name
-		}
-	}
-	for name, account := range files.Accounts {
-		if now := current.Accounts[name]; now.Changed != base.Accounts[name].Changed && !reflect.DeepEqual(now.Account, account) {
-			return "account " + name
-		}
+func unknown(next Document, cause error) error {
+	return &PublishError{Reason: PublishUnknown, Revision: next.Revision, Nonce: next.Nonce, Cause: cause}
+}
+
+func withNonce(err error, nonce string) error {
+	var failed *PublishError
+	if errors.As(err, &failed) {
+		failed.Nonce = nonce
 	}
-	return ""
+	return err
 }
 
-func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
+// pause waits before the next attempt, with jitter.
+func pause(ctx context.Context, attempt int) {
+	wait := min(minPublishBackoff<<attempt, maxPublishBackoff)
+	select {
+	case <-time.After(wait/2 + rand.N(wait/2)):
+	case <-ctx.Done():
+	}
+}
--- a/config/types.go
+++ b/config/types.go
@@ -97,6 +97,19 @@
 	Nonce  string `json:"nonce"`
 	// PublishedAt is the publisher's clock, for people.
 	PublishedAt time.Time `json:"published_at"`
+	// Removed holds the revision that removed each item of late, so that a
+	// publish that races a removal is told of it.
+	Removed map[string]uint64 `json:"removed,omitempty"`
+	// Recent holds the marks of the latest revisions in order, this one last.
+	Recent []Mark `json:"recent"`
+}
+
+// Mark says who wrote a revision.
+type Mark struct {
+	Revision    uint64    `json:"revision"`
+	Writer      string    `json:"writer"`
+	Nonce       string    `json:"nonce"`
+	PublishedAt time.Time `json:"published_at"`
 }
 
 // ServiceItem is a service with the revision that last changed it.
--- a/events/list.go
+++ b/events/list.go
@@ -18,13 +18,6 @@
 	AttemptFailed   = define(1103, "attempt failed", hclog.Warn, "One attempt at an upstream failed.")
 )
 
-// Events of the configuration: 1200 to 1299.
-var (
-	ConfigInForce      = define(1200, "configuration in force", hclog.Info, "A newer revision is used from now on.")
-	ConfigReadFailed   = define(1201, "configuration read failed", hclog.Warn, "The configuration could not be read; the last revision stays.")
-	ConfigOlderIgnored = define(1202, "older configuration ignored", hclog.Warn, "A source offered a revision older than the one in force.")
-)
-
 // Events of membership and the host list: 1300 to 1399.
 var (
 	HostListFailed = define(1300, "host list read failed", hclog.Warn, "The platform's host list could not be read; the last one stays.")
--- a/status.go
+++ b/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/do/v2"
 
+	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 )
@@ -22,10 +23,14 @@
 	Host          string `json:"host"`
 	FailureDomain string `json:"failure_domain"`
 	// Revision of the configuration in force; zero when none is known.
-	Revision uint64              `json:"revision"`
-	Ready    bool                `json:"ready"`
-	Leaving  bool                `json:"leaving"`
-	Members  []membership.Member `json:"members"`
+	Revision uint64 `json:"revision"`
+	Ready    bool   `json:"ready"`
+	// NotReady says why the host is not ready; empty when it is.
+	NotReady string `json:"not_ready,omitempty"`
+	// Config says how the configuration is followed.
+	Config  config.State        `json:"config"`
+	Leaving bool                `json:"leaving"`
+	Members []membership.Member `json:"members"`
 	// HostListAgeMS is the age of the upstream list, in milliseconds.
 	HostListAgeMS int64 `json:"host_list_age_ms"`
 }
@@ -37,12 +42,27 @@
 		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members,
 		HostListAgeMS: time.Since(s.poller.Current().ReadAt).Milliseconds(),
 	}
-	if snapshot := s.follower.Current(); snapshot != nil {
-		out.Revision, out.Ready = snapshot.Revision, !out.Leaving
-	}
+	out.Config = s.follower.State()
+	out.Revision = out.Config.Revision
+	out.NotReady = notReady(out)
+	out.Ready = out.NotReady == ""
 	return out
 }
 
+// notReady returns why a host with this status should get no requests.
+func notReady(status Status) string {
+	switch {
+	case status.Leaving:
+		return "leaving"
+	case status.Revision == 0 && status.Config.CheckedMS < 0:
+		return "neither the platform nor a peer gave a configuration"
+	case status.Revision == 0:
+		return "no configuration was published"
+	default:
+		return ""
+	}
+}
+
 // innerServer serves operators and other entry hosts, never callers.
 func (s *Server) innerServer() *http.Server {
 	mux := http.NewServeMux()
