--- a/cmd/cardamompier/check.go
+++ b/cmd/cardamompier/check.go
@@ -2,36 +2,60 @@
 
 import (
 	"fmt"
-	"os"
-
-	"github.com/integrii/flaggy"
 
 	"github.com/cardamompier/cardamompier/config"
 )
 
 func checkCommand(o *options) command {
-	parser := flaggy.NewSubcommand("check")
-	parser.Description = "Check a directory of files. Example: cardamompier check services/"
-	parser.AddPositionalValue(&o.dir, "dir", 1, true, "the directory")
-	return command{parser: parser, run: runCheck}
+	c := newCommand("check", "Check a directory of files without publishing them.",
+		"cardamompier check services/", runCheck)
+	c.local = true
+	c.parser.AddPositionalValue(&o.first, "dir", 1, true, "the directory")
+	return c
+}
+
+// checked is the result of a check in JSON.
+type checked struct {
+	Services int     `json:"services"`
+	Accounts int     `json:"accounts"`
+	Faults   []fault `json:"faults"`
 }
 
-func runCheck(o options) int {
-	files, code := readFiles(o.dir)
-	if code == 0 {
-		fmt.Printf("%d services and %d client accounts are well formed\n", len(files.Services), len(files.Accounts))
+type fault struct {
+	File     string `json:"file"`
+	Line     int    `json:"line,omitempty"`
+	Field    string `json:"field,omitempty"`
+	Expected string `json:"expected"`
+}
+
+func runCheck(s *session) int {
+	files, code := s.readFiles(s.first)
+	if code != 0 {
+		return code
+	}
+	if s.json {
+		s.print(checked{Services: len(files.Services), Accounts: len(files.Accounts), Faults: []fault{}})
+		return 0
 	}
-	return code
+	s.printf("%d services and %d client accounts are well formed\n", len(files.Services), len(files.Accounts))
+	return 0
 }
 
-// readFiles reads a directory and prints the faults of its files.
-func readFiles(dir string) (config.Files, int) {
+// readFiles reads a directory and reports the faults of its files.
+func (s *session) readFiles(dir string) (config.Files, int) {
 	files, faults := config.ReadDir(dir)
-	for _, fault := range faults {
-		fmt.Fprintln(os.Stderr, fault)
+	if len(faults) == 0 {
+		return files, 0
+	}
+	result := checked{}
+	for _, f := range faults {
+		result.Faults = append(result.Faults, fault{File: f.File, Line: f.Line, Field: f.Field, Expected: f.Expected})
+		if !s.json {
+			_, _ = fmt.Fprintln(s.errOut, f)
+		}
 	}
-	if len(faults) > 0 {
-		return files, exitRefused
+	if s.json {
+		s.print(result)
 	}
-	return files, 0
+	return files, exitRefused
 }
--- /dev/null
+++ b/cmd/cardamompier/commands_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/cardamompier/cardamompier"
+	"github.com/cardamompier/cardamompier/config"
+	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/kv/kvmem"
+	"github.com/cardamompier/cardamompier/membership"
+)
+
+// What differs between runs, and what the golden files have in its place.
+var (
+	nonces = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f-]{22}`)
+	noise  = strings.NewReplacer("127.0.0.1:", "HOST:")
+)
+
+// published returns a store with three revisions of a fixed writer and time.
+func published(t *testing.T) *kvmem.Store {
+	t.Helper()
+	store := kvmem.New()
+	at := time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+	publisher := config.Publisher{Store: store, Writer: "grace@kigali", Now: func() time.Time { return at }}
+	for _, dir := range []string{"first", "second", "first"} {
+		files, faults := config.ReadDir("testdata/" + dir)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		if _, err := publisher.Publish(context.Background(), config.Change{Files: files}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return store
+}
+
+// register adds an entry host that shows a revision.
+func register(t *testing.T, store kv.Store, id string, revision uint64) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(cardamompier.Status{
+			Host: id, FailureDomain: "kigali-a", Revision: revision, Ready: revision > 0,
+			NotReady: map[bool]string{true: "no configuration was published"}[revision == 0],
+		})
+	}))
+	t.Cleanup(server.Close)
+	member := membership.Member{ID: id, FailureDomain: "kigali-a", InnerAddress: server.Listener.Addr().String()}
+	value, err := json.Marshal(member)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := kv.Write{Key: membership.KeyPrefix + id, Value: value}
+	if _, err := store.CompareAndSwap(context.Background(), write); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOutputOfCommands(t *testing.T) {
+	tests := map[string]struct {
+		run     func(*session) int
+		options options
+	}{
+		"check":              {runCheck, options{first: "testdata/first"}},
+		"check_refused":      {runCheck, options{first: "testdata/bad"}},
+		"publish":            {runPublish, options{first: "testdata/second"}},
+		"publish_unchanged":  {runPublish, options{first: "testdata/first"}},
+		"publish_removes":    {runPublish, options{first: "testdata/first", remove: []string{"account/school-west"}}},
+		"publish_bad_item":   {runPublish, options{first: "testdata/first", remove: []string{"school-west"}}},
+		"publish_conflict":   {runPublish, options{first: "testdata/second", base: 2}},
+		"publish_no_base":    {runPublish, options{first: "testdata/second", base: 17}},
+		"publish_refused":    {runPublish, options{first: "testdata/bad"}},
+		"publish_not_in":     {runPublish, options{first: "testdata/second", wait: 300 * time.Millisecond}},
+		"publish_in_force":   {runPublish, options{first: "testdata/first", wait: 300 * time.Millisecond}},
+		"status":             {runStatus, options{}},
+		"diff_files":         {runDiff, options{first: "testdata/second"}},
+		"diff_nothing":       {runDiff, options{first: "testdata/first"}},
+		"diff_revisions":     {runDiff, options{first: "1", second: "2"}},
+		"history":            {runHistory, options{}},
+		"rollback":           {runRollback, options{first: "2"}},
+		"rollback_no_number": {runRollback, options{first: "two"}},
+		"rollback_not_kept":  {runRollback, options{first: "17"}},
+		"resolve_lost":       {runResolve, options{first: "2", second: "another"}},
+		"resolve_unknown":    {runResolve, options{first: "9", second: "another"}},
+	}
+	for name, test := range tests {
+		for _, asJSON := range []bool{false, true} {
+			golden := name
+			if asJSON {
+				golden += "_json"
+			}
+			t.Run(golden, func(t *testing.T) {
+				store := published(t)
+				register(t, store, "n1", 3)
+				register(t, store, "n2", 3)
+				var out bytes.Buffer
+				s := &session{options: test.options, store: store, out: &out, errOut: &out}
+				s.json, s.timeout = asJSON, time.Second
+				code := test.run(s)
+				text := noise.Replace(nonces.ReplaceAllString(out.String(), "NONCE"))
+				goldie.New(t).Assert(t, golden, []byte(text+"exit "+strconv.Itoa(code)+"\n"))
+			})
+		}
+	}
+}
+
+func TestLostPublishSaysHowToAskAgain(t *testing.T) {
+	var out bytes.Buffer
+	s := &session{out: &out, errOut: &out}
+	s.platform = "http://platform"
+	code := s.failPublish(&config.PublishError{Reason: config.PublishUnknown, Revision: 7, Nonce: "abc"})
+	if code != exitUnknown || !strings.Contains(out.String(), "cardamompier resolve --platform http://platform 7 abc") {
+		t.Fatalf("exit %d: %s", code, out.String())
+	}
+}
+
+func TestUnreachableEntryHostIsShown(t *testing.T) {
+	store := published(t)
+	register(t, store, "n1", 0)
+	member, _ := json.Marshal(membership.Member{ID: "n2", InnerAddress: "127.0.0.1:1"})
+	if _, err := store.CompareAndSwap(context.Background(), kv.Write{Key: membership.KeyPrefix + "n2", Value: member}); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	s := &session{options: options{timeout: time.Second}, store: store, out: &out, errOut: &out}
+	if code := runStatus(s); code != 0 {
+		t.Fatalf("exit %d", code)
+	}
+	for _, want := range []string{"not ready: no configuration was published", "not reached: "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in %s", want, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/cmd/cardamompier/inforce.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const inForcePollInterval = 100 * time.Millisecond
+
+// notInForceError is a revision that some entry hosts do not show yet.
+type notInForceError struct {
+	Revision uint64
+	Behind   []string
+}
+
+// Error implements error.
+func (e *notInForceError) Error() string {
+	where := "any entry host, for none is registered"
+	if len(e.Behind) > 0 {
+		where = strings.Join(e.Behind, ", ")
+	}
+	return "revision " + strconv.FormatUint(e.Revision, 10) + " is not yet in force on " + where
+}
+
+// awaitInForce asks every entry host until all have the revision.
+func (s *session) awaitInForce(result *publishResult) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.wait)
+	defer cancel()
+	for {
+		statuses, err := readStatuses(ctx, s.store)
+		if err == nil {
+			result.Hosts, result.Behind = len(statuses), hostsBehind(statuses, result.Revision)
+			result.InForce = len(statuses) > 0 && len(result.Behind) == 0
+		}
+		if result.InForce {
+			return
+		}
+		select {
+		case <-time.After(inForcePollInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func hostsBehind(statuses []hostStatus, revision uint64) []string {
+	var behind []string
+	for _, status := range statuses {
+		if status.Error != "" || status.Revision < revision {
+			behind = append(behind, status.Host)
+		}
+	}
+	return behind
+}
--- a/cmd/cardamompier/publish.go
+++ b/cmd/cardamompier/publish.go
@@ -2,86 +2,101 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"os/user"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/integrii/flaggy"
-
 	"github.com/cardamompier/cardamompier/config"
-	"github.com/cardamompier/cardamompier/kv/kvhttp"
+	"github.com/cardamompier/cardamompier/kv"
 )
 
-const inForcePollInterval = 50 * time.Millisecond
-
 func publishCommand(o *options) command {
-	parser := flaggy.NewSubcommand("publish")
-	parser.Description = "Publish a directory of files and wait until they are in force. Example: cardamompier publish -p http://127.0.0.1:7500 services/"
-	parser.AddPositionalValue(&o.dir, "dir", 1, true, "the directory")
-	parser.Duration(&o.wait, "w", "wait", "longest wait until in force on every entry host; 0 does not wait")
-	return command{parser: parser, run: runPublish}
+	c := newCommand("publish", "Publish a directory of files, and wait until they are in force everywhere.",
+		"cardamompier publish --platform http://127.0.0.1:7500 services/", runPublish)
+	c.parser.AddPositionalValue(&o.first, "dir", 1, true, "the directory")
+	addWait(c, o)
+	c.parser.UInt64(&o.base, "b", "base", "revision that the files were prepared from; an item changed since is a conflict")
+	c.parser.StringSlice(&o.remove, "r", "remove", "item to remove, as service/NAME or account/NAME; may be repeated")
+	return c
 }
 
-func runPublish(o options) int {
-	files, code := readFiles(o.dir)
+func addWait(c command, o *options) {
+	c.parser.Duration(&o.wait, "w", "wait", "longest wait until in force on every entry host; 0s does not wait")
+}
+
+// publishResult is an accepted publish in JSON.
+type publishResult struct {
+	config.Published
+	// InForce is false when the command did not wait, or gave up.
+	InForce bool     `json:"in_force"`
+	Hosts   int      `json:"hosts"`
+	Behind  []string `json:"behind,omitempty"`
+}
+
+func runPublish(s *session) int {
+	files, code := s.readFiles(s.first)
 	if code != 0 {
 		return code
 	}
-	ctx := context.Background()
-	store := kvhttp.NewClient(o.platform)
-	writer, _ := os.Hostname()
-	publisher := config.Publisher{Store: store, Writer: writer, Now: time.Now}
-	published, err := publisher.Publish(ctx, config.Change{Files: files})
-	if err != nil {
-		return fail(exitCodeOf(err), err)
-	}
-	fmt.Printf("published revision %d\n", published.Revision)
-	if o.wait == 0 {
-		return 0
+	change := config.Change{Files: files}
+	for _, text := range s.remove {
+		item, err := config.ParseItem(text)
+		if err != nil {
+			return s.fail(exitUsage, err)
+		}
+		change.Remove = append(change.Remove, item)
 	}
-	return waitInForce(ctx, store, published.Revision, o.wait)
+	return s.publish(func(ctx context.Context, p *config.Publisher) (config.Published, error) {
+		if s.base != 0 {
+			return p.PublishFrom(ctx, change, s.base)
+		}
+		return p.Publish(ctx, change)
+	})
 }
 
-func exitCodeOf(err error) int {
-	var failed *config.PublishError
-	if !errors.As(err, &failed) {
-		return exitFailed
+// publish runs a publisher and waits until its revision is in force.
+func (s *session) publish(call func(context.Context, *config.Publisher) (config.Published, error)) int {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	published, err := call(ctx, newPublisher(s.store))
+	if err != nil {
+		return s.failPublish(err)
+	}
+	if !s.json && published.Changed {
+		s.printf("published revision %d\n", published.Revision)
+	}
+	if !s.json && !published.Changed {
+		s.printf("nothing to change; revision %d holds it\n", published.Revision)
 	}
-	switch failed.Reason {
-	case config.PublishConflict:
-		return exitConflict
-	case config.PublishUnknown:
-		return exitUnknown
-	default:
-		return exitFailed
+	result := publishResult{Published: published}
+	if s.wait > 0 {
+		s.awaitInForce(&result)
 	}
+	return s.printPublished(result)
 }
 
-// waitInForce asks every entry host until all have the revision.
-func waitInForce(ctx context.Context, store *kvhttp.Client, revision uint64, wait time.Duration) int {
-	deadline := time.Now().Add(wait)
-	for {
-		statuses, err := readStatuses(ctx, store)
-		behind := hostsBehind(statuses, revision)
-		if err == nil && len(statuses) > 0 && len(behind) == 0 {
-			fmt.Printf("revision %d is in force on %d entry hosts\n", revision, len(statuses))
-			return 0
-		}
-		if time.Now().After(deadline) {
-			fmt.Fprintln(os.Stderr, "cardamompier: not in force on", behind)
-			return exitNotInForce
-		}
-		time.Sleep(inForcePollInterval)
+func (s *session) printPublished(result publishResult) int {
+	code := 0
+	if s.wait > 0 && !result.InForce {
+		code = exitNotInForce
 	}
+	switch {
+	case s.json:
+		s.print(result)
+	case result.InForce:
+		s.printf("revision %d is in force on %d entry hosts\n", result.Revision, result.Hosts)
+	case code != 0:
+		return s.fail(code, &notInForceError{Revision: result.Revision, Behind: result.Behind})
+	}
+	return code
 }
 
-func hostsBehind(statuses []hostStatus, revision uint64) []string {
-	var behind []string
-	for _, s := range statuses {
-		if s.Error != "" || s.Revision < revision {
-			behind = append(behind, s.Host)
-		}
+// newPublisher returns a publisher that signs with the operator's name.
+func newPublisher(store kv.Store) *config.Publisher {
+	host, _ := os.Hostname()
+	name := "unknown"
+	if u, err := user.Current(); err == nil {
+		name = u.Username
 	}
-	return behind
+	return &config.Publisher{Store: store, Writer: name + "@" + host, Now: time.Now}
 }
