Refuse settings and files with line and field; fuzz their parsers

Cause: an unknown field in the settings was reported without its name, and files and settings decoded strictly each in its own way.

--- a/config/files.go
+++ b/config/files.go
@@ -1,16 +1,14 @@
 package config
 
 import (
-	"bytes"
 	"encoding/hex"
-	"encoding/json"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 
-	"github.com/go-faster/errors"
+	"github.com/cardamompier/cardamompier/strictjson"
 )
 
 // Endings of the files that a publish collects.
@@ -19,9 +17,6 @@
 	AccountFileSuffix = ".account.json"
 )
 
-// maxFileSize bounds one file, in bytes.
-const maxFileSize = 64 << 10
-
 // FileError is a file that was refused, with what was expected.
 type FileError struct {
 	File string
@@ -129,7 +124,7 @@
 // ParseService decodes and checks a service file and fills in its defaults.
 func ParseService(path string, data []byte) (Service, *FileError) {
 	var s Service
-	if fault := decodeStrict(path, data, &s); fault != nil {
+	if fault := decode(path, data, &s); fault != nil {
 		return s, fault
 	}
 	if s.Kind == KindModel {
@@ -152,6 +147,8 @@
 		return s, faultAt(path, data, "deadline", "a positive time span")
 	case s.MaxTokens < 0:
 		return s, faultAt(path, data, "max_tokens", "a positive number")
+	case s.Kind == KindPlain && s.MaxTokens != 0:
+		return s, faultAt(path, data, "max_tokens", "no max_tokens for a plain service")
 	}
 	return s, nil
 }
@@ -159,7 +156,7 @@
 // ParseAccount decodes and checks a client account file and fills in its defaults.
 func ParseAccount(path string, data []byte) (Account, *FileError) {
 	var a Account
-	if fault := decodeStrict(path, data, &a); fault != nil {
+	if fault := decode(path, data, &a); fault != nil {
 		return a, fault
 	}
 	a.Weight = orDefault(a.Weight, DefaultWeight)
@@ -188,48 +185,17 @@
 	return err == nil && strings.HasPrefix(text, digestPrefix) && len(raw) == 32
 }
 
-// decodeStrict decodes one JSON value, refusing unknown fields and trailing data.
-func decodeStrict(path string, data []byte, into any) *FileError {
-	if len(data) > maxFileSize {
-		return &FileError{File: path, Expected: "at most " + itoa(maxFileSize) + " bytes"}
-	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
-	if err == nil && decoder.More() {
-		return &FileError{File: path, Line: lineAt(data, decoder.InputOffset()), Expected: "one JSON object and nothing after it"}
-	}
-	if err == nil {
+// decode decodes a file.
+func decode(path string, data []byte, into any) *FileError {
+	fault := strictjson.Decode(data, into)
+	if fault == nil {
 		return nil
 	}
-	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
-		return &FileError{File: path, Line: lineAt(data, typeErr.Offset), Field: typeErr.Field, Expected: "a " + typeErr.Type.String(), Cause: err}
-	}
-	var syntaxErr *json.SyntaxError
-	if errors.As(err, &syntaxErr) {
-		return &FileError{File: path, Line: lineAt(data, syntaxErr.Offset), Expected: "valid JSON", Cause: err}
-	}
-	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		name := strings.Trim(field, `"`)
-		return &FileError{File: path, Line: lineOfField(data, name), Field: name, Expected: "a known field"}
-	}
-	return &FileError{File: path, Line: lineAt(data, decoder.InputOffset()), Expected: "valid JSON", Cause: err}
+	return &FileError{File: path, Line: fault.Line, Field: fault.Field, Expected: fault.Expected, Cause: fault.Cause}
 }
 
 func faultAt(path string, data []byte, field, expected string) *FileError {
-	return &FileError{File: path, Line: lineOfField(data, field), Field: field, Expected: expected}
-}
-
-func lineAt(data []byte, offset int64) int {
-	offset = min(max(offset, 0), int64(len(data)))
-	return 1 + bytes.Count(data[:offset], []byte("\n"))
-}
-
-// lineOfField returns the line of a field's first mention, or 1.
-func lineOfField(data []byte, field string) int {
-	at := bytes.Index(data, []byte(`"`+field+`"`))
-	return lineAt(data, int64(at))
+	return &FileError{File: path, Line: strictjson.LineOf(data, field), Field: field, Expected: expected}
 }
 
 func orDefault[T comparable](value, fallback T) T {
--- /dev/null
+++ b/config/files_test.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+)
+
+const goodAccount = `{"account": "a", "key_digests": ["sha256:2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"], "services": ["s"]}`
+
+func TestParseServiceRefusesWithLineAndField(t *testing.T) {
+	tests := map[string]struct {
+		file     string
+		line     int
+		field    string
+		expected string
+	}{
+		"unknown field":   {"{\n\"service\": \"s\",\n\"modle\": \"m\"}", 3, "modle", "a known field"},
+		"wrong type":      {"{\n\"service\": 4}", 2, "service", "a text"},
+		"not JSON":        {"{\n\"service\" \"s\"}", 2, "", "valid JSON"},
+		"bad name":        {`{"service": "S"}`, 1, "service", expectedName},
+		"bad kind":        {"{\"service\": \"s\",\n\"kind\": \"x\"}", 2, "kind", `"model" or "plain"`},
+		"no pool":         {`{"service": "s", "kind": "plain"}`, 1, "pool", expectedName},
+		"no model":        {`{"service": "s", "kind": "model", "pool": "p"}`, 1, "model", "the model's name"},
+		"model of plain":  {`{"service": "s", "kind": "plain", "pool": "p", "model": "m"}`, 1, "model", "no model or adapter for a plain service"},
+		"tokens of plain": {`{"service": "s", "kind": "plain", "pool": "p", "max_tokens": 9}`, 1, "max_tokens", "no max_tokens for a plain service"},
+		"bad deadline":    {"{\"service\": \"s\", \"kind\": \"plain\", \"pool\": \"p\",\n\"deadline\": \"-1s\"}", 2, "deadline", "a positive time span"},
+		"no span":         {"{\"service\": \"s\", \"kind\": \"plain\", \"pool\": \"p\",\n\"deadline\": \"soon\"}", 2, "deadline", "a time span such as \"30s\""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, fault := ParseService("f", []byte(test.file))
+			if fault == nil || fault.Line != test.line || fault.Field != test.field || fault.Expected != test.expected {
+				t.Fatalf("got %v", fault)
+			}
+		})
+	}
+}
+
+// FuzzParseService holds that an accepted service is accepted again, unchanged,
+// after it was stored.
+func FuzzParseService(f *testing.F) {
+	f.Add([]byte(`{"service": "s", "kind": "model", "pool": "p", "model": "m", "deadline": "1s"}`))
+	f.Add([]byte(`{"service": "s", "kind": "plain", "pool": "p"} {}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		service, fault := ParseService("f", data)
+		if fault != nil {
+			return
+		}
+		stored, err := json.Marshal(service)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, fault := ParseService("f", stored); fault != nil || again != service {
+			t.Fatalf("stored as %s: %v", stored, fault)
+		}
+	})
+}
+
+// FuzzParseAccount holds the same of client accounts, and that an accepted
+// account can be put in force.
+func FuzzParseAccount(f *testing.F) {
+	f.Add([]byte(goodAccount))
+	f.Add([]byte(`{"account": "a", "key_digests": ["sha256:"], "weight": -1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		account, fault := ParseAccount("f", data)
+		if fault != nil {
+			return
+		}
+		stored, err := json.Marshal(account)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, fault := ParseAccount("f", stored); fault != nil || !reflect.DeepEqual(again, account) {
+			t.Fatalf("stored as %s: %v", stored, fault)
+		}
+		NewSnapshot(Document{Revision: 1, Accounts: map[string]AccountItem{account.Name: {Account: account}}})
+	})
+}
+
+// FuzzDecode holds that a document that decodes can be put in force.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"revision": 1, "accounts": {"a": ` + goodAccount + `}}`))
+	f.Add([]byte(`{"revision": 1, "accounts": {"a": {"account": "a", "key_digests": ["sha256:"]}}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if doc, err := Decode(data); err == nil {
+			NewSnapshot(doc)
+			merge(doc, serviceChange("s", "m"))
+		}
+	})
+}
--- a/config/types.go
+++ b/config/types.go
@@ -11,6 +11,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"time"
+
+	"github.com/cardamompier/cardamompier/strictjson"
 )
 
 // Kind says what serves a service's requests.
@@ -32,15 +34,19 @@
 	return json.Marshal(time.Duration(d).String())
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
+// UnmarshalJSON implements json.Unmarshaler. It returns *strictjson.ValueError.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
-		return err
+	err := json.Unmarshal(data, &text)
+	if err == nil {
+		var span time.Duration
+		span, err = time.ParseDuration(text)
+		*d = Duration(span)
+	}
+	if err != nil {
+		return &strictjson.ValueError{Raw: string(data), Expected: `a time span such as "30s"`}
 	}
-	span, err := time.ParseDuration(text)
-	*d = Duration(span)
-	return err
+	return nil
 }
 
 // Service is one service file.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,13 +3,15 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
+	"errors"
 	"net/netip"
 	"net/url"
 	"os"
+	"regexp"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/strictjson"
 )
 
 // Settings are the settings of one entry host.
@@ -41,44 +43,28 @@
 	HostList string `json:"host_list"`
 }
 
-// Error is a setting that was refused.
-type Error struct {
-	File     string
-	Field    string
-	Expected string
-	Cause    error
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	msg := "settings " + e.File
-	if e.Field != "" {
-		msg += ": field " + e.Field
-	}
-	msg += ": expected " + e.Expected
-	if e.Cause != nil {
-		msg += ": " + e.Cause.Error()
-	}
-	return msg
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Cause }
-
-// Read reads, completes and checks a settings file.
+// Read reads, completes and checks a settings file. It returns *Error.
 func Read(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, &Error{File: path, Expected: "a readable file", Cause: err}
 	}
+	return Parse(path, data)
+}
+
+// Parse is Read for a file's content.
+func Parse(path string, data []byte) (Settings, error) {
 	var s Settings
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, &Error{File: path, Expected: "one JSON object of known fields", Cause: err}
+	if fault := strictjson.Decode(data, &s); fault != nil {
+		return Settings{}, &Error{File: path, Line: fault.Line, Field: fault.Field, Expected: fault.Expected, Cause: fault.Cause}
 	}
 	s = s.WithDefaults()
-	return s, s.Validate(path)
+	err := s.Validate(path)
+	var failed *Error
+	if errors.As(err, &failed) {
+		failed.Line = strictjson.LineOf(data, failed.Field)
+	}
+	return s, err
 }
 
 // WithDefaults returns s with its defaults filled in.
@@ -101,16 +87,20 @@
 		return &Error{File: file, Field: field, Expected: expected}
 	}
 	switch {
-	case s.HostID == "":
-		return refuse("host_id", "a name")
-	case s.FailureDomain == "":
-		return refuse("failure_domain", "a name")
+	case !isName(s.HostID):
+		return refuse("host_id", expectedName)
+	case !isName(s.FailureDomain):
+		return refuse("failure_domain", expectedName)
+	case !isName(s.Region):
+		return refuse("region", expectedName)
 	case !isAddress(s.Listen):
 		return refuse("listen", "an IP number and port")
-	case !isAddress(s.Advertise):
-		return refuse("advertise", "an IP number and port")
+	case !isDialable(s.Advertise):
+		return refuse("advertise", "an IP number and port that callers can connect to")
 	case !isAddress(s.InnerListen):
 		return refuse("inner_listen", "an IP number and port")
+	case s.InnerListen == s.Listen:
+		return refuse("inner_listen", "another address than listen")
 	case !isURL(s.Platform.KeyValue):
 		return refuse("platform.key_value", "an http URL")
 	case !isURL(s.Platform.HostList):
@@ -121,6 +111,19 @@
 	return nil
 }
 
+const expectedName = "a letter or digit, then up to 62 letters, digits, dots, hyphens or underscores"
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func isName(text string) bool { return namePattern.MatchString(text) }
+
+// isDialable says whether others can connect to an address: an unspecified IP
+// number can be listened on only.
+func isDialable(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && !address.Addr().IsUnspecified() && address.Port() != 0
+}
+
 func isAddress(text string) bool {
 	_, err := netip.ParseAddrPort(text)
 	return err == nil
