--- a/config/files_test.go
+++ b/config/files_test.go
@@ -15,7 +15,7 @@
 		field    string
 		expected string
 	}{
-		"unknown field":   {"{\n\"service\": \"s\",\n\"modle\": \"m\"}", 3, "modle", "a known field"},
+		"unknown field":   {"{\n\"service\": \"s\",\n\"extra\": \"m\"}", 3, "extra", "a known field"},
 		"wrong type":      {"{\n\"service\": 4}", 2, "service", "a text"},
 		"not JSON":        {"{\n\"service\" \"s\"}", 2, "", "valid JSON"},
 		"bad name":        {`{"service": "S"}`, 1, "service", expectedName},
