--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Market identifies where a host can be bought.
@@ -101,3 +103,16 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
+
+// ReasonOf returns the reason of err, ReasonUnknown for an error of another
+// type, and the empty reason for nil.
+func ReasonOf(err error) Reason {
+	if err == nil {
+		return ""
+	}
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.Reason
+	}
+	return ReasonUnknown
+}
--- a/cloud/cloudhttp/cloudhttp_test.go
+++ b/cloud/cloudhttp/cloudhttp_test.go
@@ -5,21 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/cardamompier/cardamompier/cloud"
 	"github.com/cardamompier/cardamompier/cloud/cloudhttp"
 	"github.com/cardamompier/cardamompier/cloud/cloudmem"
 )
 
-func reasonOf(err error) cloud.Reason {
-	var failed *cloud.Error
-	if errors.As(err, &failed) {
-		return failed.Reason
-	}
-	return ""
-}
-
 func TestCallsKeepTheTwinsAnswers(t *testing.T) {
 	now := time.Unix(1_000_000, 0).UTC()
 	twin := cloudmem.New(func() time.Time { return now }, time.Minute)
@@ -44,15 +34,15 @@
 	}
 	twin.Refuse(market, now.Add(time.Minute))
 	request.Token = "t2"
-	if _, err := client.Start(t.Context(), request); reasonOf(err) != cloud.ReasonRefused {
+	if _, err := client.Start(t.Context(), request); cloud.ReasonOf(err) != cloud.ReasonRefused {
 		t.Fatalf("refused start: %v", err)
 	}
 	request.Class = "unknown"
-	if _, err := client.Start(t.Context(), request); reasonOf(err) != cloud.ReasonInvalid {
+	if _, err := client.Start(t.Context(), request); cloud.ReasonOf(err) != cloud.ReasonInvalid {
 		t.Fatalf("invalid start: %v", err)
 	}
 	server.Close()
-	if _, err := client.Offers(t.Context()); reasonOf(err) != cloud.ReasonUnavailable {
+	if _, err := client.Offers(t.Context()); cloud.ReasonOf(err) != cloud.ReasonUnavailable {
 		t.Fatalf("no service: %v", err)
 	}
 }
