--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,9 @@
 	return ""
 }
 
+// init sets how many runs the property test makes unless the command line says so.
+func init() { _ = flag.Set("rapid.checks", "40") }
+
 // TestViewsConvergeAfterFaults drives random faults and then heals: no live
 // member stays declared dead, every dead one is noticed, and a leaving one is
 // never seen as not leaving again.
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -30,8 +30,8 @@
 	labelWrite = "write"
 )
 
-// seedList is the stored list.
-type seedList struct {
+// SeedList is the stored list.
+type SeedList struct {
 	Members []Member `json:"members"`
 }
 
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var list seedList
+	var list SeedList
 	if json.Unmarshal(entry.Value, &list) != nil {
 		return nil, entry.Version, nil // written over by the next keeper
 	}
@@ -55,7 +55,7 @@
 
 func writeSeeds(ctx context.Context, store kv.Store, members []Member, expect kv.Version) error {
 	SeedCalls.Inc(labelWrite)
-	value, err := json.Marshal(seedList{Members: members})
+	value, err := json.Marshal(SeedList{Members: members})
 	if err != nil {
 		return err
 	}
--- a/provide.go
+++ b/provide.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
@@ -34,7 +35,9 @@
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
-		return config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config")), nil
+		follower := config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config"))
+		follower.Share(do.MustInvoke[*gossip.Table](i), groupOf(do.MustInvoke[*membership.Registry](i)))
+		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
 		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
@@ -73,3 +76,13 @@
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
 }
+
+// groupOf returns the entry hosts that follow the configuration together.
+func groupOf(registry *membership.Registry) func() config.Group {
+	return func() config.Group {
+		members := lo.Map(registry.View().Usable(), func(m membership.Member, _ int) config.GroupMember {
+			return config.GroupMember{ID: m.ID, FailureDomain: m.FailureDomain}
+		})
+		return config.Group{Self: registry.Self().ID, Members: members}
+	}
+}
