Copy accepted requests to a holder and let any entry host take over

Cause: a request's text was on one entry host only, so a reclaim of that host lost it. Ruled out: two holders with equal say (two could grant a take-over each); a copy in the key-value service (a write per batch does not fit several hundred writes a second).

--- a/cardamompier.go
+++ b/cardamompier.go
@@ -99,6 +99,8 @@
 	s.start(func() { s.follower.Run(background) })
 	s.start(func() { s.poller.Run(background) })
 	s.start(func() { s.registry.Run(background) })
+	s.start(func() { s.gateway.Keeper.Run(background) })
+	s.start(func() { s.gateway.Dispatcher.RunMoves(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
@@ -125,6 +127,7 @@
 	events.ProcessDraining.Log(s.logger, "host", s.settings.HostID)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	s.gateway.Keeper.Leave()
 	if err := s.registry.Leave(ctx); err != nil {
 		events.RegisterFailed.Log(s.logger, "error", err)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,19 +20,20 @@
 const (
 	exitFailed    = 1
 	exitUsage     = 2
+	exitCrashed   = 3
 	headerTimeout = 5 * time.Second
 )
 
 func main() {
-	listen, id, hostFile, tokenTime := "", "engine", "", 5*time.Millisecond
+	listen, hostFile := "", ""
+	engine := enginesim.Options{ID: "engine", TokenTime: 5 * time.Millisecond}
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for outside systems, for tests.")
 	flaggy.String(&listen, "l", "listen", "IP number and port")
 	platformCommand := flaggy.NewSubcommand("platform")
 	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
 	engineCommand := flaggy.NewSubcommand("engine")
-	engineCommand.String(&id, "", "id", "the engine's name")
-	engineCommand.Duration(&tokenTime, "", "token-time", "time of one token")
+	engineFlags(engineCommand, &engine)
 	deskCommand := flaggy.NewSubcommand("desk")
 	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand} {
 		flaggy.AttachSubcommand(c, 1)
@@ -42,7 +43,9 @@
 	case platformCommand.Used:
 		serve(listen, platform.New(readHosts(hostFile)).Handler())
 	case engineCommand.Used:
-		serve(listen, enginesim.New(enginesim.Options{ID: id, TokenTime: tokenTime, Salt: enginesim.SaltOf(id)}).Handler())
+		engine.Salt = enginesim.SaltOf(engine.ID)
+		engine.Crash = func() { os.Exit(exitCrashed) }
+		serve(listen, enginesim.New(engine).Handler())
 	case deskCommand.Used:
 		serve(listen, (&desk.Desk{}).Handler())
 	default:
@@ -51,6 +54,20 @@
 	}
 }
 
+func engineFlags(c *flaggy.Subcommand, o *enginesim.Options) {
+	c.String(&o.ID, "", "id", "the engine's name")
+	c.Duration(&o.TokenTime, "", "token-time", "time of one step")
+	c.Duration(&o.StreamTime, "", "stream-time", "time added to a step for each further stream")
+	c.Duration(&o.PrefillTime, "", "prefill-time", "time to compute one token of a prompt or prior text")
+	c.Int(&o.MaxRunning, "", "max-running", "most streams in a step; 0 for no bound")
+	c.Int(&o.CacheBlocks, "", "cache-blocks", "size of the prefix cache")
+	c.Bool(&o.NoExport, "", "no-export", "neither export nor import KV caches")
+	c.Duration(&o.EventLag, "", "event-lag", "age at which cache events are shown")
+	c.UInt64(&o.EventLoss, "", "event-loss", "lose each n-th cache event")
+	c.Duration(&o.ReportLag, "", "report-lag", "age of load reports")
+	c.String(&o.CrashMark, "", "crash-mark", "text in a prompt that ends the process")
+}
+
 func readHosts(path string) []hosts.Host {
 	if path == "" {
 		return nil
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 
 	mu     sync.Mutex
 	plains map[string]*plainhttp.Client
+
+	moves moves
 }
 
 // New returns a dispatcher over the hosts in the poller's list.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -38,9 +37,19 @@
 
 const finishReasonStop = "stop"
 
-// wholeAnswer waits for the end of a log and returns its text.
+// wholeAnswer waits for the end of a log and returns its text. A run that
+// moves to another host meanwhile is followed there.
 func (g *Gateway) wholeAnswer(ctx context.Context, log *journal.Log) (*huma.StreamResponse, error) {
-	text, count, failed := collect(ctx, log)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-g.endOfWait:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	text, count, failed := g.collect(ctx, log)
 	if failed != nil {
 		return nil, g.refuse(failed, log.RequestID)
 	}
@@ -56,30 +65,48 @@
 	}}, nil
 }
 
-func collect(ctx context.Context, log *journal.Log) (string, int, *apierr.Error) {
+func (g *Gateway) collect(ctx context.Context, log *journal.Log) (string, int, *apierr.Error) {
 	var text strings.Builder
-	count := 0
-	for {
-		chunk, err := log.Read(ctx, count)
+	for at := (position{}); ; {
+		chunk, err := log.Read(ctx, at.next)
 		if err != nil {
-			return "", 0, apierr.New(apierr.CodeDeadlineExceeded, "the caller went away").WithRan(apierr.RanUnknown).WithCause(err)
+			return "", 0, g.stillRunning().WithCause(err)
 		}
-		for _, token := range chunk.Tokens {
-			text.WriteString(token)
+		if chunk.Len() > 0 && chunk.Branch() != at.branch && !log.Extends(at.branch, at.next) {
+			return "", 0, lostText()
 		}
-		count += len(chunk.Tokens)
-		if chunk.Failed != nil {
+		_, _ = text.Write(chunk.Text())
+		at.next += chunk.Len()
+		at.branch = max(at.branch, chunk.Branch())
+		switch chunk.State {
+		case journal.StateDone:
+			return text.String(), at.next, nil
+		case journal.StateFailed:
 			return "", 0, chunk.Failed
-		}
-		if chunk.Done {
-			return text.String(), count, nil
+		case journal.StateMoved:
+			next, found := g.Keeper.Find(ctx, log.RequestID)
+			if !found {
+				return "", 0, g.stillRunning()
+			}
+			log = next
 		}
 	}
 }
 
-// streamAnswer sends a log from an offset as server-sent events, each with
+// stillRunning refuses to wait longer for an answer that goes on elsewhere.
+func (g *Gateway) stillRunning() *apierr.Error {
+	const detail = "the request goes on; repeat it under its key, or read its events by its id, at another address"
+	return apierr.New(apierr.CodeDraining, detail).WithRan(apierr.RanUnknown).WithRetryAfter(notReadyWait)
+}
+
+func lostText() *apierr.Error {
+	const detail = "the text after the caller's last event was lost with its hosts"
+	return apierr.New(apierr.CodeRequestLost, detail).WithRan(apierr.RanUnknown)
+}
+
+// streamAnswer sends a log from a position as server-sent events, each with
 // the index of its token as event id.
-func (g *Gateway) streamAnswer(log *journal.Log, from int) *huma.StreamResponse {
+func (g *Gateway) streamAnswer(log *journal.Log, at position) *huma.StreamResponse {
 	return &huma.StreamResponse{Body: func(c huma.Context) {
 		c.SetHeader("Content-Type", "text/event-stream")
 		c.SetHeader("Cache-Control", "no-store")
@@ -87,66 +114,39 @@
 		c.SetStatus(http.StatusOK)
 		w := c.BodyWriter()
 		flusher, _ := w.(http.Flusher)
-		events := newEventWriter(log)
-		for {
-			chunk, err := log.Read(c.Context(), from)
-			if err != nil {
-				return
-			}
-			if _, err := w.Write(events.encode(chunk, from)); err != nil {
-				return
-			}
+		flusher.Flush()
+		g.sendEvents(c.Context(), log, at, func(events []byte) bool {
+			_, err := w.Write(events)
 			flusher.Flush()
-			from += len(chunk.Tokens)
-			if chunk.Done || chunk.Failed != nil {
-				return
-			}
-		}
+			return err == nil
+		})
 	}}
 }
 
-// eventWriter encodes the chunks of one answer. Its buffer is used again.
-type eventWriter struct {
-	log    *journal.Log
-	prefix []byte // the data of an event up to the token's text
-	buffer []byte
-}
-
-func newEventWriter(log *journal.Log) *eventWriter {
-	head, _ := json.Marshal(struct {
-		ID      string `json:"id"`
-		Object  string `json:"object"`
-		Created int64  `json:"created"`
-		Model   string `json:"model"`
-	}{log.RequestID, "chat.completion.chunk", time.Now().Unix(), log.Service})
-	prefix := append([]byte("\ndata: "), head[:len(head)-1]...)
-	return &eventWriter{log: log, prefix: append(prefix, `,"choices":[{"index":0,"delta":`...)}
-}
-
-func (e *eventWriter) encode(chunk journal.Chunk, from int) []byte {
-	e.buffer = e.buffer[:0]
-	for i, token := range chunk.Tokens {
-		e.event(from + i)
-		text, _ := json.Marshal(token)
-		e.buffer = append(e.buffer, `{"content":`...)
-		e.buffer = append(e.buffer, text...)
-		e.buffer = append(e.buffer, "},\"finish_reason\":null}]}\n\n"...)
-	}
-	if chunk.Done {
-		e.event(from + len(chunk.Tokens))
-		e.buffer = append(e.buffer, "{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"...)
-	}
-	if chunk.Failed != nil {
-		body, _ := json.Marshal(apierr.BodyFor(chunk.Failed, e.log.RequestID))
-		e.buffer = append(e.buffer, "event: error\ndata: "...)
-		e.buffer = append(e.buffer, body...)
-		e.buffer = append(e.buffer, "\n\n"...)
+// sendEvents sends a log's events until its end, the end of ctx or a failed send.
+func (g *Gateway) sendEvents(ctx context.Context, log *journal.Log, at position, send func([]byte) bool) {
+	writer := newEventWriter(log)
+	for {
+		chunk, err := log.Read(ctx, at.next)
+		if err != nil {
+			return
+		}
+		beyond := chunk.Len() == 0 && chunk.State == journal.StateDone && at.next > log.Count()+1
+		if beyond || chunk.Branch() != at.branch && !log.Extends(at.branch, at.next) {
+			send(writer.failure(lostText()))
+			return
+		}
+		if chunk.State == journal.StateDone && chunk.Len() == 0 {
+			at.next = log.Count()
+		}
+		events := writer.encode(chunk, at.next)
+		if chunk.State == journal.StateMoved {
+			events = writer.moved(g.addresses())
+		}
+		if !send(events) || chunk.State != journal.StateRunning {
+			return
+		}
+		at.next += chunk.Len()
+		at.branch = max(at.branch, chunk.Branch())
 	}
-	return e.buffer
-}
-
-func (e *eventWriter) event(id int) {
-	e.buffer = append(e.buffer, "id: "...)
-	e.buffer = strconv.AppendInt(e.buffer, int64(id), 10)
-	e.buffer = append(e.buffer, e.prefix...)
 }
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/google/uuid"
 
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/journal"
@@ -47,32 +51,62 @@
 	if refusal != nil {
 		return nil, g.refuse(refusal, "")
 	}
-	id := "req-" + uuid.NewString()
-	log, _ := g.Journals.Create(journal.NewLog(id, c.account.Name, c.service.Name))
-	g.startGeneration(c, in.Body, log)
+	record := recordOf(c, in)
+	log, refusal := g.Keeper.Accept(ctx, record, in.Key != "")
+	if refusal != nil {
+		return nil, g.refuse(refusal, record.RequestID)
+	}
+	Accepted.Inc(c.service.Name)
+	events.RequestAccepted.Log(g.Logger, "request", log.RequestID, "service", c.service.Name, "account", c.account.Name)
 	if in.Body.Stream {
-		return g.streamAnswer(log, 0), nil
+		return g.streamAnswer(log, position{}), nil
 	}
 	return g.wholeAnswer(ctx, log)
 }
 
-// startGeneration runs an accepted request apart from its caller's connection.
-func (g *Gateway) startGeneration(c call, body ChatRequest, log *journal.Log) {
-	Accepted.Inc(c.service.Name)
-	events.RequestAccepted.Log(g.Logger, "request", log.RequestID, "service", c.service.Name, "account", c.account.Name)
+// recordOf returns the record of a request. Under an idempotency key its id
+// follows from the client account and the key, so that a repeat at any entry
+// host finds the first run.
+func recordOf(c call, in *chatInput) journal.Record {
 	limit := c.service.MaxTokens
-	if body.MaxTokens > 0 {
-		limit = min(limit, body.MaxTokens)
+	if in.Body.MaxTokens > 0 {
+		limit = min(limit, in.Body.MaxTokens)
+	}
+	prompt := promptOf(in.Body.Messages)
+	id := "req-" + uuid.NewString()
+	if in.Key != "" {
+		id = "req-" + uuid.NewSHA1(keyNamespace, []byte(c.account.Name+"\x00"+in.Key)).String()
 	}
-	work := dispatch.Generation{Service: c.service, Prompt: promptOf(body.Messages), MaxTokens: limit, Log: log}
+	return journal.Record{
+		RequestID: id, Account: c.account.Name, Service: c.service.Name, Prompt: prompt, MaxTokens: limit,
+		Digest:   xxhash.Sum64String(c.service.Name + "\x00" + strconv.Itoa(limit) + "\x00" + prompt),
+		Deadline: time.Now().Add(time.Duration(c.service.Deadline)),
+	}
+}
+
+// keyNamespace is the UUID namespace of request ids under idempotency keys.
+var keyNamespace = uuid.MustParse("6f1c8e0a-52f4-4d6a-9d0e-0a4b7a1f3c55")
+
+// RunGeneration carries an accepted request out until its log ends or moves.
+func (g *Gateway) RunGeneration(log *journal.Log) {
 	g.work.Add(1)
-	go func() {
-		defer g.work.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.service.Deadline))
-		defer cancel()
-		g.Dispatcher.Generate(ctx, work)
-		g.Journals.Expire(log.RequestID)
-	}()
+	defer g.work.Done()
+	service := g.service(log.Service)
+	if service == nil {
+		log.Fail(apierr.New(apierr.CodeUnknownService, "the service is no longer published"))
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), log.Deadline)
+	defer cancel()
+	g.Dispatcher.Generate(ctx, dispatch.Generation{Service: service, Log: log, Begun: g.Keeper.Kick})
+	events.RequestFinished.Log(g.Logger, "request", log.RequestID, "tokens", log.Count())
+}
+
+func (g *Gateway) service(name string) *config.Service {
+	if snapshot := g.Config.Current(); snapshot != nil {
+		return snapshot.Services[name]
+	}
+	return nil
 }
 
 func promptOf(messages []Message) string {
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/journal"
+)
+
+// eventWriter encodes the chunks of one answer. Its buffer is used again.
+type eventWriter struct {
+	log    *journal.Log
+	prefix []byte // the data of an event up to the token's text
+	buffer []byte
+}
+
+func newEventWriter(log *journal.Log) *eventWriter {
+	head, _ := json.Marshal(struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Model   string `json:"model"`
+	}{log.RequestID, "chat.completion.chunk", time.Now().Unix(), log.Service})
+	prefix := append([]byte("\ndata: "), head[:len(head)-1]...)
+	return &eventWriter{log: log, prefix: append(prefix, `,"choices":[{"index":0,"delta":`...)}
+}
+
+// encode returns the events of a chunk, whose first token has index from.
+func (e *eventWriter) encode(chunk journal.Chunk, from int) []byte {
+	e.buffer = e.buffer[:0]
+	for i := range chunk.Len() {
+		e.event(from+i, chunk.Branch())
+		e.buffer = append(e.buffer, `{"content":`...)
+		e.buffer = appendJSONString(e.buffer, chunk.Token(i))
+		e.buffer = append(e.buffer, "},\"finish_reason\":null}]}\n\n"...)
+	}
+	switch chunk.State {
+	case journal.StateDone:
+		e.event(from+chunk.Len(), chunk.Branch())
+		e.buffer = append(e.buffer, "{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"...)
+	case journal.StateFailed:
+		e.named("error", apierr.BodyFor(chunk.Failed, e.log.RequestID))
+	}
+	return e.buffer
+}
+
+// failure returns the event that ends an answer early.
+func (e *eventWriter) failure(err *apierr.Error) []byte {
+	e.buffer = e.buffer[:0]
+	e.named("error", apierr.BodyFor(err, e.log.RequestID))
+	return e.buffer
+}
+
+// movedBody tells a caller to read on elsewhere.
+type movedBody struct {
+	RequestID string `json:"request_id"`
+	Addresses
+}
+
+// moved returns the event that sends a caller to other addresses.
+func (e *eventWriter) moved(addresses Addresses) []byte {
+	e.named("moved", movedBody{RequestID: e.log.RequestID, Addresses: addresses})
+	return e.buffer
+}
+
+func (e *eventWriter) named(name string, body any) {
+	data, _ := json.Marshal(body)
+	e.buffer = append(e.buffer, "event: "...)
+	e.buffer = append(e.buffer, name...)
+	e.buffer = append(e.buffer, "\ndata: "...)
+	e.buffer = append(e.buffer, data...)
+	e.buffer = append(e.buffer, "\n\n"...)
+}
+
+func (e *eventWriter) event(id int, branch uint64) {
+	e.buffer = append(e.buffer, "id: "...)
+	if branch != 0 {
+		e.buffer = strconv.AppendUint(e.buffer, branch, 10)
+		e.buffer = append(e.buffer, branchSeparator...)
+	}
+	e.buffer = strconv.AppendInt(e.buffer, int64(id), 10)
+	e.buffer = append(e.buffer, e.prefix...)
+}
+
+const hexDigits = "0123456789abcdef"
+
+// appendJSONString appends text as a JSON string. Bytes that are no UTF-8
+// become the replacement character, as in encoding/json.
+func appendJSONString(out, text []byte) []byte {
+	out = append(out, '"')
+	for i := 0; i < len(text); {
+		c := text[i]
+		switch {
+		case c == '"' || c == '\\':
+			out = append(out, '\\', c)
+		case c < 0x20 || c == 0x7f:
+			out = append(out, '\\', 'u', '0', '0', hexDigits[c>>4], hexDigits[c&0xf])
+		case c < utf8.RuneSelf:
+			out = append(out, c)
+		default:
+			r, size := utf8.DecodeRune(text[i:])
+			out = utf8.AppendRune(out, r)
+			i += size
+			continue
+		}
+		i++
+	}
+	return append(out, '"')
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,10 +19,12 @@
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
+	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/reclaim"
 )
 
 const (
@@ -50,22 +51,33 @@
 	Dispatcher *dispatch.Dispatcher
 	Ledger     order.Ledger
 	Journals   *journal.Store
+	Holder     *journal.Holder
+	Peers      *inner.Client
+	InnerAPI   *inner.Server
 	Logger     hclog.Logger
 }
 
 // Gateway is the caller-facing server. Use New.
 type Gateway struct {
 	Parts
+	// Keeper owns, copies and finds accepted requests.
+	Keeper   *reclaim.Keeper
 	mux      *http.ServeMux
 	api      huma.API
 	draining atomic.Bool
-	// work counts accepted requests that have not ended.
+	// work counts requests that run here.
 	work sync.WaitGroup
+	// endOfWait is closed shortly before a planned stop ends.
+	endOfWait chan struct{}
 }
 
 // New returns a gateway of the given parts.
 func New(parts Parts) *Gateway {
-	g := &Gateway{Parts: parts, mux: http.NewServeMux()}
+	g := &Gateway{Parts: parts, mux: http.NewServeMux(), endOfWait: make(chan struct{})}
+	g.Keeper = reclaim.New(reclaim.Parts{
+		Members: parts.Members, Client: parts.Peers, Logs: parts.Journals, Holder: parts.Holder,
+		Run: g.RunGeneration, Logger: parts.Logger.Named("reclaim"),
+	}, parts.InnerAPI)
 	description := huma.DefaultConfig("cardamompier", apiVersion)
 	description.CreateHooks = nil // no $schema links in answers
 	g.api = humago.New(g.mux, description)
@@ -89,23 +101,6 @@
 // API returns the OpenAPI description of the caller-facing endpoints.
 func (g *Gateway) API() *huma.OpenAPI { return g.api.OpenAPI() }
 
-// Drain refuses new work and waits until the work in progress has ended or
-// ctx ends, whose error it returns.
-func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	ended := make(chan struct{})
-	go func() {
-		g.work.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // call is an authenticated request to a service.
 type call struct {
 	account *config.Account
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/danielgtaylor/huma/v2"
 
@@ -23,28 +24,50 @@
 	}, g.resume)
 }
 
-func (g *Gateway) resume(_ context.Context, in *resumeInput) (*huma.StreamResponse, error) {
+func (g *Gateway) resume(ctx context.Context, in *resumeInput) (*huma.StreamResponse, error) {
 	account, _, refusal := g.authenticate(in.Authorization)
 	if refusal != nil {
 		return nil, g.refuse(refusal, in.ID)
 	}
-	from, err := offsetAfter(in.LastEventID)
+	from, err := positionAfter(in.LastEventID)
 	if err != nil {
 		return nil, g.refuse(apierr.New(apierr.CodeInvalidRequest, "Last-Event-ID is no event id").WithCause(err), in.ID)
 	}
-	log, ok := g.Journals.Get(in.ID)
+	log, ok := g.Keeper.Find(ctx, in.ID)
 	if !ok || log.Account != account.Name {
-		unknown := apierr.New(apierr.CodeUnknownRequest, "no request with this id is known here")
+		unknown := apierr.New(apierr.CodeUnknownRequest, "no entry host that answers knows a request with this id")
 		return nil, g.refuse(unknown.WithRan(apierr.RanUnknown), in.ID)
 	}
 	return g.streamAnswer(log, from), nil
 }
 
-// offsetAfter returns the offset of the first token that the caller misses.
-func offsetAfter(lastEventID string) (int, error) {
+// position is where a caller is in an answer.
+type position struct {
+	// next is the index of the first token that the caller misses.
+	next int
+	// branch is the epoch of the branch that the caller's last token is on.
+	branch uint64
+}
+
+// branchSeparator stands in an event id between the branch, where there is
+// one, and the token's index.
+const branchSeparator = "-"
+
+// positionAfter reads the id of the last event that a caller has.
+func positionAfter(lastEventID string) (position, error) {
 	if lastEventID == "" {
-		return 0, nil
+		return position{}, nil
+	}
+	var p position
+	index := lastEventID
+	if branch, rest, found := strings.Cut(lastEventID, branchSeparator); found {
+		epoch, err := strconv.ParseUint(branch, 10, 63)
+		if err != nil {
+			return position{}, err
+		}
+		p.branch, index = epoch, rest
 	}
-	last, err := strconv.ParseUint(lastEventID, 10, 31)
-	return int(last) + 1, err
+	last, err := strconv.ParseUint(index, 10, 31)
+	p.next = int(last) + 1
+	return p, err
 }
--- a/inner/message.go
+++ b/inner/message.go
@@ -19,12 +19,14 @@
 	KindProbeVia  Kind = 3
 	KindStateDiff Kind = 4
 	KindStatePull Kind = 5
-	// KindJournalCreate to KindJournalRead: package journal, 100 to 199.
+	// KindJournalCreate to KindJournalWithdraw: package reclaim, 100 to 199.
 	KindJournalCreate   Kind = 100
 	KindJournalAppend   Kind = 101
 	KindJournalLookup   Kind = 102
 	KindJournalTakeOver Kind = 103
 	KindJournalRead     Kind = 104
+	KindJournalClaim    Kind = 105
+	KindJournalWithdraw Kind = 106
 	// KindOrderClaim to KindOrderGet: package order, 200 to 299.
 	KindOrderClaim  Kind = 200
 	KindOrderFinish Kind = 201
--- a/journal/store.go
+++ b/journal/store.go
@@ -17,12 +17,12 @@
 	return &Store{retention: retention, logs: map[string]*Log{}}
 }
 
-// Create adds a log. Where the request id is known it returns the log that is
-// there and false.
+// Create adds a log. Where the request id has a log of the same or a higher
+// epoch that has not moved, it returns that one and false.
 func (s *Store) Create(log *Log) (*Log, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.logs[log.RequestID]; ok {
+	if old, ok := s.logs[log.RequestID]; ok && old.Epoch >= log.Epoch && old.State() != StateMoved {
 		return old, false
 	}
 	s.logs[log.RequestID] = log
@@ -37,11 +37,29 @@
 	return log, ok
 }
 
-// Expire drops the log of a request after the retention.
-func (s *Store) Expire(requestID string) {
-	time.AfterFunc(s.retention, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.logs, requestID)
-	})
+// Running returns the logs that grow here.
+func (s *Store) Running() []*Log {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*Log
+	for _, log := range s.logs {
+		if log.State() == StateRunning {
+			out = append(out, log)
+		}
+	}
+	return out
+}
+
+// Remove drops a log that was not accepted.
+func (s *Store) Remove(log *Log) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.logs[log.RequestID] == log {
+		delete(s.logs, log.RequestID)
+	}
+}
+
+// Expire drops a log after the retention.
+func (s *Store) Expire(log *Log) {
+	time.AfterFunc(s.retention, func() { s.Remove(log) })
 }
--- a/provide.go
+++ b/provide.go
@@ -54,6 +54,9 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
 			Journals:   journal.NewStore(journalRetention),
+			Holder:     journal.NewHolder(journalRetention),
+			Peers:      do.MustInvoke[*inner.Client](i),
+			InnerAPI:   do.MustInvoke[*inner.Server](i),
 			Logger:     logger.Named("gateway"),
 		}), nil
 	})
--- /dev/null
+++ b/reclaim/serve.go
@@ -0,0 +1,139 @@
+package reclaim
+
+import (
+	"context"
+	"time"
+
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/journal"
+)
+
+// readWait is how long a read waits for a token before it answers empty.
+const readWait = 200 * time.Millisecond
+
+const codeNotHere = "not_here"
+
+type lookupRequest struct {
+	RequestID string `cbor:"1,keyasint"`
+}
+
+// lookupAnswer is what a host knows of a request.
+type lookupAnswer struct {
+	// Known says that the host owns the request or holds a copy of it.
+	Known   bool           `cbor:"1,keyasint"`
+	Owned   bool           `cbor:"2,keyasint"`
+	Epoch   uint64         `cbor:"3,keyasint"`
+	Owner   journal.Owner  `cbor:"4,keyasint"`
+	State   journal.State  `cbor:"5,keyasint"`
+	Record  journal.Record `cbor:"6,keyasint"`
+	Count   int            `cbor:"7,keyasint"`
+	address string         // that answered
+}
+
+type takeOverRequest struct {
+	RequestID string        `cbor:"1,keyasint"`
+	Epoch     uint64        `cbor:"2,keyasint"`
+	Owner     journal.Owner `cbor:"3,keyasint"`
+}
+
+type takeOverAnswer struct {
+	Status journal.TakeOverStatus `cbor:"1,keyasint"`
+	Copy   journal.Copy           `cbor:"2,keyasint"`
+}
+
+type readRequest struct {
+	RequestID string `cbor:"1,keyasint"`
+	Epoch     uint64 `cbor:"2,keyasint"`
+	From      int    `cbor:"3,keyasint"`
+}
+
+type claimRequest struct {
+	RequestID string        `cbor:"1,keyasint"`
+	Digest    uint64        `cbor:"2,keyasint"`
+	Owner     journal.Owner `cbor:"3,keyasint"`
+}
+
+type claimAnswer struct {
+	First  journal.Owner `cbor:"1,keyasint"`
+	Digest uint64        `cbor:"2,keyasint"`
+}
+
+type nothing struct{}
+
+func (k *Keeper) register(s *inner.Server) {
+	inner.Register(s, inner.KindJournalCreate, func(_ context.Context, c journal.Copy) (journal.Ack, error) {
+		return k.Holder.Create(c), nil
+	})
+	inner.Register(s, inner.KindJournalAppend, k.serveAppend)
+	inner.Register(s, inner.KindJournalLookup, func(_ context.Context, r lookupRequest) (lookupAnswer, error) {
+		return k.lookHere(r.RequestID), nil
+	})
+	inner.Register(s, inner.KindJournalTakeOver, func(_ context.Context, r takeOverRequest) (takeOverAnswer, error) {
+		c, status := k.Holder.TakeOver(r.RequestID, r.Epoch, r.Owner)
+		return takeOverAnswer{Status: status, Copy: c}, nil
+	})
+	inner.Register(s, inner.KindJournalRead, k.serveRead)
+	inner.Register(s, inner.KindJournalClaim, func(_ context.Context, r claimRequest) (claimAnswer, error) {
+		first, digest := k.Holder.Claim(r.RequestID, r.Digest, r.Owner)
+		return claimAnswer{First: first, Digest: digest}, nil
+	})
+	inner.Register(s, inner.KindJournalWithdraw, func(_ context.Context, r claimRequest) (nothing, error) {
+		k.Holder.Withdraw(r.RequestID, r.Owner)
+		return nothing{}, nil
+	})
+}
+
+func (k *Keeper) serveAppend(_ context.Context, r appendRequest) (appendAnswer, error) {
+	answer := appendAnswer{Acks: make([]journal.Ack, 0, len(r.Progress)), Leaving: k.leaving.Load()}
+	for _, p := range r.Progress {
+		ack := k.Holder.Append(p)
+		answer.Acks = append(answer.Acks, ack)
+		if p.Released && ack.Status == journal.AckOK && !answer.Leaving {
+			go k.adoptOrphan(context.Background(), p.RequestID, p.Epoch, labelReleased)
+		}
+	}
+	return answer, nil
+}
+
+// lookHere returns what this host itself knows of a request.
+func (k *Keeper) lookHere(requestID string) lookupAnswer {
+	if log, ok := k.Logs.Get(requestID); ok && log.State() != journal.StateMoved {
+		record := log.Record
+		record.Prompt = ""
+		return lookupAnswer{
+			Known: true, Owned: true, Epoch: log.Epoch, Owner: k.owner(), State: log.State(),
+			Record: record, Count: log.Count(),
+		}
+	}
+	c, count, ok := k.Holder.Look(requestID)
+	if !ok {
+		return lookupAnswer{}
+	}
+	c.Record.Prompt = ""
+	return lookupAnswer{Known: true, Epoch: c.Epoch, Owner: c.Owner, State: c.State, Record: c.Record, Count: count}
+}
+
+// serveRead answers with the tokens from an offset of an answer that is owned
+// here, or whose whole copy is held here.
+func (k *Keeper) serveRead(ctx context.Context, r readRequest) (journal.Progress, error) {
+	log, ok := k.Logs.Get(r.RequestID)
+	if !ok || log.State() == journal.StateMoved || log.Epoch < r.Epoch {
+		c, held := k.Holder.Get(r.RequestID)
+		if !held || c.State == journal.StateRunning {
+			return journal.Progress{}, &inner.Failure{Code: codeNotHere}
+		}
+		log = journal.NewLogFromCopy(c)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	p := journal.Progress{RequestID: r.RequestID, Epoch: log.Epoch, From: r.From}
+	chunk, err := log.Read(ctx, r.From)
+	if err != nil {
+		return p, nil
+	}
+	p.Text, p.State, p.Failed, p.Branches = chunk.Text(), chunk.State, journal.FailureOf(chunk.Failed), log.Branches()
+	for i := range chunk.Len() {
+		p.Sizes = append(p.Sizes, uint32(len(chunk.Token(i))))
+	}
+	return p, nil
+}
--- a/standin/enginesim/engine.go
+++ b/standin/enginesim/engine.go
@@ -1,12 +1,15 @@
 // Package enginesim is a small stand-in for a model engine. It batches
-// continuously: each step yields one token for every running stream.
+// continuously: each step yields one token for every running stream and takes
+// longer the more there are.
 //
 // It is for tests and demonstrations; the daemons do not link it.
 package enginesim
 
 import (
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -15,94 +18,252 @@
 	"github.com/cardamompier/cardamompier/upstream/enginehttp"
 )
 
-// Options configure an Engine. The zero value is a fast engine.
-type Options struct {
-	ID string
-	// TokenTime is the time of one step. Default 5 ms.
-	TokenTime time.Duration
-	// Salt makes the text of one engine differ from another's, as sampling does.
-	Salt uint64
-}
-
-const defaultTokenTime = 5 * time.Millisecond
-
 // Engine is the stand-in's state. Use New.
 type Engine struct {
 	options Options
-	mu      sync.Mutex
-	streams map[string]*stream
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	imports  map[string]exported
+	cache    *prefixCache
+	stats    Stats
+	leaving  bool
+	stalled  time.Time // until when no step is made
+	stepping bool
+	arrivals int
+	breaks   chan struct{} // closed to break the connections of token streams
+	reports  []upstream.LoadReport
 }
 
 type stream struct {
 	request enginehttp.GenerateBody
+	arrival int
+	prefill int // tokens to compute before the first token
 	tokens  []string
 	first   int // index of tokens[0] in the whole answer
+	length  int
 	done    bool
 	gone    bool // cancelled
 	changed chan struct{}
 }
 
+// exported is the form of an exported KV cache, followed by its padding.
+type exported struct {
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"tokens"`
+	Data   []byte `json:"data"`
+}
+
 // New returns a running engine.
 func New(options Options) *Engine {
-	if options.TokenTime == 0 {
-		options.TokenTime = defaultTokenTime
+	options = options.withDefaults()
+	return &Engine{
+		options: options, streams: map[string]*stream{}, imports: map[string]exported{},
+		cache: newPrefixCache(options.CacheBlocks, options.EventLoss), breaks: make(chan struct{}),
 	}
-	return &Engine{options: options, streams: map[string]*stream{}}
 }
 
 // Start begins an attempt.
 func (e *Engine) Start(req enginehttp.GenerateBody) upstream.Reason {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leaving {
+		e.stats.Refused++
+		return upstream.ReasonLeaving
+	}
 	if _, taken := e.streams[req.StreamID]; taken || req.StreamID == "" {
+		e.stats.Refused++
 		return upstream.ReasonRefused
 	}
-	s := &stream{request: req, first: req.PriorTokens, changed: make(chan struct{})}
+	e.arrivals++
+	s := &stream{
+		request: req, arrival: e.arrivals, first: req.PriorTokens, changed: make(chan struct{}),
+		length: AnswerLength(req.Prompt, req.MaxTokens), prefill: e.prefill(req),
+	}
 	e.streams[req.StreamID] = s
-	go e.run(s)
+	e.stats.Started++
+	e.report()
+	if !e.stepping {
+		e.stepping = true
+		go e.run()
+	}
 	return ""
 }
 
+// prefill returns how many tokens are computed before the first of an answer.
+func (e *Engine) prefill(req enginehttp.GenerateBody) int {
+	prompt := len(req.Prompt) / bytesPerToken
+	hit := e.cache.use(req.Prompt)
+	e.stats.CacheHits += hit
+	e.stats.CacheMisses += prompt - hit
+	need := prompt - hit + req.PriorTokens
+	if in, ok := e.imports[req.StreamID]; ok && in.Prompt == req.Prompt {
+		need = max(0, req.PriorTokens-in.Tokens)
+		delete(e.imports, req.StreamID)
+	}
+	e.stats.Prefilled += need
+	if req.PriorTokens > 0 {
+		e.stats.Recomputed += need
+	}
+	return need
+}
+
 // Cancel ends an attempt.
 func (e *Engine) Cancel(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s, ok := e.streams[id]; ok {
+		e.stats.Cancelled++
 		s.gone = true
 		delete(e.streams, id)
 		s.notify()
 	}
 }
 
-// run generates one token a step until the answer's length is reached.
-func (e *Engine) run(s *stream) {
-	length := AnswerLength(s.request.Prompt, s.request.MaxTokens)
-	ticker := time.NewTicker(e.options.TokenTime)
-	defer ticker.Stop()
-	for index := s.first; index < length; index++ {
-		<-ticker.C
+// Export returns the KV cache of an attempt.
+func (e *Engine) Export(id string) ([]byte, upstream.Reason) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, known := e.streams[id]
+	if !known || e.options.NoExport {
+		return nil, upstream.ReasonNoStream
+	}
+	e.stats.Exported++
+	tokens := s.first + len(s.tokens)
+	size := (len(s.request.Prompt)/bytesPerToken + tokens) * e.options.CacheTokenBytes
+	data, err := json.Marshal(exported{Prompt: s.request.Prompt, Tokens: tokens, Data: make([]byte, size)})
+	if err != nil {
+		return nil, upstream.ReasonRefused
+	}
+	return data, ""
+}
+
+// Import prepares an attempt from an exported KV cache.
+func (e *Engine) Import(id string, data []byte) upstream.Reason {
+	var in exported
+	if json.Unmarshal(data, &in) != nil {
+		return upstream.ReasonRefused
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.NoExport {
+		return upstream.ReasonRefused
+	}
+	if e.leaving {
+		return upstream.ReasonLeaving
+	}
+	e.stats.Imported++
+	in.Data = nil
+	e.imports[id] = in
+	return ""
+}
+
+// Control takes a test's wish.
+func (e *Engine) Control(c Control) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Leaving != nil {
+		e.leaving = *c.Leaving
+	}
+	if c.StallMS > 0 {
+		e.stalled = time.Now().Add(time.Duration(c.StallMS) * time.Millisecond)
+	}
+	if c.TokenTimeMS > 0 {
+		e.options.TokenTime = time.Duration(c.TokenTimeMS) * time.Millisecond
+	}
+	if c.Break {
+		close(e.breaks)
+		e.breaks = make(chan struct{})
+	}
+	e.report()
+}
+
+// Stats returns the counts so far.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stats := e.stats
+	stats.Running = len(e.batch())
+	return stats
+}
+
+// run makes steps until no stream is left.
+func (e *Engine) run() {
+	for {
 		e.mu.Lock()
-		if s.gone {
+		batch := e.batch()
+		if len(batch) == 0 {
+			e.stepping = false
 			e.mu.Unlock()
 			return
 		}
-		s.tokens = append(s.tokens, e.token(s, index))
-		s.notify()
+		wait := e.stepTime(batch)
+		e.mu.Unlock()
+		time.Sleep(wait)
+		e.mu.Lock()
+		for _, s := range batch {
+			e.yield(s)
+		}
 		e.mu.Unlock()
 	}
-	e.mu.Lock()
-	s.done = true
+}
+
+// batch returns the streams of the next step, those of higher priority first.
+func (e *Engine) batch() []*stream {
+	var out []*stream
+	for _, s := range e.streams {
+		if !s.done {
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.request.Priority != b.request.Priority {
+			return a.request.Priority > b.request.Priority
+		}
+		return a.arrival < b.arrival
+	})
+	if limit := e.options.MaxRunning; limit > 0 && len(out) > limit {
+		out = out[:limit]
+	}
+	return out
+}
+
+func (e *Engine) stepTime(batch []*stream) time.Duration {
+	wait := e.options.TokenTime + time.Duration(len(batch)-1)*e.options.StreamTime
+	for _, s := range batch {
+		wait += time.Duration(s.prefill) * e.options.PrefillTime
+		s.prefill = 0
+	}
+	return wait + max(0, time.Until(e.stalled))
+}
+
+// yield adds the next token to a stream.
+func (e *Engine) yield(s *stream) {
+	if s.gone {
+		return
+	}
+	if mark := e.options.CrashMark; mark != "" && strings.Contains(s.request.Prompt, mark) {
+		e.options.Crash()
+	}
+	if index := s.first + len(s.tokens); index < s.length {
+		s.tokens = append(s.tokens, e.token(s, index))
+		e.stats.Generated++
+	}
+	if s.first+len(s.tokens) >= s.length {
+		s.done = true
+		e.report()
+	}
 	s.notify()
-	e.mu.Unlock()
 }
 
 // read returns the tokens from an index, or waits on changed.
-func (e *Engine) read(id string, from int) (lines []enginehttp.Line, changed <-chan struct{}, ok bool) {
+func (e *Engine) read(id string, from int) (lines []enginehttp.Line, changed, broken <-chan struct{}, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, known := e.streams[id]
 	if !known || from < s.first {
-		return nil, nil, false
+		return nil, nil, nil, false
 	}
 	for i := from - s.first; i < len(s.tokens); i++ {
 		lines = append(lines, enginehttp.Line{Index: s.first + i, Text: s.tokens[i]})
@@ -110,7 +271,7 @@
 	if s.done {
 		lines = append(lines, enginehttp.Line{Index: s.first + len(s.tokens), Done: true})
 	}
-	return lines, s.changed, true
+	return lines, s.changed, e.breaks, true
 }
 
 func (s *stream) notify() {
@@ -118,6 +279,39 @@
 	s.changed = make(chan struct{})
 }
 
+// maxReports bounds the load reports that wait for their lag to pass.
+const maxReports = 256
+
+// report notes the load of now; it is shown after the lag.
+func (e *Engine) report() {
+	running := 0
+	for _, s := range e.streams {
+		if !s.done {
+			running++
+		}
+	}
+	report := upstream.LoadReport{Running: running, CacheUsed: e.cache.used(), Leaving: e.leaving, At: time.Now()}
+	if limit := e.options.MaxRunning; limit > 0 && running > limit {
+		report.Running, report.Waiting = limit, running-limit
+	}
+	e.reports = append(e.reports, report)
+	if len(e.reports) > maxReports {
+		e.reports = e.reports[1:]
+	}
+}
+
+// load returns the newest report that is older than the lag.
+func (e *Engine) load() upstream.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := len(e.reports) - 1; i >= 0; i-- {
+		if time.Since(e.reports[i].At) >= e.options.ReportLag {
+			return e.reports[i]
+		}
+	}
+	return upstream.LoadReport{At: time.Now()}
+}
+
 // token returns text that names its request, so that a mixed answer shows,
 // and its engine, so that a regenerated prefix differs from the first.
 func (e *Engine) token(s *stream, index int) string {
--- a/standin/enginesim/handler.go
+++ b/standin/enginesim/handler.go
@@ -5,13 +5,18 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cardamompier/cardamompier/upstream"
 	"github.com/cardamompier/cardamompier/upstream/enginehttp"
 )
 
-const maxBodySize = 8 << 20 // bytes
+const maxBodySize = 64 << 20 // bytes
+
+// Paths for tests.
+const (
+	PathControl = "/standin/control"
+	PathStats   = "/standin/stats"
+)
 
 // Handler serves the engine in the adapter's wire form.
 func (e *Engine) Handler() http.Handler {
@@ -20,6 +25,11 @@
 	mux.HandleFunc("GET "+enginehttp.PathResume, e.serveResume)
 	mux.HandleFunc("POST "+enginehttp.PathCancel, e.serveCancel)
 	mux.HandleFunc("GET "+enginehttp.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+enginehttp.PathExport, e.serveExport)
+	mux.HandleFunc("POST "+enginehttp.PathImport, e.serveImport)
+	mux.HandleFunc("GET "+enginehttp.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+PathControl, e.serveControl)
+	mux.HandleFunc("GET "+PathStats, e.serveStats)
 	return mux
 }
 
@@ -39,10 +49,13 @@
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.Atoi(r.FormValue(enginehttp.ParamFrom))
 	id := r.FormValue(enginehttp.ParamStream)
-	if _, _, ok := e.read(id, from); err != nil || !ok {
+	if _, _, _, ok := e.read(id, from); err != nil || !ok {
 		refuse(w, upstream.ReasonNoStream)
 		return
 	}
+	e.mu.Lock()
+	e.stats.Resumed++
+	e.mu.Unlock()
 	e.stream(w, r, id, from)
 }
 
@@ -51,15 +64,48 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	report := upstream.LoadReport{At: time.Now()}
-	for _, s := range e.streams {
-		if !s.done {
-			report.Running++
-		}
+	_ = json.NewEncoder(w).Encode(e.load())
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	data, reason := e.Export(r.FormValue(enginehttp.ParamStream))
+	if reason != "" {
+		refuse(w, reason)
+		return
 	}
+	_, _ = w.Write(data)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodySize))
+	if err != nil {
+		refuse(w, upstream.ReasonRefused)
+		return
+	}
+	if reason := e.Import(r.URL.Query().Get(enginehttp.ParamStream), data); reason != "" {
+		refuse(w, reason)
+	}
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue(enginehttp.ParamAfter), 10, 64)
+	e.mu.Lock()
+	events := e.cache.after(after, e.options.EventLag)
 	e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(report)
+	_ = json.NewEncoder(w).Encode(events)
+}
+
+func (e *Engine) serveControl(w http.ResponseWriter, r *http.Request) {
+	var control Control
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodySize)).Decode(&control); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.Control(control)
+}
+
+func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Stats())
 }
 
 // stream writes tokens as they come until the answer or the request ends.
@@ -69,7 +115,7 @@
 	w.WriteHeader(http.StatusOK)
 	flusher.Flush()
 	for {
-		lines, changed, ok := e.read(id, from)
+		lines, changed, broken, ok := e.read(id, from)
 		if !ok {
 			panic(http.ErrAbortHandler)
 		}
@@ -82,6 +128,8 @@
 		flusher.Flush()
 		select {
 		case <-changed:
+		case <-broken:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
