--- a/reclaim/serve.go
+++ b/reclaim/serve.go
@@ -137,3 +137,24 @@
 	}
 	return p, nil
 }
+
+// Role is a host's part in a running request.
+type Role string
+
+// The roles of a host.
+const (
+	RoleOwner  Role = "owner"
+	RoleHolder Role = "holder"
+)
+
+// Roles returns the running requests that this host owns or holds a copy of.
+func (k *Keeper) Roles() map[string]Role {
+	out := map[string]Role{}
+	for _, c := range k.Holder.Growing() {
+		out[c.Record.RequestID] = RoleHolder
+	}
+	for _, log := range k.Logs.Running() {
+		out[log.RequestID] = RoleOwner
+	}
+	return out
+}
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -51,7 +51,7 @@
 	w.addHost(ts, hosts.Host{ID: name, Address: address, FailureDomain: domain, Pool: pool, State: hosts.StateLive})
 }
 
-// entry NAME DOMAIN: starts an entry host; $NAME and $NAME_INNER are its addresses.
+// entry NAME DOMAIN [FLAG...]: starts an entry host; $NAME and $NAME_INNER are its addresses.
 func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
 	name := args[0]
@@ -63,7 +63,7 @@
 	ts.Check(err)
 	file := filepath.Join(w.dir, name+".settings.json")
 	ts.Check(os.WriteFile(file, data, 0o600))
-	p := w.start(ts, name, "cardamompierd", "-s", file)
+	p := w.start(ts, name, "cardamompierd", append([]string{"-s", file}, args[2:]...)...)
 	p.address, p.inner = s.Listen, s.InnerListen
 	awaitListening(ts, p, p.address)
 	ts.Setenv(strings.ToUpper(name), p.address)
@@ -78,7 +78,7 @@
 	ts.Check(worldOf(ts).process(ts, args[0]).command.Process.Signal(signals[args[1]]))
 }
 
-// wait NAME: waits until the process has exited.
+// exited NAME: waits until the process has exited.
 func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
 	select {
 	case <-worldOf(ts).process(ts, args[0]).exited:
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -50,13 +50,21 @@
 			"desk":       cmdDesk,
 			"entry":      cmdEntry,
 			"signal":     cmdSignal,
-			"wait":       cmdWait,
+			"exited":     cmdWait,
 			"faults":     cmdFaults,
 			"hoststate":  cmdHostState,
 			"chat":       cmdChat,
 			"order":      cmdOrder,
 			"get":        cmdGet,
 			"eventually": cmdEventually,
+			"caller":     cmdCaller,
+			"await":      cmdAwait,
+			"reread":     cmdReread,
+			"same":       cmdSame,
+			"control":    cmdControl,
+			"signals":    cmdSignals,
+			"owner":      cmdOwner,
+			"count":      cmdCount,
 		},
 	})
 }
@@ -67,6 +75,7 @@
 	platform  string // URL
 	hosts     []hosts.Host
 	processes map[string]*process
+	callers   map[string]*caller
 }
 
 // process is one running program.
@@ -80,7 +89,7 @@
 type worldKey struct{}
 
 func setUp(env *testscript.Env) error {
-	w := &world{dir: env.WorkDir, processes: map[string]*process{}}
+	w := &world{dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.killAll)
--- /dev/null
+++ b/scenario/streams_test.go
@@ -0,0 +1,361 @@
+package scenario
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// caller reads one answer over several connections, as a client account's
+// program does, and checks each token.
+type caller struct {
+	ts      *testscript.TestScript
+	entries []string // addresses, tried in turn
+	key     string
+	idem    string
+	body    string
+	stream  bool
+	limit   time.Time
+
+	mu          sync.Mutex
+	id          string
+	text        strings.Builder
+	tokens      int
+	lastEvent   string
+	connections int
+	moved       int
+	longestGap  time.Duration
+	lastToken   time.Time
+	fault       string // what was wrong with the answer
+	refusal     string // the type of the error that ended it
+	done        bool
+	ended       chan struct{}
+}
+
+const (
+	callerTimeout = 40 * time.Second
+	// callerIdle is how long a caller waits for a token before it connects elsewhere.
+	callerIdle = 3 * time.Second
+)
+
+// caller NAME ENTRY,ENTRY... KEY SERVICE PROMPT [IDEMPOTENCY-KEY [whole]]: reads an answer in the
+// background. It connects to the next entry host when a connection breaks or is moved.
+func cmdCaller(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	c := &caller{ts: ts, key: args[2], stream: len(args) < 7, limit: time.Now().Add(callerTimeout), ended: make(chan struct{})}
+	for _, name := range strings.Split(args[1], ",") {
+		c.entries = append(c.entries, w.process(ts, name).address)
+	}
+	if len(args) > 5 {
+		c.idem = args[5]
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": args[3], "stream": c.stream, "messages": []map[string]string{{"role": "user", "content": args[4]}},
+	})
+	ts.Check(err)
+	c.body = string(body)
+	w.callers[args[0]] = c
+	go func() {
+		defer close(c.ended)
+		c.run()
+	}()
+}
+
+func (c *caller) run() {
+	for turn := 0; time.Now().Before(c.limit); turn++ {
+		if c.connect("http://" + c.entries[turn%len(c.entries)]) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusal = "gave_up"
+}
+
+// connect reads over one connection; it returns true when the caller is finished.
+func (c *caller) connect(base string) bool {
+	method, url, body := http.MethodPost, base+"/v1/chat/completions", io.Reader(strings.NewReader(c.body))
+	c.mu.Lock()
+	c.connections++
+	if c.stream && c.id != "" {
+		method, url, body = http.MethodGet, base+"/v1/requests/"+c.id+"/events", nil
+	}
+	last := c.lastEvent
+	c.mu.Unlock()
+	req, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return c.wrong(err.Error())
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	if c.idem != "" {
+		req.Header.Set("Idempotency-Key", c.idem)
+	}
+	if method == http.MethodGet && last != "" {
+		req.Header.Set("Last-Event-ID", last)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: 3 * time.Second}}
+	if !c.stream {
+		client.Transport = &http.Transport{DisableKeepAlives: true}
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	idle := time.AfterFunc(callerIdle, func() { _ = res.Body.Close() })
+	defer idle.Stop()
+	if res.StatusCode != http.StatusOK {
+		return c.refused(res)
+	}
+	if !c.stream {
+		return c.readWhole(res.Body)
+	}
+	c.mu.Lock()
+	c.id = res.Header.Get("X-Request-Id")
+	c.mu.Unlock()
+	return c.readEvents(res.Body, idle)
+}
+
+func (c *caller) refused(res *http.Response) bool {
+	var body struct {
+		Error struct {
+			Type       string `json:"type"`
+			RetryAfter int    `json:"retry_after_ms"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(res.Body).Decode(&body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if body.Error.RetryAfter > 0 {
+		return false
+	}
+	c.refusal = body.Error.Type
+	return true
+}
+
+func (c *caller) readWhole(body io.Reader) bool {
+	var whole struct {
+		ID      string
+		Choices []struct{ Message struct{ Content string } }
+	}
+	if json.NewDecoder(body).Decode(&whole) != nil || len(whole.Choices) == 0 {
+		return false
+	}
+	c.mu.Lock()
+	c.id = whole.ID
+	c.mu.Unlock()
+	for _, token := range strings.SplitAfter(whole.Choices[0].Message.Content, " ") {
+		if token != "" && !c.take(token, strconv.Itoa(c.tokens)) {
+			return true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done = true
+	return true
+}
+
+// readEvents reads server-sent events until the connection ends.
+func (c *caller) readEvents(body io.Reader, idle *time.Timer) bool {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	id, event := "", ""
+	for scanner.Scan() {
+		idle.Reset(callerIdle)
+		line := scanner.Text()
+		name, value, _ := strings.Cut(line, ": ")
+		switch name {
+		case "id":
+			id = value
+		case "event":
+			event = value
+		case "data":
+			if finished, more := c.event(event, id, value); finished || !more {
+				return finished
+			}
+			event = ""
+		}
+	}
+	return false
+}
+
+func (c *caller) event(event, id, data string) (finished, more bool) {
+	switch {
+	case event == "moved":
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.moved++
+		return false, false
+	case event == "error":
+		var body struct{ Error struct{ Type string } }
+		_ = json.Unmarshal([]byte(data), &body)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refusal = body.Error.Type
+		return true, false
+	case data == "[DONE]":
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.done = true
+		return true, false
+	}
+	var chunk struct {
+		Choices []struct{ Delta struct{ Content string } }
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return c.wrong("bad event " + data), false
+	}
+	if content := chunk.Choices[0].Delta.Content; content != "" && !c.take(content, id) {
+		return true, false
+	}
+	return false, true
+}
+
+// take checks that a token is the next one of the caller's own request.
+func (c *caller) take(token, id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if want := fmt.Sprintf("%s.%d.", c.id, c.tokens); !strings.HasPrefix(token, want) {
+		c.fault = fmt.Sprintf("token %q where %q was due", token, want)
+		return false
+	}
+	if !c.lastToken.IsZero() {
+		c.longestGap = max(c.longestGap, time.Since(c.lastToken))
+	}
+	c.lastToken = time.Now()
+	c.text.WriteString(token)
+	c.tokens++
+	c.lastEvent = id
+	return true
+}
+
+func (c *caller) wrong(fault string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = fault
+	return true
+}
+
+func (w *world) caller(ts *testscript.TestScript, name string) *caller {
+	c, ok := w.callers[name]
+	if !ok {
+		ts.Fatalf("no caller %s", name)
+	}
+	return c
+}
+
+// await CALLER tokens N | done N | error TYPE: waits for a state of a caller.
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	c := worldOf(ts).caller(ts, args[0])
+	if args[1] == "tokens" {
+		n, err := strconv.Atoi(args[2])
+		ts.Check(err)
+		awaitTrue(ts, eventuallyTimeout, args[0]+" to have "+args[2]+" tokens", func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.tokens >= n || c.fault != "" || c.refusal != ""
+		})
+	} else {
+		<-c.ended
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = fmt.Fprintf(ts.Stdout(), "tokens=%d done=%v connections=%d moved=%d gap=%s refusal=%s id=%s\n",
+		c.tokens, c.done, c.connections, c.moved, c.longestGap.Round(time.Millisecond), c.refusal, c.id)
+	switch {
+	case c.fault != "":
+		ts.Fatalf("%s: %s", args[0], c.fault)
+	case args[1] == "error" && c.refusal != args[2]:
+		ts.Fatalf("%s ended with %q, done %v, after %d tokens", args[0], c.refusal, c.done, c.tokens)
+	case args[1] == "done" && (!c.done || strconv.Itoa(c.tokens) != args[2]):
+		ts.Fatalf("%s has %d tokens, done %v, refusal %q", args[0], c.tokens, c.done, c.refusal)
+	case args[1] == "tokens" && c.refusal != "":
+		ts.Fatalf("%s was refused: %s", args[0], c.refusal)
+	}
+}
+
+// reread CALLER ENTRY: reads the caller's answer again from its beginning at another entry host; it
+// must be the same text.
+func cmdReread(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	first := w.caller(ts, args[0])
+	again := &caller{
+		ts: ts, entries: []string{w.process(ts, args[1]).address}, key: first.key, stream: true, id: first.id,
+		limit: time.Now().Add(eventuallyTimeout), ended: make(chan struct{}),
+	}
+	again.run()
+	compare(ts, first, again)
+}
+
+// same CALLER CALLER: both must have the same text of the same request.
+func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
+	compare(ts, worldOf(ts).caller(ts, args[0]), worldOf(ts).caller(ts, args[1]))
+}
+
+func compare(ts *testscript.TestScript, a, b *caller) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.id != b.id || a.text.String() != b.text.String() {
+		ts.Fatalf("answers differ:\n%s %d tokens: %.200s\n%s %d tokens %s %s: %.200s",
+			a.id, a.tokens, a.text.String(), b.id, b.tokens, b.fault, b.refusal, b.text.String())
+	}
+}
+
+// control ENGINE JSON: tells a stand-in engine to fail.
+func cmdControl(ts *testscript.TestScript, _ bool, args []string) {
+	url := "http://" + worldOf(ts).process(ts, args[0]).address + "/standin/control"
+	status, text, err := request(http.MethodPost, url, "", "", args[1])
+	ts.Check(err)
+	if status != http.StatusOK {
+		ts.Fatalf("%s: %s", args[0], text)
+	}
+}
+
+// signals KILL|TERM|STOP|CONT NAME...: sends a signal to several processes at once.
+func cmdSignals(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args[1:] {
+		cmdSignal(ts, false, []string{name, args[0]})
+	}
+}
+
+// owner CALLER VARIABLE ENTRY...: finds which entry host runs the caller's request.
+func cmdOwner(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	c := w.caller(ts, args[0])
+	awaitTrue(ts, eventuallyTimeout, "an owner of "+args[0], func() bool {
+		for _, name := range args[2:] {
+			_, text, err := request(http.MethodGet, "http://"+w.process(ts, name).inner+"/requests", "", "", "")
+			c.mu.Lock()
+			owned := err == nil && c.id != "" && strings.Contains(text, `"`+c.id+`":"owner"`)
+			c.mu.Unlock()
+			if owned {
+				ts.Setenv(args[1], name)
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// count ENTRY COUNTER LABEL: prints a counter of an entry host.
+func cmdCount(ts *testscript.TestScript, _ bool, args []string) {
+	_, text, err := request(http.MethodGet, "http://"+worldOf(ts).process(ts, args[0]).inner+"/debug/vars", "", "", "")
+	ts.Check(err)
+	var vars map[string]json.RawMessage
+	ts.Check(json.Unmarshal([]byte(text), &vars))
+	counts := map[string]int64{}
+	_ = json.Unmarshal(vars["cardamompier_"+args[1]], &counts)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s{%s}=%d\n", args[1], args[2], counts[args[2]])
+}
--- a/status.go
+++ b/status.go
@@ -17,6 +17,10 @@
 // PathStatus is where the inner listener serves Status.
 const PathStatus = "/status"
 
+// PathRequests is where the inner listener tells which running requests the
+// host owns or holds a copy of.
+const PathRequests = "/requests"
+
 // Status is what an entry host says of itself to operators.
 type Status struct {
 	Host          string `json:"host"`
@@ -52,5 +56,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Status())
 	})
+	mux.HandleFunc("GET "+PathRequests, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.gateway.Keeper.Roles())
+	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
 }
