--- a/scenario/streams_test.go
+++ b/scenario/streams_test.go
@@ -254,7 +254,7 @@
 	return c
 }
 
-// await CALLER tokens N | done N | error TYPE: waits for a state of a caller.
+// await CALLER tokens N | done N | error TYPE | lost-or-done N: waits for a state of a caller.
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	c := worldOf(ts).caller(ts, args[0])
 	if args[1] == "tokens" {
@@ -279,6 +279,8 @@
 		ts.Fatalf("%s ended with %q, done %v, after %d tokens", args[0], c.refusal, c.done, c.tokens)
 	case args[1] == "done" && (!c.done || strconv.Itoa(c.tokens) != args[2]):
 		ts.Fatalf("%s has %d tokens, done %v, refusal %q", args[0], c.tokens, c.done, c.refusal)
+	case args[1] == "lost-or-done" && (!c.done || strconv.Itoa(c.tokens) != args[2]) && c.refusal != "request_lost":
+		ts.Fatalf("%s has %d tokens, done %v, refusal %q", args[0], c.tokens, c.done, c.refusal)
 	case args[1] == "tokens" && c.refusal != "":
 		ts.Fatalf("%s was refused: %s", args[0], c.refusal)
 	}
--- a/status.go
+++ b/status.go
@@ -21,6 +21,9 @@
 // host owns or holds a copy of.
 const PathRequests = "/requests"
 
+// PathUpstreams is where the inner listener shows the host list in use.
+const PathUpstreams = "/upstreams"
+
 // Status is what an entry host says of itself to operators.
 type Status struct {
 	Host          string `json:"host"`
@@ -60,5 +63,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.gateway.Keeper.Roles())
 	})
+	mux.HandleFunc("GET "+PathUpstreams, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.poller.Current().Hosts)
+	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
 }
