--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -65,6 +65,7 @@
 			"signals":    cmdSignals,
 			"owner":      cmdOwner,
 			"count":      cmdCount,
+			"soak":       cmdSoak,
 		},
 	})
 }
@@ -76,6 +77,7 @@
 	hosts     []hosts.Host
 	processes map[string]*process
 	callers   map[string]*caller
+	domainOf  map[string]string // failure domain by process name
 }
 
 // process is one running program.
@@ -89,7 +91,9 @@
 type worldKey struct{}
 
 func setUp(env *testscript.Env) error {
-	w := &world{dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}}
+	w := &world{
+		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
+	}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.killAll)
