Prove the replication of a log under random faults

Cause: the rapid test found that a caller that had read from a new owner could read older text from the old one, which had shown it under its lease and had not yet learned that it was fenced. Change: an event id of a newer epoch than the log's moves the log; TestReplicationKeepsOneText drives owners, a holder, an engine and callers through loss, reordering, duplicates, pauses, stops and take-overs. A host that has not read its peers refuses requests instead of accepting them uncopied.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -127,6 +127,9 @@
 func (g *Gateway) sendEvents(ctx context.Context, log *journal.Log, at position, send func([]byte) bool) {
 	writer := newEventWriter(log)
 	for {
+		if log.Behind(at.branch) {
+			log.Move()
+		}
 		chunk, err := log.Read(ctx, at.next)
 		if err != nil {
 			return
--- a/journal/copying.go
+++ b/journal/copying.go
@@ -130,6 +130,9 @@
 	return c
 }
 
+// Behind says whether a caller has read from a newer owner than this log's.
+func (l *Log) Behind(seen uint64) bool { return seen > l.Epoch }
+
 // SetBranches replaces the branches of a log that follows another one.
 func (l *Log) SetBranches(branches []Branch) {
 	l.mu.Lock()
--- a/journal/log_test.go
+++ b/journal/log_test.go
@@ -1,6 +1,7 @@
 package journal_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -40,7 +41,7 @@
 		log := newLog(0)
 		log.Copied(time.Now().Add(time.Second))
 		visible := func() int {
-			ctx, cancel := contextWithTimeout(t, time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 			defer cancel()
 			chunk, _ := log.Read(ctx, 0)
 			return chunk.Len()
--- /dev/null
+++ b/journal/replication_test.go
@@ -0,0 +1,244 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamompier/cardamompier/journal"
+)
+
+// simOwner is a host that believes that it owns the request.
+type simOwner struct {
+	id      string
+	log     *journal.Log
+	number  uint64
+	acked   journal.Ack
+	paused  bool
+	fenced  bool
+	left    bool
+	reader  strings.Builder // of a caller that stays connected
+	read    int
+	seen    uint64 // branch of the caller's last token
+	sending []sent
+}
+
+type sent struct {
+	progress journal.Progress
+	at       time.Time
+}
+
+// replication is one request, its holder, its owners past and present, an
+// engine stream that can be resumed, and callers that reconnect.
+type replication struct {
+	t        *rapid.T
+	holder   *journal.Holder
+	owners   []*simOwner
+	engine   []string // tokens of the current engine stream
+	runs     int      // engine streams so far
+	callers  []*simCaller
+	branched bool // an owner and the engine were lost at once, without notice
+}
+
+type simCaller struct {
+	text   string
+	tokens int
+	branch uint64
+	lost   bool
+}
+
+func (r *replication) newest() *simOwner { return r.owners[len(r.owners)-1] }
+
+// token is text that no other run of an engine makes.
+func token(run, index int) string { return fmt.Sprintf("%d.%d ", run, index) }
+
+func (r *replication) start() {
+	log := journal.NewLog(journal.Record{RequestID: "r", Deadline: time.Now().Add(time.Hour)})
+	o := &simOwner{id: "o0", log: log}
+	r.owners = append(r.owners, o)
+	sentAt := time.Now()
+	o.acked = r.holder.Create(log.CopyFor(journal.Owner{ID: o.id}))
+	log.Copied(sentAt.Add(journal.LeaseTTL * 4 / 5))
+	r.begin(o)
+}
+
+// begin makes a new engine stream after the owner's text.
+func (r *replication) begin(o *simOwner) {
+	r.runs++
+	_, count := o.log.Prior()
+	kept := make([]string, count)
+	r.engine = kept
+	o.number = o.log.BeginAttempt("e", "a", fmt.Sprint(r.runs))
+}
+
+// generate lets the engine make a token, and each awake owner that follows
+// this engine stream read what it misses.
+func (r *replication) generate() {
+	r.engine = append(r.engine, token(r.runs, len(r.engine)))
+	for _, o := range r.owners {
+		r.feed(o)
+	}
+}
+
+func (r *replication) feed(o *simOwner) {
+	if o.paused || o.log.Attempt().StreamID != fmt.Sprint(r.runs) {
+		return
+	}
+	for i := o.log.Count(); i < len(r.engine); i++ {
+		o.log.Append(o.number, i, r.engine[i])
+	}
+}
+
+// send puts progress on the wire; deliver takes a message off it, in any order
+// and perhaps twice.
+func (r *replication) send(o *simOwner) {
+	if o.paused || o.fenced {
+		return
+	}
+	p := o.log.ProgressFrom(o.acked.Count, o.acked.Attempt)
+	p.OwnerID, p.Released = o.id, o.left
+	o.sending = append(o.sending, sent{progress: p, at: time.Now()})
+}
+
+func (r *replication) deliver(o *simOwner, at int, twice bool) {
+	message := o.sending[at]
+	if !twice {
+		o.sending = append(o.sending[:at:at], o.sending[at+1:]...)
+	}
+	ack := r.holder.Append(message.progress)
+	if o.paused {
+		return // the answer is lost
+	}
+	if ack.Status == journal.AckFenced {
+		o.fenced = true
+		o.log.Move()
+		return
+	}
+	if ack.Status == journal.AckOK {
+		o.acked = ack
+		o.log.Acknowledge(ack, message.at.Add(journal.LeaseTTL*4/5))
+	}
+}
+
+// takeOver makes a new owner; with the engine gone it goes on with another
+// engine stream.
+func (r *replication) takeOver(engineGone bool) {
+	current, _ := r.holder.Get("r")
+	id := fmt.Sprintf("o%d", len(r.owners))
+	sentAt := time.Now()
+	c, status := r.holder.TakeOver("r", current.Epoch, journal.Owner{ID: id})
+	if status != journal.TakenOver {
+		return
+	}
+	log := journal.NewLogFromCopy(c)
+	if !c.Released {
+		log.Suspect()
+	}
+	log.Copied(sentAt.Add(journal.LeaseTTL * 4 / 5))
+	o := &simOwner{id: id, log: log, acked: journal.Ack{Count: len(c.Ends), Attempt: c.Attempt.Number}, number: c.Attempt.Number}
+	r.owners = append(r.owners, o)
+	if engineGone || c.Attempt.StreamID != fmt.Sprint(r.runs) {
+		if log.Suspected() && c.Attempt.Number > 0 {
+			log.Branch()
+			r.branched = true
+		}
+		r.begin(o)
+		return
+	}
+	r.feed(o)
+}
+
+// follow lets a caller read what an owner shows, as the gateway does.
+func (r *replication) follow(c *simCaller, o *simOwner) {
+	if o.paused || c.lost {
+		return
+	}
+	if o.log.Behind(c.branch) {
+		o.fenced = true
+		o.log.Move()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	chunk, err := o.log.Read(ctx, c.tokens)
+	if err != nil || chunk.Len() == 0 {
+		return
+	}
+	if chunk.Branch() != c.branch && !o.log.Extends(c.branch, c.tokens) {
+		c.lost = true
+		return
+	}
+	c.text += string(chunk.Text())
+	c.tokens += chunk.Len()
+	c.branch = max(c.branch, chunk.Branch())
+}
+
+// withoutDeadline hides Deadline, which rapid asks for and a bubble refuses.
+type withoutDeadline struct{ testing.TB }
+
+// TestReplicationKeepsOneText drives owners, a holder, an engine and callers
+// through loss, reordering, duplicates, pauses, planned stops and take-overs.
+// A caller's text must always be a prefix of the newest owner's. Only when an
+// owner and the engine were lost at once, without notice, may a caller be told
+// instead that its text is lost.
+func TestReplicationKeepsOneText(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { rapid.Check(withoutDeadline{t}, driveReplication) })
+}
+
+func driveReplication(t *rapid.T) {
+	r := &replication{t: t, holder: journal.NewHolder(time.Hour), callers: []*simCaller{{}, {}, {}}}
+	r.start()
+	steps := rapid.IntRange(5, 80).Draw(t, "steps")
+	for range steps {
+		o := r.owners[rapid.IntRange(0, len(r.owners)-1).Draw(t, "owner")]
+		switch rapid.SampledFrom(stepNames).Draw(t, "step") {
+		case "generate":
+			r.generate()
+		case "send":
+			r.send(o)
+		case "deliver":
+			if len(o.sending) > 0 {
+				at := rapid.IntRange(0, len(o.sending)-1).Draw(t, "message")
+				r.deliver(o, at, rapid.Bool().Draw(t, "twice"))
+			}
+		case "lose":
+			o.sending = nil
+		case "pause":
+			o.paused = !o.paused
+		case "wait":
+			time.Sleep(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+		case "take over":
+			r.takeOver(rapid.Bool().Draw(t, "engine gone"))
+		case "stop":
+			if !o.paused && !o.fenced && !o.left {
+				o.log.CopyFirst()
+				o.left = true
+				o.log.Move()
+			}
+		case "read":
+			r.follow(r.callers[rapid.IntRange(0, len(r.callers)-1).Draw(t, "caller")], o)
+		}
+		r.check()
+	}
+}
+
+var stepNames = []string{
+	"generate", "generate", "generate", "send", "send", "deliver", "deliver", "lose", "pause", "wait", "take over", "stop", "read", "read",
+}
+
+// check compares every caller's text with the newest owner's.
+func (r *replication) check() {
+	newest, _ := r.newest().log.Prior()
+	for i, c := range r.callers {
+		told := c.lost || !r.newest().log.Extends(c.branch, c.tokens)
+		if strings.HasPrefix(newest, c.text) && !c.lost || told && r.branched {
+			continue
+		}
+		r.t.Fatalf("caller %d has %q, the newest owner %q", i, c.text, newest)
+	}
+}
--- a/reclaim/find.go
+++ b/reclaim/find.go
@@ -39,6 +39,7 @@
 		return log, true
 	}
 	log := journal.NewLog(best.Record)
+	log.Epoch = best.Epoch
 	k.mirrors[requestID] = log
 	go k.follow(log, best)
 	return log, true
--- a/reclaim/keeper.go
+++ b/reclaim/keeper.go
@@ -155,8 +155,11 @@
 // request goes on without one until a holder is found.
 func (k *Keeper) place(ctx context.Context, log *journal.Log, required bool) *apierr.Error {
 	entry := &copying{log: log}
-	candidates := journal.Holders(log.RequestID, k.Members.Self(), k.Members.View().Members)
-	required = required && len(candidates) > 0
+	view := k.Members.View()
+	candidates := journal.Holders(log.RequestID, k.Members.Self(), view.Members)
+	// A host that is alone goes on without copies, but not one that has not
+	// looked yet.
+	required = required && (len(candidates) > 0 || view.ReadAt.IsZero())
 	placed := k.placeAt(ctx, entry, candidates)
 	if !placed && !required {
 		// Without another host there is nowhere to copy to; flush tries again.
--- a/scenario/soak_callers_test.go
+++ b/scenario/soak_callers_test.go
@@ -178,7 +178,7 @@
 	req.Header.Set("Authorization", "Bearer secret")
 	req.Header.Set("Content-Type", "application/json")
 	if r.next > 0 {
-		req.Header.Set("Last-Event-ID", strconv.Itoa(r.next-1))
+		req.Header.Set("Last-Event-ID", r.lastEvent)
 	}
 	res, err := soakClient.Do(req)
 	if err != nil {
@@ -201,11 +201,14 @@
 
 // answerReader checks that each token names its request and index, once.
 type answerReader struct {
-	id      string
-	want    int
-	next    int
-	done    bool
-	event   string
+	id    string
+	want  int
+	next  int
+	done  bool
+	event string
+	// eventID is the id of the event that is read, lastEvent that of the last token.
+	eventID, lastEvent string
+
 	fault   string
 	refusal string
 }
@@ -217,6 +220,9 @@
 	if name, ok := strings.CutPrefix(text, "event: "); ok {
 		r.event = name
 	}
+	if id, ok := strings.CutPrefix(text, "id: "); ok {
+		r.eventID = id
+	}
 	data, ok := strings.CutPrefix(text, "data: ")
 	switch {
 	case !ok:
@@ -256,4 +262,5 @@
 		r.fault = fmt.Sprintf("token %d is %q", r.next, content)
 	}
 	r.next++
+	r.lastEvent = r.eventID
 }
