--- /dev/null
+++ b/cmd/experiment/reader.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	maxConnections = 100
+	reconnectPause = 20 * time.Millisecond
+)
+
+// streamReader reads one answer over as many connections as it takes, and
+// notes the longest gap between two tokens.
+type streamReader struct {
+	fleet       *fleet
+	options     streamsOptions
+	number      int // makes the prompt the reader's own
+	id          string
+	lastEvent   string
+	tokens      int
+	connections int
+	done        bool
+	fault       string
+	longestGap  time.Duration // since the loss
+	last        time.Time
+}
+
+func (r *streamReader) run(ctx context.Context) {
+	for turn := 0; turn < maxConnections && !r.done && r.fault == ""; turn++ {
+		r.connect(ctx, r.fleet.entries[turn%len(r.fleet.entries)])
+		if !r.done {
+			time.Sleep(reconnectPause)
+		}
+	}
+}
+
+// connect asks for the answer, or for its rest, and reads until the connection ends.
+func (r *streamReader) connect(ctx context.Context, entry string) {
+	r.connections++
+	res, err := http.DefaultClient.Do(r.request(ctx, entry))
+	if err != nil {
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return
+	}
+	r.id = res.Header.Get("X-Request-Id")
+	scanner := bufio.NewScanner(res.Body)
+	id := ""
+	for scanner.Scan() && !r.done && r.fault == "" {
+		name, value, _ := strings.Cut(scanner.Text(), ": ")
+		switch {
+		case name == "id":
+			id = value
+		case name == "event" && value == "error":
+			r.fault = "refused"
+		case name == "data":
+			r.data(id, value)
+		}
+	}
+}
+
+func (r *streamReader) request(ctx context.Context, entry string) *http.Request {
+	method, url, body := http.MethodGet, "http://"+entry+"/v1/requests/"+r.id+"/events", io.Reader(nil)
+	if r.id == "" {
+		prompt := fmt.Sprintf("%d tokens=%d ", r.number, r.options.tokens) + strings.Repeat("name", r.options.prompt)
+		text, _ := json.Marshal(map[string]any{
+			"model": fleetService, "stream": true, "messages": []map[string]string{{"role": "user", "content": prompt}},
+		})
+		method, url, body = http.MethodPost, "http://"+entry+"/v1/chat/completions", strings.NewReader(string(text))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+fleetKey)
+	req.Header.Set("Content-Type", "application/json")
+	if r.lastEvent != "" {
+		req.Header.Set("Last-Event-ID", r.lastEvent)
+	}
+	return req
+}
+
+// data takes the data of one event and checks that its token is the next one.
+func (r *streamReader) data(id, value string) {
+	if value == "[DONE]" {
+		r.done = true
+		if r.tokens != r.options.tokens {
+			r.fault = "short"
+		}
+		return
+	}
+	var chunk struct {
+		Choices []struct{ Delta struct{ Content string } }
+	}
+	if json.Unmarshal([]byte(value), &chunk) != nil || len(chunk.Choices) == 0 || chunk.Choices[0].Delta.Content == "" {
+		return
+	}
+	if !strings.HasPrefix(chunk.Choices[0].Delta.Content, fmt.Sprintf("%s.%d.", r.id, r.tokens)) {
+		r.fault = "mixed"
+		return
+	}
+	if r.fleet.losing.Load() && !r.last.IsZero() {
+		r.longestGap = max(r.longestGap, time.Since(r.last))
+	}
+	r.last, r.lastEvent = time.Now(), id
+	r.tokens++
+}
--- /dev/null
+++ b/cmd/experiment/streams.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/integrii/flaggy"
+
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/reclaim"
+	"github.com/cardamompier/cardamompier/standin/enginesim"
+)
+
+// streamsOptions are the flags of the streams experiment.
+type streamsOptions struct {
+	streams, tokens, prompt int
+	tokenTime, prefillTime  time.Duration
+}
+
+func streamsExperiment() experiment {
+	o := streamsOptions{
+		streams: 40, tokens: 200, prompt: 1000,
+		tokenTime: 20 * time.Millisecond, prefillTime: 20 * time.Microsecond,
+	}
+	parser := flaggy.NewSubcommand("streams")
+	parser.Description = "Tokens recomputed and interruption of running streams for each way of losing a host, and the cost of copies."
+	parser.Int(&o.streams, "", "streams", "streams open at once")
+	parser.Int(&o.tokens, "", "tokens", "tokens of an answer")
+	parser.Int(&o.prompt, "", "prompt", "tokens of a prompt")
+	parser.Duration(&o.tokenTime, "", "token-time", "time of an engine's step")
+	parser.Duration(&o.prefillTime, "", "prefill-time", "time to compute one token of a prompt or prior text")
+	return experiment{parser: parser, run: func() int { return runStreams(o) }}
+}
+
+// way is one way in which running streams lose a host.
+type way struct {
+	name     string
+	noExport bool
+	lose     func(f *fleet)
+}
+
+// listRead is the time in which every entry host reads the host list.
+const listRead = time.Second
+
+// drainTimeout is the notice that a stopping entry host has.
+const drainTimeout = time.Second
+
+func ways() []way {
+	return []way{
+		{name: "none", lose: func(*fleet) {}},
+		{name: "engine leaving, KV cache moved", lose: func(f *fleet) { f.setState("engine-1", hosts.StateLeaving) }},
+		{name: "engine leaving, no KV export", noExport: true, lose: func(f *fleet) { f.setState("engine-1", hosts.StateLeaving) }},
+		{name: "engine's connections broken", lose: func(f *fleet) { f.engines["engine-1"].Control(enginesim.Control{Break: true}) }},
+		{name: "engine killed", lose: func(f *fleet) { f.kill("engine-1") }},
+		{name: "entry host stopped (notice 1s)", lose: func(f *fleet) { f.stop("entry-1") }},
+		{name: "entry host and engine reclaimed", lose: func(f *fleet) {
+			f.setState("engine-1", hosts.StateLeaving)
+			f.stop("entry-1")
+		}},
+	}
+}
+
+// runStreams measures each way over a fresh fleet.
+func runStreams(o streamsOptions) int {
+	fmt.Printf("%d streams of %d tokens, prompt %d tokens, step %s, prefill %s a token; 3 entry hosts, 2 engines, one process\n",
+		o.streams, o.tokens, o.prompt, o.tokenTime, o.prefillTime)
+	fmt.Printf("%-34s %6s %5s %14s %12s %12s %10s %12s\n",
+		"lost", "whole", "lost", "recomputed/str", "gap p50 ms", "gap max ms", "reconnects", "copy B/s/1kt")
+	failed := 0
+	for _, w := range ways() {
+		if err := measureWay(o, w); err != nil {
+			fmt.Printf("%-34s %v\n", w.name, err)
+			failed = 1
+		}
+	}
+	return failed
+}
+
+func measureWay(o streamsOptions, w way) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := newFleet(ctx, o, w.noExport)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	before, innerBefore := reclaim.CopyBytes.Value("append"), inner.Bytes.Value("sent")
+	readers := make([]*streamReader, o.streams)
+	var running sync.WaitGroup
+	for i := range readers {
+		readers[i] = &streamReader{fleet: f, options: o, number: i}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			readers[i].run(ctx)
+		}()
+	}
+	time.Sleep(o.tokenTime * time.Duration(o.tokens) / 3)
+	f.addEngine("engine-2", w.noExport)
+	time.Sleep(listRead)
+	f.losing.Store(true)
+	w.lose(f)
+	running.Wait()
+	copied, messages := reclaim.CopyBytes.Value("append")-before, inner.Bytes.Value("sent")-innerBefore
+	report(w, f, readers, copied, messages)
+	return nil
+}
+
+func report(w way, f *fleet, readers []*streamReader, copied, messages int64) {
+	gaps := hdrhistogram.New(1, histogramMax, histogramDigits)
+	whole, lost, reconnects, tokens := 0, 0, 0, 0
+	for _, r := range readers {
+		_ = gaps.RecordValue(r.longestGap.Microseconds())
+		reconnects += r.connections - 1
+		tokens += r.tokens
+		if r.done && r.fault == "" {
+			whole++
+		} else {
+			lost++
+		}
+	}
+	recomputed := 0
+	for _, e := range f.engines {
+		recomputed += e.Stats().Recomputed
+	}
+	perThousand := func(bytes int64) int64 { return bytes * 1000 / int64(max(1, tokens)) }
+	fmt.Printf("%-34s %6d %5d %14.1f %12.1f %12.1f %10d %6d/%d\n", w.name, whole, lost,
+		float64(recomputed)/float64(len(readers)), float64(gaps.ValueAtQuantile(50))/1000, float64(gaps.Max())/1000,
+		reconnects, perThousand(copied), perThousand(messages))
+}
--- a/journal/replication_test.go
+++ b/journal/replication_test.go
@@ -22,9 +22,6 @@
 	paused  bool
 	fenced  bool
 	left    bool
-	reader  strings.Builder // of a caller that stays connected
-	read    int
-	seen    uint64 // branch of the caller's last token
 	sending []sent
 }
 
