--- a/cmd/experiment/fleet.go
+++ b/cmd/experiment/fleet.go
@@ -58,7 +58,8 @@
 			return nil, err
 		}
 	}
-	return f, f.awaitReady()
+	f.awaitReady()
+	return f, nil
 }
 
 // serve starts an HTTP server on a free loopback port and returns its address.
@@ -136,7 +137,7 @@
 }
 
 // awaitReady waits until every entry host knows the others and answers.
-func (f *fleet) awaitReady() error {
+func (f *fleet) awaitReady() {
 	deadline := time.Now().Add(fleetReady)
 	for _, entry := range f.entries {
 		for !answers(entry) && time.Now().Before(deadline) {
@@ -144,7 +145,6 @@
 		}
 	}
 	time.Sleep(2 * time.Second) // the hosts read each other's registration
-	return nil
 }
 
 func answers(entry string) bool {
