--- a/cmd/experiment/fleet.go
+++ b/cmd/experiment/fleet.go
@@ -132,7 +132,7 @@
 		return faults[0]
 	}
 	publisher := config.Publisher{Store: kvhttp.NewClient(url), Writer: "experiment", Now: time.Now}
-	_, err = publisher.Publish(ctx, files)
+	_, err = publisher.Publish(ctx, config.Change{Files: files})
 	return err
 }
 
