--- a/reclaim/keeper.go
+++ b/reclaim/keeper.go
@@ -61,6 +61,8 @@
 	maxLookups       = 8
 	maxOrphansAtOnce = 64
 	notReadyWait     = time.Second
+	// firstViewWait bounds the wait of a new host for its view of the others.
+	firstViewWait = 2 * time.Second
 )
 
 // Members is the part of package membership that a Keeper needs.
@@ -155,7 +157,7 @@
 // request goes on without one until a holder is found.
 func (k *Keeper) place(ctx context.Context, log *journal.Log, required bool) *apierr.Error {
 	entry := &copying{log: log}
-	view := k.Members.View()
+	view := k.awaitView(ctx)
 	candidates := journal.Holders(log.RequestID, k.Members.Self(), view.Members)
 	// A host that is alone goes on without copies, but not one that has not
 	// looked yet.
@@ -177,6 +179,18 @@
 	return nil
 }
 
+// awaitView returns the members; a host that has just started waits for its
+// first view of the others.
+func (k *Keeper) awaitView(ctx context.Context) *membership.View {
+	for limit := time.Now().Add(firstViewWait); ; {
+		view := k.Members.View()
+		if !view.ReadAt.IsZero() || time.Now().After(limit) || ctx.Err() != nil {
+			return view
+		}
+		time.Sleep(flushInterval)
+	}
+}
+
 // placeAt creates the copy at the first candidate that takes it.
 func (k *Keeper) placeAt(ctx context.Context, entry *copying, candidates []membership.Member) bool {
 	for _, m := range candidates[:min(maxPlaceTries, len(candidates))] {
