--- a/membership/detector.go
+++ b/membership/detector.go
@@ -18,6 +18,8 @@
 	viaCount = 2
 	// suspicionTimeout is how long a suspected member may take to refute.
 	suspicionTimeout = 15 * time.Second
+	// absentTimeout is how long a suspected member stays in View.Members.
+	absentTimeout = 4 * time.Second
 	// isolatedTimeout replaces suspicionTimeout while no successor answers:
 	// then this host may be the one that is cut off.
 	isolatedTimeout = time.Minute
@@ -189,6 +191,9 @@
 	d.mu.Lock()
 	for id, m := range d.members {
 		age := d.awake - d.since[id]
+		if d.absent(m) {
+			d.view.Store(nil)
+		}
 		switch {
 		case m.State == StateSuspect && age >= patience:
 			dead = append(dead, m)
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/gossip"
@@ -79,11 +80,22 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := newView(r.members, r.self.ID)
+	var readAt time.Time
+	if r.joined.Load() {
+		readAt = time.Now()
+	}
+	all := lo.Filter(lo.Values(r.members), func(m Member, _ int) bool { return m.present() })
+	v := newView(all, r.absent, r.self.ID, readAt)
 	r.view.Store(v)
 	return v
 }
 
+// absent reports whether a member has been suspect for long. It is called with
+// the registry locked.
+func (r *Registry) absent(m Member) bool {
+	return m.State == StateSuspect && r.awake-r.since[m.ID] >= absentTimeout
+}
+
 // Self returns this host.
 func (r *Registry) Self() Member {
 	r.mu.Lock()
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -66,10 +66,14 @@
 // seedLoop joins, and then checks the list while this host is a keeper.
 func (r *Registry) seedLoop(ctx context.Context) {
 	for ctx.Err() == nil && !r.joined.Load() {
-		r.joined.Store(r.join(ctx))
-		if !r.joined.Load() {
+		if !r.join(ctx) {
 			sleep(ctx, joinRetryInterval)
+			continue
 		}
+		r.mu.Lock()
+		r.joined.Store(true)
+		r.view.Store(nil)
+		r.mu.Unlock()
 	}
 	for ctx.Err() == nil {
 		if r.isKeeper() {
--- a/membership/view.go
+++ b/membership/view.go
@@ -12,30 +12,31 @@
 // it probes and sends values to.
 const ringCount = 4
 
-// View is an immutable list of the members that may be running, this host
-// included, in order of their ids.
+// View is an immutable view of the members. Lists are in order of the ids.
 type View struct {
-	// ReadAt is when the view was made from the records known then.
-	ReadAt     time.Time
-	Members    []Member
+	// ReadAt is when the view was made from the records known then; zero until
+	// this host has joined.
+	ReadAt time.Time
+	// Members are those that take part, this host included: a member that has
+	// been suspect for absentTimeout is left out, though it may come back.
+	Members []Member
+	// All are the members that are not known to have ended.
+	All        []Member
 	byID       map[string]Member
 	neighbours []Member
 }
 
-func newView(members map[string]Member, self string) *View {
-	v := &View{ReadAt: time.Now(), byID: map[string]Member{}}
-	for id, m := range members {
-		if m.present() {
-			v.Members = append(v.Members, m)
-			v.byID[id] = m
-		}
+func newView(all []Member, absent func(Member) bool, self string, readAt time.Time) *View {
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return &View{
+		ReadAt: readAt, All: all,
+		Members:    lo.Reject(all, func(m Member, _ int) bool { return absent(m) }),
+		byID:       lo.KeyBy(all, func(m Member) string { return m.ID }),
+		neighbours: successors(all, self),
 	}
-	sort.Slice(v.Members, func(i, j int) bool { return v.Members[i].ID < v.Members[j].ID })
-	v.neighbours = successors(v.Members, self)
-	return v
 }
 
-// Member returns a member by its id.
+// Member returns a member in All by its id.
 func (v *View) Member(id string) (Member, bool) {
 	m, ok := v.byID[id]
 	return m, ok
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -81,7 +81,7 @@
 	ts.Check(worldOf(ts).process(ts, args[0]).command.Process.Signal(signals[args[1]]))
 }
 
-// wait NAME: waits until the process has exited.
+// exited NAME: waits until the process has exited.
 func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
 	select {
 	case <-worldOf(ts).process(ts, args[0]).exited:
