Bound the age of the host list on the path of a request

Cause: a host that was paused or cut off gave work by its last view of the list. Change: hosts.Poller.Usable refreshes a view older than 2 s first, from one of a few pollers (about the square root of the members, by rendezvous; the age counts from before the question was sent) or from the list, and else uses only upstreams that pass a direct check; leaving marks spread by package gossip. Ruled out: ages carried by gossip, because a message that was held up by a paused relay would pass for new.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -132,6 +132,7 @@
 	}
 	if upstream.ReasonOf(err) == upstream.ReasonLeaving {
 		r.dispatcher.moves.noteLeaving(host.ID)
+		r.dispatcher.hosts.MarkLeaving(host.ID)
 	}
 	return r.failures
 }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -1,14 +1,18 @@
 package dispatch
 
-import "github.com/cardamompier/cardamompier/hosts"
+import (
+	"context"
+
+	"github.com/cardamompier/cardamompier/hosts"
+)
 
 // pick returns the next live host of a pool that was not tried.
 func (d *Dispatcher) pick(pool string, tried map[string]bool) (hosts.Host, bool) {
-	list := d.hosts.Current().Pool(pool)
+	list := d.hosts.Usable(context.Background(), pool)
 	start := int(d.next.Add(1))
 	for i := range list {
 		host := list[(start+i)%len(list)]
-		if host.State == hosts.StateLive && !tried[host.ID] {
+		if !tried[host.ID] {
 			return host, true
 		}
 	}
--- a/events/membership.go
+++ b/events/membership.go
@@ -9,3 +9,8 @@
 	MemberRefuted   = define(1306, "record refuted", hclog.Info, "Others had recorded this host as suspect or dead; it raised its incarnation.")
 	OwnPause        = define(1307, "own pause noticed", hclog.Warn, "This process did not run for a while; the time does not count against others.")
 )
+
+// Events of leaving upstreams: 1320 to 1329.
+var (
+	UpstreamLeaving = define(1320, "upstream leaving", hclog.Info, "An upstream said, or another host was told, that it is leaving; it gets no new work.")
+)
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -4,12 +4,7 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
-
-	"github.com/hashicorp/go-hclog"
-
-	"github.com/cardamompier/cardamompier/events"
 )
 
 // State is a host's state in the list.
@@ -57,11 +52,17 @@
 
 // Snapshot is an immutable view of the list.
 type Snapshot struct {
+	// ReadAt is when the read of the list began, or earlier; zero before the first.
 	ReadAt time.Time
 	Hosts  []Host
 	byPool map[string][]Host
+	digest uint64
 }
 
+// Age returns the time since the list was read. It counts on while the
+// process is paused.
+func (s *Snapshot) Age() time.Duration { return time.Since(s.ReadAt) }
+
 // NewSnapshot indexes a list read at the given time.
 func NewSnapshot(list []Host, readAt time.Time) *Snapshot {
 	s := &Snapshot{ReadAt: readAt, Hosts: list, byPool: map[string][]Host{}}
@@ -73,46 +74,3 @@
 
 // Pool returns the hosts of a pool, leaving ones included.
 func (s *Snapshot) Pool(name string) []Host { return s.byPool[name] }
-
-// Poller keeps the newest list.
-type Poller struct {
-	source   Source
-	interval time.Duration
-	logger   hclog.Logger
-	current  atomic.Pointer[Snapshot]
-}
-
-// NewPoller returns a poller that reads source at each interval.
-func NewPoller(source Source, interval time.Duration, logger hclog.Logger) *Poller {
-	p := &Poller{source: source, interval: interval, logger: logger}
-	p.current.Store(NewSnapshot(nil, time.Time{}))
-	return p
-}
-
-// Current returns the newest view; its ReadAt is zero before the first.
-func (p *Poller) Current() *Snapshot { return p.current.Load() }
-
-// Run polls until ctx ends.
-func (p *Poller) Run(ctx context.Context) {
-	ticker := time.NewTicker(p.interval)
-	defer ticker.Stop()
-	for {
-		p.poll(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (p *Poller) poll(ctx context.Context) {
-	list, err := p.source.List(ctx)
-	if err != nil {
-		if ctx.Err() == nil {
-			events.HostListFailed.Log(p.logger, "error", err)
-		}
-		return
-	}
-	p.current.Store(NewSnapshot(list, time.Now()))
-}
--- a/inner/message.go
+++ b/inner/message.go
@@ -19,6 +19,8 @@
 	KindProbeVia  Kind = 3
 	KindStateDiff Kind = 4
 	KindStatePull Kind = 5
+	// KindHostList: package hosts.
+	KindHostList Kind = 6
 	// KindJournalCreate to KindJournalWithdraw: package reclaim, 100 to 199.
 	KindJournalCreate   Kind = 100
 	KindJournalAppend   Kind = 101
--- a/membership/view.go
+++ b/membership/view.go
@@ -62,12 +62,16 @@
 // few choices.
 func (v *View) Chosen(key string, count int) []Member {
 	usable := v.Usable()
-	sort.Slice(usable, func(i, j int) bool {
-		return xxhash.Sum64String(key+"/"+usable[i].ID) < xxhash.Sum64String(key+"/"+usable[j].ID)
-	})
+	sortByRank(usable, key)
 	return usable[:min(count, len(usable))]
 }
 
+// sortByRank puts members into the rendezvous order of a key.
+func sortByRank(members []Member, key string) {
+	rank := func(m Member) uint64 { return xxhash.Sum64String(key + "/" + m.ID) }
+	sort.Slice(members, func(i, j int) bool { return rank(members[i]) < rank(members[j]) })
+}
+
 // successors returns the member after self on each ring, each member once. A
 // ring is the order of the members by a hash of the ring's number and the id.
 func successors(members []Member, self string) []Member {
--- a/provide.go
+++ b/provide.go
@@ -40,7 +40,10 @@
 		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
-		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
+		poller := hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts"))
+		poller.Share(do.MustInvoke[*gossip.Table](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i),
+			do.MustInvoke[*membership.Registry](i).HostListPollers)
+		return poller, nil
 	})
 	do.ProvideValue(i, gossip.NewTable(s.HostID))
 	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
