--- a/hosts/leaving_test.go
+++ b/hosts/leaving_test.go
@@ -23,6 +23,7 @@
 	leavingBound = 3 * time.Second
 	listLag      = 400 * time.Millisecond
 	pollInterval = 500 * time.Millisecond
+	answerTime   = 50 * time.Millisecond
 	entryCount   = 5
 	pollerCount  = 2
 	upstreams    = 3
@@ -60,11 +61,13 @@
 	r.network.AwaitRunning(r.entry)
 	defer r.network.AwaitRunning(r.entry)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.down || r.cut[r.entry] || ctx.Err() != nil {
+	failed, list := r.down || r.cut[r.entry], r.list()
+	r.mu.Unlock()
+	time.Sleep(answerTime) // a pause may begin here
+	if failed || ctx.Err() != nil {
 		return nil, &hosts.Error{Source: "test", Cause: context.DeadlineExceeded}
 	}
-	return r.list(), nil
+	return list, nil
 }
 
 // fault is one step of the property test.
