--- a/hosts/leaving_test.go
+++ b/hosts/leaving_test.go
@@ -21,9 +21,9 @@
 const (
 	// leavingBound is the longest time after its notice that an upstream may get work.
 	leavingBound = 3 * time.Second
-	listLag      = 400 * time.Millisecond
+	listLag      = 300 * time.Millisecond
 	pollInterval = 500 * time.Millisecond
-	answerTime   = 50 * time.Millisecond
+	answerTime   = 200 * time.Millisecond
 	entryCount   = 5
 	pollerCount  = 2
 	upstreams    = 3
@@ -111,7 +111,7 @@
 
 func runLeaving(seed uint64, steps []fault) (late, given int64) {
 	w := &leavingWorld{network: innermem.New(seed), list: &lagging{notices: map[string]time.Time{}, cut: map[string]bool{}}}
-	w.network.SetDelay(20 * time.Millisecond)
+	w.network.SetDelay(100 * time.Millisecond)
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range entryCount {
