--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,7 +19,12 @@
 func main() {
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
-	experiments := []experiment{pathExperiment(), costExperiment(), streamsExperiment()}
+	experiments := []experiment{
+		pathExperiment(),
+		costExperiment(),
+		limitsExperiment(),
+		streamsExperiment(),
+	}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
 	}
--- a/inner/message.go
+++ b/inner/message.go
@@ -31,6 +31,8 @@
 	KindOrderClaim  Kind = 200
 	KindOrderFinish Kind = 201
 	KindOrderGet    Kind = 202
+	// KindQuotaGrant: package quota, 300 to 399.
+	KindQuotaGrant Kind = 300
 )
 
 // Path is where the inner listener serves the protocol.
