Spread the checking reads of members that started together

Cause: experiment config showed that with all three watchers hanging a publish took 28.5 s (120 followers) and 83.5 s (340) to be in force: each member waited half an interval before its first check, so that those that started together made none in that time. Ruled out: the peers' hop (0.3 s) and the watch's retry. Change: the first wait is anything up to an interval; four checks a second for the whole group in place of two; the rendezvous scores are computed once. Seen to fail: TestInForceEverywhereWithinBound/all_watchers_hang_of_340 with the old first wait (not in force within 5 s on 340 of 340 hosts).

--- a/config/follow_test.go
+++ b/config/follow_test.go
@@ -94,30 +94,30 @@
 }
 
 func TestInForceEverywhereWithinBound(t *testing.T) {
-	faults := map[string]func(f *fleet){
-		"healthy": func(*fleet) {},
-		"one watcher of three hangs": func(f *fleet) {
-			f.hang(Watchers(f.members)[:1])
-		},
-		"all watchers hang": func(f *fleet) {
-			f.hang(Watchers(f.members))
-		},
-	}
-	for name, induce := range faults {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := kvmem.New()
-				f := startFleet(store, newHub(1), 40)
-				defer f.end()
-				induce(f)
-				time.Sleep(time.Minute)
-				revision := mustPublish(t, store, serviceChange("badges", "m1"))
-				time.Sleep(inForceBound)
-				if behind := f.behind(revision); len(behind) > 0 {
-					t.Fatalf("not in force within %s on %v", inForceBound, behind)
-				}
+	const smallest, largest = 9, 340
+	hanging := map[string]int{"healthy": 0, "one watcher of three hangs": 1, "all watchers hang": 3}
+	for name, count := range hanging {
+		for _, size := range []int{smallest, largest} {
+			t.Run(name+" of "+itoa(uint64(size)), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkBound(t, size, count) })
 			})
-		})
+		}
+	}
+}
+
+// checkBound publishes soon after all hosts started, and once more later.
+func checkBound(t *testing.T, size, hanging int) {
+	store := kvmem.New()
+	f := startFleet(store, newHub(1), size)
+	defer f.end()
+	f.hang(Watchers(f.members)[:hanging])
+	for publish, since := range []time.Duration{time.Second, 5 * time.Second} {
+		time.Sleep(since)
+		revision := mustPublish(t, store, serviceChange("badges", "m"+itoa(uint64(publish))))
+		time.Sleep(inForceBound)
+		if behind := f.behind(revision); len(behind) > 0 {
+			t.Fatalf("not in force within %s on %d of %d hosts", inForceBound, len(behind), size)
+		}
 	}
 }
 
--- a/config/group.go
+++ b/config/group.go
@@ -1,7 +1,8 @@
 package config
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -45,10 +46,12 @@
 // enough of them. A member that joins or leaves changes at most one of the
 // watchers of its own domain.
 func Watchers(members []GroupMember) []string {
-	ordered := append([]GroupMember{}, members...)
-	sort.Slice(ordered, func(i, j int) bool {
-		a, b := score(ordered[i]), score(ordered[j])
-		return a > b || (a == b && ordered[i].ID < ordered[j].ID)
+	ordered := make([]candidate, len(members))
+	for i, m := range members {
+		ordered[i] = candidate{GroupMember: m, score: xxhash.Sum64String(SpreadName + "/" + m.ID)}
+	}
+	slices.SortFunc(ordered, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
 	})
 	var chosen, others []string
 	taken := map[string]bool{}
@@ -64,4 +67,8 @@
 	return chosen[:min(watcherCount, len(chosen))]
 }
 
-func score(m GroupMember) uint64 { return xxhash.Sum64String(SpreadName + "/" + m.ID) }
+// candidate is a member with its score.
+type candidate struct {
+	GroupMember
+	score uint64
+}
--- a/config/watch.go
+++ b/config/watch.go
@@ -14,9 +14,9 @@
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
 	// roleInterval is the time between two looks at the group.
-	roleInterval = 500 * time.Millisecond
+	roleInterval = time.Second
 	// checksPerSecond is the rate of checking reads of all members together.
-	checksPerSecond = 2
+	checksPerSecond = 4
 	// minCheckInterval bounds the checking reads of one member.
 	minCheckInterval = time.Second
 )
@@ -108,24 +108,24 @@
 	return max(after, reached), nil
 }
 
-// check reads the store from time to time.
+// check reads the store from time to time. The first wait is anything up to a
+// whole interval, so that the checks of members that started together spread
+// evenly over it.
 func (f *Follower) check(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, checkInterval(len(f.group().Members)))
-		if ctx.Err() != nil {
-			return
-		}
+	wait := rand.N(checkInterval(f.group()))
+	for sleep(ctx, wait); ctx.Err() == nil; sleep(ctx, wait) {
 		if _, err := f.read(ctx, callCheck); err != nil {
 			f.failed(ctx, err)
 		}
+		interval := checkInterval(f.group())
+		wait = interval/2 + rand.N(interval)
 	}
 }
 
-// checkInterval returns the time to a member's next check, between half and
-// one and a half of the interval that keeps the group at its rate.
-func checkInterval(members int) time.Duration {
-	interval := max(time.Duration(members)*time.Second/checksPerSecond, minCheckInterval)
-	return interval/2 + rand.N(interval)
+// checkInterval returns the mean time between a member's checks that keeps the
+// group at its rate.
+func checkInterval(g Group) time.Duration {
+	return max(time.Duration(len(g.Members))*time.Second/checksPerSecond, minCheckInterval)
 }
 
 func retryDelay(failures int) time.Duration {
