--- a/provide.go
+++ b/provide.go
@@ -9,6 +9,7 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
 	"github.com/cardamompier/cardamompier/inner"
@@ -33,7 +34,10 @@
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
-		return config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config")), nil
+		follower := config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config"))
+		registry := do.MustInvoke[*membership.Registry](i)
+		follower.Share(do.MustInvoke[*gossip.Table](i), func() config.Group { return groupOf(s.HostID, registry.View()) })
+		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
 		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
@@ -41,6 +45,13 @@
 	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
 		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
 	})
+	do.ProvideValue(i, gossip.NewTable(s.HostID))
+	do.Provide(i, func(i do.Injector) (*gossip.Spreader, error) {
+		neighbours := do.MustInvoke[*membership.Registry](i).Neighbours
+		spreader := gossip.NewSpreader(do.MustInvoke[*gossip.Table](i), s.InnerListen, do.MustInvoke[*inner.Client](i), neighbours)
+		spreader.Register(do.MustInvoke[*inner.Server](i))
+		return spreader, nil
+	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
 	})
@@ -54,12 +65,26 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
 			Journals:   journal.NewStore(journalRetention),
+			Holder:     journal.NewHolder(journalRetention),
+			Peers:      do.MustInvoke[*inner.Client](i),
+			InnerAPI:   do.MustInvoke[*inner.Server](i),
 			Logger:     logger.Named("gateway"),
 		}), nil
 	})
 	return i
 }
 
+// groupOf returns the entry hosts that follow the configuration together.
+func groupOf(self string, view *membership.View) config.Group {
+	group := config.Group{Self: self}
+	for _, m := range view.Members {
+		if !m.Leaving {
+			group.Members = append(group.Members, config.GroupMember{ID: m.ID, FailureDomain: m.FailureDomain})
+		}
+	}
+	return group
+}
+
 func memberOf(s settings.Settings) membership.Member {
 	return membership.Member{
 		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerListen,
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -50,13 +50,21 @@
 			"desk":       cmdDesk,
 			"entry":      cmdEntry,
 			"signal":     cmdSignal,
-			"wait":       cmdWait,
+			"exited":     cmdWait,
 			"faults":     cmdFaults,
 			"hoststate":  cmdHostState,
 			"chat":       cmdChat,
 			"order":      cmdOrder,
 			"get":        cmdGet,
 			"eventually": cmdEventually,
+			"caller":     cmdCaller,
+			"await":      cmdAwait,
+			"reread":     cmdReread,
+			"same":       cmdSame,
+			"control":    cmdControl,
+			"signals":    cmdSignals,
+			"owner":      cmdOwner,
+			"count":      cmdCount,
 			"soak":       cmdSoak,
 		},
 	})
@@ -68,6 +76,7 @@
 	platform  string // URL
 	hosts     []hosts.Host
 	processes map[string]*process
+	callers   map[string]*caller
 	domainOf  map[string]string // failure domain by process name
 }
 
@@ -82,7 +91,9 @@
 type worldKey struct{}
 
 func setUp(env *testscript.Env) error {
-	w := &world{dir: env.WorkDir, processes: map[string]*process{}, domainOf: map[string]string{}}
+	w := &world{
+		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
+	}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.killAll)
--- a/status.go
+++ b/status.go
@@ -19,6 +19,13 @@
 // PathStatus is where the inner listener serves Status.
 const PathStatus = "/status"
 
+// PathRequests is where the inner listener tells which running requests the
+// host owns or holds a copy of.
+const PathRequests = "/requests"
+
+// PathUpstreams is where the inner listener shows the host list in use.
+const PathUpstreams = "/upstreams"
+
 // Status is what an entry host says of itself to operators.
 type Status struct {
 	Host          string `json:"host"`
@@ -75,5 +82,13 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Status())
 	})
+	mux.HandleFunc("GET "+PathRequests, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.gateway.Keeper.Roles())
+	})
+	mux.HandleFunc("GET "+PathUpstreams, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.poller.Current().Hosts)
+	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
 }
