--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -35,7 +35,10 @@
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineFlags(engineCommand, &engine)
 	deskCommand := flaggy.NewSubcommand("desk")
-	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand} {
+	demonstration := demoOptions{dir: "examples", port: 7500}
+	demoCommand := flaggy.NewSubcommand("demo")
+	demoFlags(demoCommand, &demonstration)
+	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, demoCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -48,6 +51,10 @@
 		serve(listen, enginesim.New(engine).Handler())
 	case deskCommand.Used:
 		serve(listen, (&desk.Desk{}).Handler())
+	case demoCommand.Used:
+		if err := runDemo(demonstration); err != nil {
+			fail(err)
+		}
 	default:
 		flaggy.ShowHelp("a command is needed")
 		os.Exit(exitUsage)
