--- a/scenario/soak_check_test.go
+++ b/scenario/soak_check_test.go
@@ -122,6 +122,9 @@
 	_, _ = fmt.Fprintf(w, "second executions %d, false not run %d, changed outcomes %d, success without execution %d\n",
 		len(v.secondExecutions), len(v.falseNotRun), len(v.changedOutcomes), len(v.unpaidSuccess))
 	_, _ = fmt.Fprintf(w, "mixed answers %d, lost answers %d, reverted revisions %d\n", len(h.mixed), len(h.lost), len(h.reverted))
+	for _, lost := range h.lost {
+		_, _ = fmt.Fprintf(w, "lost: %s\n", lost)
+	}
 	for _, wrong := range [][]string{v.secondExecutions, v.falseNotRun, v.changedOutcomes, v.unpaidSuccess, h.mixed, h.reverted} {
 		if len(wrong) > 0 {
 			s.ts.Fatalf("violations: %q", wrong)
