--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -15,6 +15,10 @@
 
 const (
 	moveInterval = 100 * time.Millisecond
+	// reportTicks is the number of move intervals between two reads of the
+	// load reports.
+	reportTicks   = 10
+	reportTimeout = 500 * time.Millisecond
 	// moveTimeout bounds the export and import of one KV cache.
 	moveTimeout = 2 * time.Second
 	// maxMovesAtOnce bounds the caches in transfer of one entry host.
@@ -124,17 +128,48 @@
 func (d *Dispatcher) RunMoves(ctx context.Context) {
 	ticker := time.NewTicker(moveInterval)
 	defer ticker.Stop()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
+		if tick%reportTicks == 0 {
+			go d.readReports(ctx)
+		}
 		leaving := d.leavingHosts()
 		d.moveAll(ctx, d.moves.due(func(id string) bool { return leaving[id] }))
 	}
 }
 
+// busyHosts returns the hosts with attempts in progress.
+func (m *moves) busyHosts() map[string]hosts.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]hosts.Host{}
+	for entry := range m.running {
+		out[entry.host.ID] = entry.host
+	}
+	return out
+}
+
+// readReports asks the engines with attempts in progress whether they leave.
+func (d *Dispatcher) readReports(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, host := range d.moves.busyHosts() {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if report, err := d.engine(host).Load(ctx); err == nil && report.Leaving {
+				d.moves.noteLeaving(host.ID)
+			}
+		}()
+	}
+	wait.Wait()
+}
+
 // leavingHosts returns the hosts that leave by the platform's list or by
 // their own refusals.
 func (d *Dispatcher) leavingHosts() map[string]bool {
