--- a/provide.go
+++ b/provide.go
@@ -34,7 +34,10 @@
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
-		return config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config")), nil
+		follower := config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config"))
+		registry := do.MustInvoke[*membership.Registry](i)
+		follower.Share(do.MustInvoke[*gossip.Table](i), func() config.Group { return groupOf(s.HostID, registry.View()) })
+		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
 		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
@@ -71,6 +74,17 @@
 	return i
 }
 
+// groupOf returns the entry hosts that follow the configuration together.
+func groupOf(self string, view *membership.View) config.Group {
+	group := config.Group{Self: self}
+	for _, m := range view.Members {
+		if !m.Leaving {
+			group.Members = append(group.Members, config.GroupMember{ID: m.ID, FailureDomain: m.FailureDomain})
+		}
+	}
+	return group
+}
+
 func memberOf(s settings.Settings) membership.Member {
 	return membership.Member{
 		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerListen,
