--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -47,7 +47,7 @@
 }
 
 func (g *Gateway) chat(ctx context.Context, in *chatInput) (*huma.StreamResponse, error) {
-	c, refusal := g.authorize(in.Authorization, in.Body.Model, "model")
+	c, refusal := g.admit(ctx, in.Authorization, in.Body.Model, config.KindModel)
 	if refusal != nil {
 		return nil, g.refuse(refusal, "")
 	}
@@ -98,7 +98,9 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), log.Deadline)
 	defer cancel()
+	begun := log.Count()
 	g.Dispatcher.Generate(ctx, dispatch.Generation{Service: service, Log: log, Begun: g.Keeper.Kick})
+	g.Quota.Used(log.Account, log.Count()-begun)
 	events.RequestFinished.Log(g.Logger, "request", log.RequestID, "tokens", log.Count())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -50,6 +51,7 @@
 	Members    *membership.Registry
 	Dispatcher *dispatch.Dispatcher
 	Ledger     order.Ledger
+	Quota      Quota
 	Journals   *journal.Store
 	Holder     *journal.Holder
 	Peers      *inner.Client
@@ -57,6 +59,14 @@
 	Logger     hclog.Logger
 }
 
+// Quota keeps the limits of client accounts over all entry hosts.
+type Quota interface {
+	// Admit spends one request of an account's limit, or refuses it.
+	Admit(ctx context.Context, account *config.Account) *apierr.Error
+	// Used counts the tokens that were generated for an account.
+	Used(account string, tokens int)
+}
+
 // Gateway is the caller-facing server. Use New.
 type Gateway struct {
 	Parts
@@ -142,3 +152,12 @@
 	}
 	return call{account: account, service: s}, nil
 }
+
+// admit authorizes a request and spends one of its client account's limit.
+func (g *Gateway) admit(ctx context.Context, header, service string, kind config.Kind) (call, *apierr.Error) {
+	c, refusal := g.authorize(header, service, kind)
+	if refusal != nil {
+		return call{}, refusal
+	}
+	return c, g.Quota.Admit(ctx, c.account)
+}
--- a/provide.go
+++ b/provide.go
@@ -5,7 +5,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
@@ -19,6 +18,7 @@
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -36,7 +36,8 @@
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
 		follower := config.NewFollower(do.MustInvoke[kv.Store](i), logger.Named("config"))
-		follower.Share(do.MustInvoke[*gossip.Table](i), groupOf(do.MustInvoke[*membership.Registry](i)))
+		registry := do.MustInvoke[*membership.Registry](i)
+		follower.Share(do.MustInvoke[*gossip.Table](i), func() config.Group { return groupOf(s.HostID, registry.View()) })
 		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
@@ -61,12 +62,17 @@
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
 		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
 	})
+	do.Provide(i, func(i do.Injector) (*quota.Quota, error) {
+		members := quota.NewView(s.HostID, do.MustInvoke[*membership.Registry](i).View)
+		return quota.New(members, do.MustInvoke[*config.Follower](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i)), nil
+	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
 			Config:     do.MustInvoke[*config.Follower](i),
 			Members:    do.MustInvoke[*membership.Registry](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
+			Quota:      do.MustInvoke[*quota.Quota](i),
 			Journals:   journal.NewStore(journalRetention),
 			Holder:     journal.NewHolder(journalRetention),
 			Peers:      do.MustInvoke[*inner.Client](i),
@@ -77,19 +83,20 @@
 	return i
 }
 
+// groupOf returns the entry hosts that follow the configuration together.
+func groupOf(self string, view *membership.View) config.Group {
+	group := config.Group{Self: self}
+	for _, m := range view.Members {
+		if !m.Leaving {
+			group.Members = append(group.Members, config.GroupMember{ID: m.ID, FailureDomain: m.FailureDomain})
+		}
+	}
+	return group
+}
+
 func memberOf(s settings.Settings) membership.Member {
 	return membership.Member{
 		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerAdvertise,
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
 }
-
-// groupOf returns the entry hosts that follow the configuration together.
-func groupOf(registry *membership.Registry) func() config.Group {
-	return func() config.Group {
-		members := lo.Map(registry.View().Usable(), func(m membership.Member, _ int) config.GroupMember {
-			return config.GroupMember{ID: m.ID, FailureDomain: m.FailureDomain}
-		})
-		return config.Group{Self: registry.Self().ID, Members: members}
-	}
-}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -63,12 +63,13 @@
 			"same":       cmdSame,
 			"control":    cmdControl,
 			"signals":    cmdSignals,
-			"owner":      cmdOwner,
+			"list":       cmdList,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
 			"seeded":     cmdSeeded,
 			"relayed":    cmdRelayed,
 			"cut":        cmdCut,
+			"burst":      cmdBurst,
 		},
 	})
 }
