End a call that waits for a dial with its own context

Cause: streams_entry failed in a run of all packages: calls to a paused host queued on the lock of its dial, one second each, so that a probe waited for seconds and was taken for a pause of this host. Ruled out: the view's timeouts; the script passes three times alone (24 to 25 s). Change: the lock is a channel, and a dial that failed less than 50 ms ago answers the calls behind it.

--- a/inner/client.go
+++ b/inner/client.go
@@ -11,6 +11,8 @@
 
 const (
 	dialTimeout = time.Second
+	// redialPause is how long the failure of a dial answers the calls after it.
+	redialPause = 50 * time.Millisecond
 	// idleTimeout closes a connection that carried no message for so long.
 	idleTimeout = 30 * time.Second
 )
@@ -28,13 +30,15 @@
 // peer is the connection to one address.
 type peer struct {
 	address string
-	dialing sync.Mutex // held while the connection is opened
+	dialing chan struct{} // holds one value while the connection is opened
 
 	mu       sync.Mutex
 	conn     *websocket.Conn
 	lastCall uint64
 	waiting  map[uint64]chan envelope
 	idle     *time.Timer // drops conn
+	failed   error       // of the last dial
+	failedAt time.Time
 }
 
 // Call sends a message and decodes its answer into resp, which may be nil. It
@@ -130,7 +134,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
-		p = &peer{address: address, waiting: map[uint64]chan envelope{}}
+		p = &peer{address: address, dialing: make(chan struct{}, 1), waiting: map[uint64]chan envelope{}}
 		c.peers[address] = p
 	}
 	return p
@@ -141,15 +145,23 @@
 	if conn := p.current(); conn != nil {
 		return conn, nil
 	}
-	p.dialing.Lock()
-	defer p.dialing.Unlock()
+	select {
+	case p.dialing <- struct{}{}:
+		defer func() { <-p.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if conn := p.current(); conn != nil {
 		return conn, nil
 	}
+	if err := p.failedDial(); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, res, err := websocket.Dial(ctx, "ws://"+p.address+Path, nil)
 	if err != nil {
+		p.noteFailedDial(err)
 		return nil, err
 	}
 	if res.Body != nil {
@@ -164,6 +176,23 @@
 	return conn, nil
 }
 
+func (p *peer) noteFailedDial(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed, p.failedAt = err, time.Now()
+}
+
+// failedDial returns the error of a dial that failed a moment ago, so that
+// calls which waited for it do not dial in turn.
+func (p *peer) failedDial() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.failedAt) > redialPause {
+		return nil
+	}
+	return p.failed
+}
+
 // current returns the open connection, if there is one, to be used now.
 func (p *peer) current() *websocket.Conn {
 	p.mu.Lock()
--- a/inner/inner_test.go
+++ b/inner/inner_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,3 +83,47 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestCallsToASilentHostEndInTime: calls that wait for the same dial end with
+// their own contexts, not one dial after the other.
+func TestCallsToASilentHostEndInTime(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	var dials atomic.Int64
+	go func() {
+		for {
+			conn, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			dials.Add(1)
+		}
+	}()
+	client := inner.NewClient()
+	defer client.Close()
+	const patient = 6 // calls that dial for a second each
+	begun := make(chan struct{}, patient)
+	for range patient {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			begun <- struct{}{}
+			_ = client.Call(ctx, silent.Addr().String(), 1, echo{}, nil)
+		}()
+	}
+	for range patient {
+		<-begun
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := client.Call(ctx, silent.Addr().String(), 1, echo{}, nil); reasonOf(err) != inner.ReasonConnect {
+		t.Fatalf("got %v", err)
+	}
+	if got := dials.Load(); got >= patient {
+		t.Fatalf("a call with 50 ms waited for %d dials of others", got)
+	}
+}
