Bound the streams of a pool at their pace and share the slots by weight

Cause: nothing refused work that a pool could not answer in time. Change: admission.Gate: slots follow the measured pace of the streams (down by a tenth while the mean time between tokens is over 40 ms, up by a twentieth while all are used), weighted fair queueing between client accounts with lending, a queue bounded by 200 ms of the pool's pace, refusal overloaded before acceptance; experiment overload. Ruled out: a fixed number for each upstream (engines differ), feedback from ended answers alone (it lags by an answer's length), a queue as long as the slots (waits of 1.3 s against a first token in 0.35 s).

--- a/cardamompier.go
+++ b/cardamompier.go
@@ -105,6 +105,7 @@
 	s.start(func() { s.registry.Run(background) })
 	s.start(func() { s.gateway.Keeper.Run(background) })
 	s.start(func() { s.gateway.Dispatcher.RunMoves(background) })
+	s.start(func() { s.gateway.RunGates(background) })
 	s.start(func() { s.awaitNotice(background) })
 	s.start(func() { s.spreader.Run(background) })
 	s.start(func() { do.MustInvoke[*quota.Quota](s.injector).Run(background) })
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -23,6 +23,7 @@
 		configExperiment(),
 		costExperiment(),
 		limitsExperiment(),
+		overloadExperiment(),
 		pathExperiment(),
 		streamsExperiment(),
 	}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -51,6 +51,9 @@
 	if refusal != nil {
 		return nil, g.refuse(refusal, "")
 	}
+	if refusal := g.checkOverload(c); refusal != nil {
+		return nil, g.refuse(refusal, "")
+	}
 	record := recordOf(c, in)
 	log, refusal := g.Keeper.Accept(ctx, record, in.Key != "")
 	if refusal != nil {
@@ -98,6 +101,12 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), log.Deadline)
 	defer cancel()
+	slot, err := g.enter(ctx, service.Pool, log)
+	if err != nil {
+		log.Fail(apierr.New(apierr.CodeDeadlineExceeded, "the deadline passed before the request was begun").WithCause(err))
+		return
+	}
+	defer slot.Release()
 	begun := log.Count()
 	g.Dispatcher.Generate(ctx, dispatch.Generation{Service: service, Log: log, Begun: g.Keeper.Kick})
 	g.Quota.Used(log.Account, log.Count()-begun)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	mux      *http.ServeMux
 	api      huma.API
 	draining atomic.Bool
+	gates    gates
 	// work counts requests that run here.
 	work sync.WaitGroup
 	// endOfWait is closed shortly before a planned stop ends.
