--- /dev/null
+++ b/cmd/experiment/policy.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamompier/cardamompier/routing"
+	"github.com/cardamompier/cardamompier/workload"
+)
+
+// parallelRuns bounds the runs at one time.
+const parallelRuns = 6
+
+// policyFlags are the flags of the policy experiment.
+type policyFlags struct {
+	seeds   int
+	seconds int
+	csv     string
+	svg     string
+}
+
+// variant is one policy with its mechanisms.
+type variant struct {
+	name  string
+	setup workload.Setup
+}
+
+// variants returns the baselines, the whole policy and the policy with each
+// mechanism off.
+func variants() []variant {
+	whole := workload.Setup{Policy: routing.Adaptive{}, Hedge: true, Move: true, Priority: true}
+	without := func(name string, change func(*workload.Setup)) variant {
+		setup := whole
+		change(&setup)
+		return variant{name, setup}
+	}
+	return []variant{
+		{"round-robin", workload.Setup{Policy: routing.RoundRobin{}}},
+		{"least-in-flight", workload.Setup{Policy: routing.LeastInFlight{}}},
+		{"two-choices", workload.Setup{Policy: routing.TwoChoices{}}},
+		{"adaptive", whole},
+		without("no-affinity", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoAffinity: true} }),
+		without("no-separation", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoSeparation: true} }),
+		without("no-priority", func(s *workload.Setup) { s.Priority = false }),
+		without("no-steering", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoStragglers: true} }),
+		without("no-hedge", func(s *workload.Setup) { s.Hedge = false }),
+		without("no-move", func(s *workload.Setup) { s.Move = false }),
+		without("own-load-only", func(s *workload.Setup) { s.OwnOnly = true }),
+	}
+}
+
+// trio holds one variant's results: as it is, without long work, and with stragglers.
+type trio struct{ plain, noLong, straggling *workload.Result }
+
+func newPolicy() experiment {
+	flags := &policyFlags{seeds: 10, seconds: 180}
+	parser := flaggy.NewSubcommand("policy")
+	parser.Description = "Routing policies on the users' workloads. Example: experiment policy --seeds 3 --csv out.csv"
+	parser.Int(&flags.seeds, "", "seeds", "Number of seeds, from 1 on")
+	parser.Int(&flags.seconds, "", "seconds", "Arrivals of one run, in virtual seconds, the first 60 being warm-up")
+	parser.String(&flags.csv, "", "csv", "File for the table as CSV")
+	parser.String(&flags.svg, "", "svg", "File for a plot of the tail latencies")
+	return experiment{parser, func() int { return runPolicy(flags) }}
+}
+
+func runPolicy(flags *policyFlags) int {
+	table := newTable("user", "policy", "seed", "wait p50", "wait p99", "wait p99 vs no long",
+		"first p50", "first p99", "first p99 2 slow", "ratio", "whole p99", "whole p99 2 slow", "ratio",
+		"long first p99", "long whole p99", "hits", "single cache", "attempts/req", "2 slow", "recomputed/req", "failed")
+	for _, user := range []workload.User{workload.Ubumwe(), workload.Lanka()} {
+		for _, v := range variants() {
+			perSeed := make([]trio, flags.seeds)
+			runSeeds(flags, user, v, perSeed)
+			for seed, t := range perSeed {
+				table.addHidden(policyRow(user.Name, v.name, fmt.Sprint(seed+1), t, 1)...)
+			}
+			all := merged(perSeed)
+			table.add(policyRow(user.Name, v.name, "all", all, flags.seeds)...)
+		}
+	}
+	table.print(os.Stdout)
+	return table.write(flags.csv, flags.svg)
+}
+
+// runSeeds runs one variant with each seed.
+func runSeeds(flags *policyFlags, user workload.User, v variant, out []trio) {
+	var group errgroup.Group
+	group.SetLimit(parallelRuns)
+	for seed := range out {
+		run := func(noLong bool, stragglers int, into **workload.Result) {
+			setup := v.setup
+			setup.User, setup.Stragglers = user, stragglers
+			setup.Options = workload.Options{
+				Seed: uint64(seed + 1), Duration: time.Duration(flags.seconds) * time.Second, NoLong: noLong,
+			}
+			group.Go(func() error {
+				*into = workload.Run(setup)
+				return nil
+			})
+		}
+		run(false, 0, &out[seed].plain)
+		run(true, 0, &out[seed].noLong)
+		run(false, 2, &out[seed].straggling)
+	}
+	_ = group.Wait()
+}
+
+func merged(perSeed []trio) trio {
+	merge := func(of func(trio) *workload.Result) *workload.Result {
+		out := workload.NewResult()
+		lo.ForEach(perSeed, func(t trio, _ int) { out.Merge(of(t)) })
+		return out
+	}
+	return trio{
+		plain:      merge(func(t trio) *workload.Result { return t.plain }),
+		noLong:     merge(func(t trio) *workload.Result { return t.noLong }),
+		straggling: merge(func(t trio) *workload.Result { return t.straggling }),
+	}
+}
+
+func policyRow(user, policy, seed string, t trio, seeds int) []string {
+	p, s := t.plain, t.straggling
+	perRequest := func(n int, r *workload.Result) string { return fmt.Sprintf("%.3f", float64(n)/float64(max(r.Requests, 1))) }
+	return []string{
+		user, policy, seed,
+		millis(p.Short.Wait, 50), millis(p.Short.Wait, 99), ratio(p.Short.Wait, t.noLong.Short.Wait),
+		millis(p.Short.First, 50), millis(p.Short.First, 99), millis(s.Short.First, 99), ratio(s.Short.First, p.Short.First),
+		millis(p.Short.Whole, 99), millis(s.Short.Whole, 99), ratio(s.Short.Whole, p.Short.Whole),
+		millis(p.Long.First, 99), millis(p.Long.Whole, 99),
+		fmt.Sprintf("%.3f", p.HitShare()), fmt.Sprintf("%.3f", p.SingleCache/float64(seeds)),
+		perRequest(p.Attempts, p), perRequest(s.Attempts, s), fmt.Sprintf("%.0f", float64(s.Recomputed)/float64(s.Requests)),
+		fmt.Sprint(p.Failed + s.Failed),
+	}
+}
--- /dev/null
+++ b/routing/layout.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ringPoints is the number of points of one upstream on the hash ring.
+	ringPoints = 40
+	// longHeadroom is the capacity set apart for long work over its share.
+	longHeadroom = 1.0
+)
+
+// Layout holds what depends on the list of upstreams alone: every entry host
+// that knows the same list computes the same layout. Use NewLayout.
+type Layout struct {
+	ring []ringPoint
+	// rank is an upstream's place in the order in which upstreams are set
+	// apart for long work; consecutive places are in different failure domains.
+	rank []int
+}
+
+type ringPoint struct {
+	hash  uint64
+	index int32
+}
+
+// NewLayout returns the layout of a list of upstreams.
+func NewLayout(upstreams []Upstream) *Layout {
+	l := &Layout{ring: make([]ringPoint, 0, len(upstreams)*ringPoints)}
+	for i, u := range upstreams {
+		for point := range ringPoints {
+			hash := xxhash.Sum64String(u.ID + "#" + strconv.Itoa(point))
+			l.ring = append(l.ring, ringPoint{hash: hash, index: int32(i)})
+		}
+	}
+	slices.SortFunc(l.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+	l.rank = rankByDomain(upstreams)
+	return l
+}
+
+// rankByDomain orders upstreams by turns of their failure domains.
+func rankByDomain(upstreams []Upstream) []int {
+	type place struct {
+		turn   int
+		domain uint64
+		index  int
+	}
+	order := make([]int, len(upstreams))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(xxhash.Sum64String(upstreams[a].ID), xxhash.Sum64String(upstreams[b].ID))
+	})
+	turns := map[string]int{}
+	places := make([]place, 0, len(order))
+	for _, i := range order {
+		domain := upstreams[i].FailureDomain
+		places = append(places, place{turn: turns[domain], domain: xxhash.Sum64String(domain), index: i})
+		turns[domain]++
+	}
+	slices.SortStableFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.domain, b.domain))
+	})
+	rank := make([]int, len(upstreams))
+	for at, p := range places {
+		rank[p.index] = at
+	}
+	return rank
+}
+
+// longCount returns how many of n upstreams serve long work first. At least
+// one is left to short work.
+func longCount(n int, share float64) int {
+	if share <= 0 || n < 2 {
+		return 0
+	}
+	return max(1, min(n-1, int(math.Ceil(share*longHeadroom*float64(n)))))
+}
+
+// forLong says whether the upstream serves long work first.
+func (s *Snapshot) forLong(index int) bool { return s.layout.rank[index] < s.long }
+
+// start returns the place on the ring of a key.
+func (l *Layout) start(key uint64) int {
+	at, _ := slices.BinarySearchFunc(l.ring, next(&key), func(p ringPoint, key uint64) int { return cmp.Compare(p.hash, key) })
+	return at
+}
