Try: size the part of the pool for long work by its share of arrivals

Cause: with 44 and 60 requests/s long work waited 217 to 371 s for its first token: its part of the pool was too small. Change: the share is fed at arrival; full parts borrow from each other; hedges by prompt size.

--- a/cmd/experiment/policy.go
+++ b/cmd/experiment/policy.go
@@ -71,7 +71,7 @@
 func runPolicy(flags *policyFlags) int {
 	table := newTable("user", "policy", "seed", "wait p50", "wait p99", "wait p99 vs no long",
 		"first p50", "first p99", "first p99 2 slow", "ratio", "whole p99", "whole p99 2 slow", "ratio",
-		"long first p99", "long whole p99", "hits", "single cache", "attempts/req", "2 slow", "recomputed/req", "failed")
+		"long first p99", "long whole p99", "hits", "single cache", "attempts/req", "2 slow", "denied/req", "recomputed/req", "failed")
 	for _, user := range []workload.User{workload.Ubumwe(), workload.Lanka()} {
 		for _, v := range variants() {
 			perSeed := make([]trio, flags.seeds)
@@ -133,7 +133,7 @@
 		millis(p.Short.Whole, 99), millis(s.Short.Whole, 99), ratio(s.Short.Whole, p.Short.Whole),
 		millis(p.Long.First, 99), millis(p.Long.Whole, 99),
 		fmt.Sprintf("%.3f", p.HitShare()), fmt.Sprintf("%.3f", p.SingleCache/float64(seeds)),
-		perRequest(p.Attempts, p), perRequest(s.Attempts, s), fmt.Sprintf("%.0f", float64(s.Recomputed)/float64(s.Requests)),
+		perRequest(p.Attempts, p), perRequest(s.Attempts, s), perRequest(s.Refused, s), fmt.Sprintf("%.0f", float64(s.Recomputed)/float64(s.Requests)),
 		fmt.Sprint(p.Failed + s.Failed),
 	}
 }
--- a/routing/adaptive.go
+++ b/routing/adaptive.go
@@ -5,6 +5,9 @@
 	loadBound = 1.25
 	// loadSlack is added to the bound, in streams.
 	loadSlack = 1
+	// spillBound is the multiple of the mean load from which work borrows an
+	// upstream that serves the other kind first.
+	spillBound = 1.5
 	// maxRingSteps bounds the candidates on the ring for one request.
 	maxRingSteps = 8
 	// scanLimit is the pool size up to which every upstream is compared.
@@ -32,10 +35,16 @@
 			return choice
 		}
 	}
-	if choice := p.leastLoaded(s, r, random); choice.Index >= 0 {
+	choice := p.leastLoaded(s, r, random)
+	if choice.Index >= 0 && s.Upstreams[choice.Index].load() <= int(spillBound*s.MeanLoad)+loadSlack {
 		return choice
 	}
-	choice := LeastInFlight{}.Pick(s, r, random)
+	// The part of the pool for this kind of work is full: borrow from the other.
+	p.NoSeparation = true
+	if choice := p.leastLoaded(s, r, random); choice.Index >= 0 {
+		return Choice{Index: choice.Index, Reason: ReasonBorrowed}
+	}
+	choice = LeastInFlight{}.Pick(s, r, random)
 	if choice.Index >= 0 {
 		choice.Reason = ReasonLastResort
 	}
@@ -117,8 +126,5 @@
 			best = Choice{Index: index, Reason: ReasonLoad}
 		}
 	}
-	if best.Index >= 0 && r.Long {
-		best.Reason = ReasonLong
-	}
 	return best
 }
--- a/routing/history.go
+++ b/routing/history.go
@@ -16,7 +16,7 @@
 	// generated token.
 	prefillRatio = 16
 	// shareDecay is the weight of one request in the share of long work.
-	shareDecay = 1.0 / 512
+	shareDecay = 1.0 / 256
 )
 
 // History predicts a service's work from the lengths of earlier answers, by
@@ -24,6 +24,7 @@
 // lost update between two writers is harmless.
 type History struct {
 	answers   [promptClasses]atomic.Int64 // smoothed answer length, milli-tokens
+	first     [promptClasses]Span         // time to first token
 	mean      atomic.Int64                // smoothed work of a request, milli-tokens
 	longShare atomic.Int64                // share of long work, millionths
 }
@@ -47,6 +48,15 @@
 	return w
 }
 
+// Arrive counts a request that was accepted with its predicted work.
+func (h *History) Arrive(predicted Work) {
+	mean := float64(h.mean.Load()) / milli
+	h.addShare(predicted.Tokens, max(mean, 1), predicted.Long)
+}
+
+// FirstToken returns the times to first token of requests of this size.
+func (h *History) FirstToken(promptTokens int) *Span { return &h.first[classOf(promptTokens)] }
+
 // Add adds a finished request.
 func (h *History) Add(promptTokens, answerTokens int, predicted Work) {
 	class := &h.answers[classOf(promptTokens)]
@@ -56,7 +66,6 @@
 	if mean == 0 || !predicted.Long {
 		h.mean.Store(smooth(h.mean.Load(), work*milli, 64))
 	}
-	h.addShare(work, max(mean, 1), predicted.Long)
 }
 
 // addShare tracks the ratio of long work to all work.
--- a/routing/live.go
+++ b/routing/live.go
@@ -18,7 +18,9 @@
 	// MinStall is the shortest silence that counts as a stall.
 	MinStall = 120 * time.Millisecond
 	// MinHedge is the shortest wait for a first token before a hedge.
-	MinHedge = 200 * time.Millisecond
+	MinHedge = 150 * time.Millisecond
+	// unknownHedge is the wait before anything was measured.
+	unknownHedge = time.Second
 )
 
 // Span estimates a time span by its smoothed mean and deviation, as TCP does
@@ -88,8 +90,12 @@
 }
 
 // HedgeAfter returns how long to wait for a first token before a second
-// attempt; first estimates the times to first token of work of this kind.
+// attempt; first estimates the times to first token of requests of this size.
+// At an upstream that is marked as a straggler the wait is MinHedge.
 func HedgeAfter(first *Span) time.Duration {
+	if first.Mean() == 0 {
+		return unknownHedge
+	}
 	return max(first.High(), MinHedge)
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -106,7 +106,8 @@
 const (
 	ReasonAffinity Reason = "prefix_affinity"
 	ReasonLoad     Reason = "load"
-	ReasonLong     Reason = "long_work"
+	// ReasonBorrowed: the upstreams for this kind of work are full.
+	ReasonBorrowed Reason = "borrowed"
 	// ReasonLastResort: only stragglers or risky upstreams are left.
 	ReasonLastResort Reason = "last_resort"
 	// ReasonNone: no upstream may take the request.
--- a/workload/fleet.go
+++ b/workload/fleet.go
@@ -64,7 +64,6 @@
 	history    routing.History
 	popularity routing.Popularity
 	budgets    retry.Budgets
-	first      routing.Span // time to first token of short work
 	sequence   uint64
 	refreshes  int
 }
--- a/workload/request.go
+++ b/workload/request.go
@@ -44,10 +44,20 @@
 	e.popularity.Add(a.Blocks)
 	r := &request{fleet: f, entry: e, arrival: a, work: e.history.Predict(a.Prompt, maxTokens)}
 	r.route = routing.Request{Blocks: a.Blocks, Long: r.work.Long, Sequence: e.sequence}
+	e.history.Arrive(r.work)
 	f.result.request(a)
-	r.send()
+	if !r.send() {
+		r.done = true
+		f.result.failed(a)
+		return
+	}
 	if f.setup.Hedge && !r.work.Long {
-		f.clock.After(routing.HedgeAfter(&e.first), r.hedge)
+		f.clock.After(routing.MinHedge, func() {
+			if e.lives[r.attempts[0].engine].Slow(f.clock.Time()) {
+				r.hedge()
+			}
+		})
+		f.clock.After(routing.HedgeAfter(r.firstSpan()), r.hedge)
 	}
 }
 
@@ -85,6 +95,8 @@
 	return true
 }
 
+func (r *request) firstSpan() *routing.Span { return r.entry.history.FirstToken(r.arrival.Prompt) }
+
 func (r *request) account() string { return string(rune('a' + r.arrival.Account)) }
 
 func (r *request) started(at *attempt) {
@@ -123,8 +135,8 @@
 
 func (r *request) firstToken(now time.Duration) {
 	r.fleet.result.first(r.arrival, now-r.arrival.At)
-	if !r.work.Long {
-		r.entry.first.Add(now - r.arrival.At)
+	if len(r.attempts) == 1 { // hedged ones would raise the estimate
+		r.firstSpan().Add(now - r.arrival.At)
 	}
 }
 
@@ -134,7 +146,7 @@
 		if at == winner || at.ended {
 			continue
 		}
-		if at.tokens == 0 && at.lastAt < winner.lastAt-routing.HedgeAfter(&r.entry.first) {
+		if at.tokens == 0 && at.lastAt < winner.lastAt-routing.HedgeAfter(r.firstSpan()) {
 			r.entry.lives[at.engine].MarkSlow(r.fleet.clock.Time())
 		}
 		r.drop(at)
