--- a/cmd/experiment/policy.go
+++ b/cmd/experiment/policy.go
@@ -45,7 +45,7 @@
 		{"two-choices", workload.Setup{Policy: routing.TwoChoices{}}},
 		{"adaptive", whole},
 		without("no-affinity", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoAffinity: true} }),
-		without("no-separation", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoSeparation: true} }),
+		without("with-separation", func(s *workload.Setup) { s.Policy = routing.Adaptive{Separation: true} }),
 		without("no-priority", func(s *workload.Setup) { s.Priority = false }),
 		without("no-steering", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoStragglers: true} }),
 		without("no-hedge", func(s *workload.Setup) { s.Hedge = false }),
@@ -125,7 +125,9 @@
 
 func policyRow(user, policy, seed string, t trio, seeds int) []string {
 	p, s := t.plain, t.straggling
-	perRequest := func(n int, r *workload.Result) string { return fmt.Sprintf("%.3f", float64(n)/float64(max(r.Requests, 1))) }
+	perRequest := func(n int, r *workload.Result) string {
+		return fmt.Sprintf("%.3f", float64(n)/float64(max(r.Requests, 1)))
+	}
 	return []string{
 		user, policy, seed,
 		millis(p.Short.Wait, 50), millis(p.Short.Wait, 99), ratio(p.Short.Wait, t.noLong.Short.Wait),
--- a/routing/adaptive.go
+++ b/routing/adaptive.go
@@ -16,13 +16,13 @@
 	samples = 8
 )
 
-// Adaptive keeps shared prefixes together with bounded load, sets upstreams
-// apart for long work, and steers away from stragglers. The zero value has
-// every mechanism on.
+// Adaptive keeps shared prefixes together with bounded load and steers away
+// from stragglers. The zero value has both on.
 type Adaptive struct {
 	NoAffinity   bool
-	NoSeparation bool
 	NoStragglers bool
+	// Separation sets upstreams apart for long work.
+	Separation bool
 }
 
 // Pick implements Policy.
@@ -30,7 +30,7 @@
 	if len(s.Upstreams) == 0 {
 		return noChoice
 	}
-	if !p.NoAffinity && (!r.Long || p.NoSeparation) {
+	if !p.NoAffinity && (!r.Long || !p.Separation) {
 		if choice := p.affine(s, r); choice.Index >= 0 {
 			return choice
 		}
@@ -40,7 +40,7 @@
 		return choice
 	}
 	// The part of the pool for this kind of work is full: borrow from the other.
-	p.NoSeparation = true
+	p.Separation = false
 	if choice := p.leastLoaded(s, r, random); choice.Index >= 0 {
 		return Choice{Index: choice.Index, Reason: ReasonBorrowed}
 	}
@@ -92,13 +92,13 @@
 	switch {
 	case !allowed(u, r):
 		return false
-	case !p.NoStragglers && u.slow(r.Now):
+	case !p.NoStragglers && u.Slow(r.Now):
 		return false
 	case u.Risky && r.Long:
 		return false
 	case u.FailureDomain == r.AvoidDomain && r.AvoidDomain != "":
 		return false
-	case p.NoSeparation || s.long == 0:
+	case !p.Separation || s.long == 0:
 		return true
 	default:
 		return s.forLong(index) == r.Long
--- a/routing/live.go
+++ b/routing/live.go
@@ -10,7 +10,7 @@
 	// from which a time between tokens marks a straggler.
 	slowFactor = 4
 	// slowHold is how long a mark lasts after the last slow measurement.
-	slowHold = 1500 * time.Millisecond
+	slowHold = 4 * time.Second
 	// failHold is how long an upstream gets no work after one failure;
 	// it doubles up to maxFailures in a row.
 	failHold    = time.Second
@@ -19,8 +19,13 @@
 	MinStall = 120 * time.Millisecond
 	// MinHedge is the shortest wait for a first token before a hedge.
 	MinHedge = 150 * time.Millisecond
-	// unknownHedge is the wait before anything was measured.
-	unknownHedge = time.Second
+	// HedgeCheck is how often a request without a first token looks whether
+	// its upstream became a straggler.
+	HedgeCheck = 50 * time.Millisecond
+	// unmarkedHedge and hedgeFactor bound the wait from below where nothing
+	// marks the upstream.
+	unmarkedHedge = 500 * time.Millisecond
+	hedgeFactor   = 2
 )
 
 // Span estimates a time span by its smoothed mean and deviation, as TCP does
@@ -82,6 +87,9 @@
 		return // a straggler's moments do not become the typical gap
 	}
 	l.Gap.Add(gap)
+	if l.slowUntil.Load() != 0 && l.failures.Load() == 0 {
+		l.slowUntil.Store(0)
+	}
 }
 
 // StallAfter returns the silence after which a stream counts as stalled.
@@ -90,13 +98,10 @@
 }
 
 // HedgeAfter returns how long to wait for a first token before a second
-// attempt; first estimates the times to first token of requests of this size.
-// At an upstream that is marked as a straggler the wait is MinHedge.
+// attempt at an upstream that nothing speaks against; first estimates the times
+// to first token of requests of this size. At a straggler the wait is MinHedge.
 func HedgeAfter(first *Span) time.Duration {
-	if first.Mean() == 0 {
-		return unknownHedge
-	}
-	return max(first.High(), MinHedge)
+	return max(hedgeFactor*first.High(), unmarkedHedge)
 }
 
 // Fail counts a failed attempt: the upstream gets no work for a span that
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -35,8 +35,8 @@
 // load is the number of streams on the upstream, as far as this host knows.
 func (u *Upstream) load() int { return u.Others + u.Live.InFlight() }
 
-// slow says whether the upstream is a straggler, by own or others' measurements.
-func (u *Upstream) slow(now time.Time) bool { return u.OthersSlow || u.Live.Slow(now) }
+// Slow says whether the upstream is a straggler, by own or others' measurements.
+func (u *Upstream) Slow(now time.Time) bool { return u.OthersSlow || u.Live.Slow(now) }
 
 // Snapshot is an immutable view of one pool. Use NewSnapshot.
 type Snapshot struct {
--- a/workload/request.go
+++ b/workload/request.go
@@ -52,12 +52,7 @@
 		return
 	}
 	if f.setup.Hedge && !r.work.Long {
-		f.clock.After(routing.MinHedge, func() {
-			if e.lives[r.attempts[0].engine].Slow(f.clock.Time()) {
-				r.hedge()
-			}
-		})
-		f.clock.After(routing.HedgeAfter(r.firstSpan()), r.hedge)
+		f.clock.After(routing.MinHedge, r.awaitFirst)
 	}
 }
 
@@ -159,12 +154,19 @@
 	r.entry.lives[at.engine].End()
 }
 
-// hedge starts a second attempt of short work that has no token yet.
-func (r *request) hedge() {
-	if !r.done && r.tokens == 0 && !r.hedged {
-		r.hedged = true
-		r.send()
+// awaitFirst starts a second attempt of short work that has no token yet when
+// its upstream is a straggler or the wait is long.
+func (r *request) awaitFirst() {
+	f := r.fleet
+	if r.done || r.tokens > 0 || r.hedged {
+		return
+	}
+	waited := f.clock.Now() - r.arrival.At
+	slow := r.entry.snapshot.Upstreams[r.attempts[0].engine].Slow(f.clock.Time())
+	if slow || waited >= routing.HedgeAfter(r.firstSpan()) {
+		r.hedged = r.send()
 	}
+	f.clock.After(routing.HedgeCheck, r.awaitFirst)
 }
 
 // watch looks for a stall one limit after the given time, and moves a stalled
