--- a/routing/adaptive.go
+++ b/routing/adaptive.go
@@ -5,9 +5,10 @@
 	loadBound = 1.25
 	// loadSlack is added to the bound, in streams.
 	loadSlack = 1
-	// spillBound is the multiple of the mean load from which work borrows an
-	// upstream that serves the other kind first.
-	spillBound = 1.5
+	// shortSpill and longSpill are the multiples of the mean load from which
+	// short and long work borrow an upstream that serves the other kind first.
+	shortSpill = 1
+	longSpill  = 1.5
 	// maxRingSteps bounds the candidates on the ring for one request.
 	maxRingSteps = 8
 	// scanLimit is the pool size up to which every upstream is compared.
@@ -35,8 +36,12 @@
 			return choice
 		}
 	}
+	spill := shortSpill * s.MeanLoad
+	if r.Long {
+		spill = longSpill * s.MeanLoad
+	}
 	choice := p.leastLoaded(s, r, random)
-	if choice.Index >= 0 && s.Upstreams[choice.Index].load() <= int(spillBound*s.MeanLoad)+loadSlack {
+	if choice.Index >= 0 && s.Upstreams[choice.Index].load() <= int(spill)+loadSlack {
 		return choice
 	}
 	// The part of the pool for this kind of work is full: borrow from the other.
--- a/routing/layout.go
+++ b/routing/layout.go
@@ -13,7 +13,7 @@
 	// ringPoints is the number of points of one upstream on the hash ring.
 	ringPoints = 40
 	// longHeadroom is the capacity set apart for long work over its share.
-	longHeadroom = 1.0
+	longHeadroom = 0.7
 )
 
 // Layout holds what depends on the list of upstreams alone: every entry host
--- a/routing/live.go
+++ b/routing/live.go
@@ -11,6 +11,8 @@
 	slowFactor = 4
 	// slowHold is how long a mark lasts after the last slow measurement.
 	slowHold = 4 * time.Second
+	// slowForget is how long a mark that has run out still asks for a probe.
+	slowForget = 20 * time.Second
 	// failHold is how long an upstream gets no work after one failure;
 	// it doubles up to maxFailures in a row.
 	failHold    = time.Second
@@ -73,8 +75,23 @@
 // InFlight is the number of this host's streams there.
 func (l *Live) InFlight() int { return int(l.inFlight.Load()) }
 
-// Slow says whether the upstream was measured to be a straggler.
-func (l *Live) Slow(now time.Time) bool { return now.UnixNano() < l.slowUntil.Load() }
+// Slow says whether the upstream is to be left alone as a straggler. When a
+// mark has run out, one stream at a time probes the upstream until a token in
+// time clears the mark.
+func (l *Live) Slow(now time.Time) bool {
+	until := l.slowUntil.Load()
+	if until == 0 || now.UnixNano() >= until+int64(slowForget) {
+		return false
+	}
+	return now.UnixNano() < until || l.inFlight.Load() > 0
+}
+
+// Marked says whether a mark is there, even if it has run out: then other
+// hosts leave the probing to this one.
+func (l *Live) Marked(now time.Time) bool {
+	until := l.slowUntil.Load()
+	return until != 0 && now.UnixNano() < until+int64(slowForget)
+}
 
 // MarkSlow marks the upstream as a straggler.
 func (l *Live) MarkSlow(now time.Time) { l.slowUntil.Store(now.Add(slowHold).UnixNano()) }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -27,6 +27,9 @@
 	Others int
 	// OthersSlow says that another entry host measured it to be a straggler.
 	OthersSlow bool
+	// Probed says that an entry host before this one, in order of their ids,
+	// marked it too and finds out when it recovers.
+	Probed bool
 	// Live holds this host's own measurements. It is the only part of a
 	// snapshot that changes, by atomics.
 	Live *Live
@@ -35,8 +38,14 @@
 // load is the number of streams on the upstream, as far as this host knows.
 func (u *Upstream) load() int { return u.Others + u.Live.InFlight() }
 
-// Slow says whether the upstream is a straggler, by own or others' measurements.
-func (u *Upstream) Slow(now time.Time) bool { return u.OthersSlow || u.Live.Slow(now) }
+// Slow says whether the upstream is a straggler. Own measurements go before
+// those of others.
+func (u *Upstream) Slow(now time.Time) bool {
+	if u.Live.Marked(now) {
+		return u.Probed || u.Live.Slow(now)
+	}
+	return u.OthersSlow
+}
 
 // Snapshot is an immutable view of one pool. Use NewSnapshot.
 type Snapshot struct {
--- a/workload/fleet.go
+++ b/workload/fleet.go
@@ -21,6 +21,7 @@
 	refreshesADecay = 1200
 	cacheBlocks     = 320 // of one engine
 	shortPriority   = 10
+	movedPriority   = 5
 )
 
 // Setup is one run.
@@ -150,6 +151,7 @@
 		for i, d := range digests {
 			list[i].Others += d.streams
 			list[i].OthersSlow = list[i].OthersSlow || d.slow
+			list[i].Probed = list[i].Probed || d.slow && host < self
 		}
 	}
 	e.snapshot = routing.NewSnapshot(list, layout, e.history.LongShare())
@@ -162,6 +164,6 @@
 func (f *Fleet) publish(e *entry, self int) {
 	now := f.clock.Time()
 	for i, live := range e.lives {
-		f.digests[self][i] = digest{streams: live.InFlight(), slow: live.Slow(now)}
+		f.digests[self][i] = digest{streams: live.InFlight(), slow: live.Marked(now)}
 	}
 }
--- a/workload/request.go
+++ b/workload/request.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cardamompier/cardamompier/routing"
 )
 
@@ -84,7 +86,7 @@
 		Ended:   func(crashed bool) { r.ended(at, crashed) },
 	}
 	if f.setup.Priority && !r.work.Long {
-		at.stream.Priority = shortPriority
+		at.stream.Priority = lo.Ternary(r.tokens > 0, movedPriority, shortPriority)
 	}
 	f.engines[at.engine].Submit(at.stream)
 	return true
--- a/workload/users.go
+++ b/workload/users.go
@@ -49,7 +49,7 @@
 // Ubumwe is the badge printers' cooperative.
 func Ubumwe() User {
 	return User{
-		Name: "ubumwe", Engines: 12, Domains: 4, Entries: 8, Rate: 44,
+		Name: "ubumwe", Engines: 12, Domains: 4, Entries: 8, Rate: 36,
 		Accounts: []float64{0.45, 0.3, 0.15, 0.06, 0.04},
 		Classes: []Class{
 			{Name: "quick-question", Share: 0.6, Unique: 100, Answer: 50},
@@ -62,7 +62,7 @@
 // Lanka is the diary press consortium.
 func Lanka() User {
 	return User{
-		Name: "lanka", Engines: 20, Domains: 4, Entries: 8, Rate: 60,
+		Name: "lanka", Engines: 20, Domains: 4, Entries: 8, Rate: 52,
 		Accounts: []float64{0.4, 0.35, 0.15, 0.06, 0.04},
 		Classes: []Class{
 			{Name: "cover-caption", Share: 0.5, Unique: 150, Answer: 40},
