Bound the walk on the ring, and test the policies

Cause: a pool of one upstream made the walk along the ring endless: each point was the last one's upstream and was not counted. Change: the walk counts points of the ring. Separation is on by default.

--- a/cmd/experiment/policy.go
+++ b/cmd/experiment/policy.go
@@ -49,7 +49,7 @@
 		{"two-choices", workload.Setup{Policy: routing.TwoChoices{}}},
 		{"adaptive", whole},
 		without("no-affinity", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoAffinity: true} }),
-		without("with-separation", func(s *workload.Setup) { s.Policy = routing.Adaptive{Separation: true} }),
+		without("no-separation", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoSeparation: true} }),
 		without("no-priority", func(s *workload.Setup) { s.Priority = false }),
 		without("no-steering", func(s *workload.Setup) { s.Policy = routing.Adaptive{NoStragglers: true} }),
 		without("no-hedge", func(s *workload.Setup) { s.Hedge = false }),
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,12 +13,16 @@
 
 const (
 	// Ratio is the number of repeated attempts that one success pays for.
-	Ratio = 0.08
+	Ratio = 0.09
 	// Burst bounds a budget, in attempts.
 	Burst = 8
 	// firstTokens is what a new budget holds, in attempts.
 	firstTokens = 1
 
+	// movesLeave is what the move of a stalled stream leaves in an account's
+	// budget for hedges and failed attempts, in attempts.
+	movesLeave = 2
+
 	unit = 1000 // budget units of one attempt
 )
 
@@ -53,9 +57,9 @@
 	}
 }
 
-// take removes one attempt and says whether there was one.
-func (b *Budget) take() bool {
-	if b.units.Add(-unit) >= 0 {
+// take removes one attempt and says whether there was one over the rest.
+func (b *Budget) take(rest int64) bool {
+	if b.units.Add(-unit) >= rest*unit {
 		return true
 	}
 	b.units.Add(unit)
@@ -75,12 +79,16 @@
 
 // Allow takes one repeated attempt to an upstream for a client account from
 // both budgets. Where it may not be made, the reason says which was empty.
-func (b *Budgets) Allow(upstream, account string) (Reason, bool) {
+func (b *Budgets) Allow(why Reason, upstream, account string) (Reason, bool) {
 	accounts := budgetOf(&b.accounts, account)
-	if !accounts.take() {
+	rest := int64(0)
+	if why == ReasonStalled {
+		rest = movesLeave
+	}
+	if !accounts.take(rest) {
 		return ReasonAccount, false
 	}
-	if !budgetOf(&b.upstreams, upstream).take() {
+	if !budgetOf(&b.upstreams, upstream).take(0) {
 		accounts.units.Add(unit)
 		return ReasonUpstream, false
 	}
--- a/routing/adaptive.go
+++ b/routing/adaptive.go
@@ -9,21 +9,21 @@
 	// short and long work borrow an upstream that serves the other kind first.
 	shortSpill = 1
 	longSpill  = 1.5
-	// maxRingSteps bounds the candidates on the ring for one request.
-	maxRingSteps = 8
+	// maxRingSteps bounds the points of the ring that one request looks at.
+	maxRingSteps = 12
 	// scanLimit is the pool size up to which every upstream is compared.
 	scanLimit = 32
 	// samples is the number of random candidates in a larger pool.
 	samples = 8
 )
 
-// Adaptive keeps shared prefixes together with bounded load and steers away
-// from stragglers. The zero value has both on.
+// Adaptive keeps shared prefixes together with bounded load, gives long work a
+// part of the pool, and steers away from stragglers. The zero value has every
+// mechanism on.
 type Adaptive struct {
 	NoAffinity   bool
+	NoSeparation bool
 	NoStragglers bool
-	// Separation sets upstreams apart for long work.
-	Separation bool
 }
 
 // Pick implements Policy.
@@ -31,7 +31,7 @@
 	if len(s.Upstreams) == 0 {
 		return noChoice
 	}
-	if !p.NoAffinity && (!r.Long || !p.Separation) {
+	if !p.NoAffinity && (!r.Long || p.NoSeparation) {
 		if choice := p.affine(s, r); choice.Index >= 0 {
 			return choice
 		}
@@ -45,7 +45,7 @@
 		return choice
 	}
 	// The part of the pool for this kind of work is full: borrow from the other.
-	p.Separation = false
+	p.NoSeparation = true
 	if choice := p.leastLoaded(s, r, random); choice.Index >= 0 {
 		return Choice{Index: choice.Index, Reason: ReasonBorrowed}
 	}
@@ -65,15 +65,9 @@
 	}
 	ring := s.layout.ring
 	bound := int(loadBound*s.MeanLoad) + loadSlack
-	last := int32(-1)
-	for at, steps := s.layout.start(key), 0; steps < maxRingSteps; at++ {
-		point := ring[at%len(ring)]
-		if point.index == last {
-			continue
-		}
-		last = point.index
-		steps++
-		index := int(point.index)
+	start := s.layout.start(key)
+	for step := range maxRingSteps {
+		index := int(ring[(start+step)%len(ring)].index)
 		if p.suits(s, r, index) && s.Upstreams[index].load() <= bound {
 			return Choice{Index: index, Reason: ReasonAffinity}
 		}
@@ -103,7 +97,7 @@
 		return false
 	case u.FailureDomain == r.AvoidDomain && r.AvoidDomain != "":
 		return false
-	case !p.Separation || s.long == 0:
+	case p.NoSeparation || s.long == 0:
 		return true
 	default:
 		return s.forLong(index) == r.Long
--- a/routing/live.go
+++ b/routing/live.go
@@ -18,9 +18,9 @@
 	failHold    = time.Second
 	maxFailures = 6
 	// MinStall is the shortest silence that counts as a stall.
-	MinStall = 120 * time.Millisecond
+	MinStall = 150 * time.Millisecond
 	// MinHedge is the shortest wait for a first token before a hedge.
-	MinHedge = 150 * time.Millisecond
+	MinHedge = 80 * time.Millisecond
 	// HedgeCheck is how often a request without a first token looks whether
 	// its upstream became a straggler.
 	HedgeCheck = 50 * time.Millisecond
--- a/workload/request.go
+++ b/workload/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routing"
 )
 
@@ -48,7 +49,7 @@
 	r.route = routing.Request{Blocks: a.Blocks, Long: r.work.Long, Sequence: e.sequence}
 	e.history.Arrive(r.work)
 	f.result.request(a)
-	if !r.send() {
+	if !r.send("") {
 		r.done = true
 		f.result.failed(a)
 		return
@@ -58,8 +59,9 @@
 	}
 }
 
-// send starts an attempt at the engine that the policy chooses.
-func (r *request) send() bool {
+// send starts an attempt at the engine that the policy chooses; why is empty
+// for the first.
+func (r *request) send(why retry.Reason) bool {
 	f := r.fleet
 	r.route.Now = f.clock.Time()
 	random := uint64(r.arrival.ID)<<8 | uint64(len(r.attempts))
@@ -69,7 +71,7 @@
 	}
 	id := r.entry.snapshot.Upstreams[choice.Index].ID
 	if len(r.attempts) > 0 && !f.setup.NoBudget {
-		if _, ok := r.entry.budgets.Allow(id, r.account()); !ok {
+		if _, ok := r.entry.budgets.Allow(why, id, r.account()); !ok {
 			f.result.refused(r.arrival)
 			return false
 		}
@@ -166,7 +168,7 @@
 	waited := f.clock.Now() - r.arrival.At
 	slow := r.entry.snapshot.Upstreams[r.attempts[0].engine].Slow(f.clock.Time())
 	if slow || waited >= routing.HedgeAfter(r.firstSpan()) {
-		r.hedged = r.send()
+		r.hedged = r.send(retry.ReasonHedge)
 	}
 	f.clock.After(routing.HedgeCheck, r.awaitFirst)
 }
@@ -185,7 +187,7 @@
 			return
 		}
 		r.entry.lives[at.engine].MarkSlow(r.fleet.clock.Time())
-		if r.fleet.setup.Move && !r.work.Long && r.send() {
+		if r.fleet.setup.Move && !r.work.Long && r.send(retry.ReasonStalled) {
 			r.drop(at)
 			return
 		}
@@ -214,7 +216,7 @@
 }
 
 func (r *request) retry() {
-	if !r.send() {
+	if !r.send(retry.ReasonFailed) {
 		r.done = true
 		r.fleet.result.failed(r.arrival)
 	}
