Choose upstreams by package routing in the dispatcher, under retry budgets

Cause: the dispatcher took live upstreams by turns and repeated attempts without a bound over requests.

--- a/cmd/experiment/policy.go
+++ b/cmd/experiment/policy.go
@@ -61,7 +61,7 @@
 // trio holds one variant's results: as it is, without long work, and with stragglers.
 type trio struct{ plain, noLong, straggling *workload.Result }
 
-func newPolicy() experiment {
+func policyExperiment() experiment {
 	flags := &policyFlags{seeds: 10, seconds: 180, load: 1}
 	parser := flaggy.NewSubcommand("policy")
 	parser.Description = "Routing policies on the users' workloads. Example: experiment policy --seeds 3 --csv out.csv"
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -1,16 +1,12 @@
 package dispatch
 
-import "github.com/cardamompier/cardamompier/hosts"
+import (
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/routing"
+)
 
-// pick returns the next live host of a pool that was not tried.
+// pick returns a live host of a pool that was not tried, for a call to a
+// plain service.
 func (d *Dispatcher) pick(pool string, tried map[string]bool) (hosts.Host, bool) {
-	list := d.hosts.Current().Pool(pool)
-	start := int(d.next.Add(1))
-	for i := range list {
-		host := list[(start+i)%len(list)]
-		if host.State == hosts.StateLive && !tried[host.ID] {
-			return host, true
-		}
-	}
-	return hosts.Host{}, false
+	return d.route(pool, tried, "", routing.Request{})
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,7 +17,10 @@
 	// Burst bounds a budget, in attempts.
 	Burst = 8
 	// firstTokens is what a new budget holds, in attempts.
-	firstTokens = 1
+	firstTokens = 2
+	// trickle is how often an account's empty budget gets one attempt, so that
+	// an accepted request goes on where nothing else succeeds.
+	trickle = 10 * time.Second
 
 	// movesLeave is what the move of a stalled stream leaves in an account's
 	// budget for hedges and failed attempts, in attempts.
@@ -41,7 +44,10 @@
 )
 
 // Budget is a token bucket. Use newBudget.
-type Budget struct{ units atomic.Int64 }
+type Budget struct {
+	units   atomic.Int64
+	trickle atomic.Int64 // unix ns of the last trickled attempt
+}
 
 func newBudget() *Budget {
 	b := &Budget{}
@@ -66,6 +72,16 @@
 	return false
 }
 
+// trickled says whether the empty budget's next attempt by time is due.
+func (b *Budget) trickled(now time.Time) bool {
+	last := b.trickle.Load()
+	if last == 0 {
+		b.trickle.CompareAndSwap(0, now.UnixNano())
+		return false
+	}
+	return now.UnixNano()-last >= int64(trickle) && b.trickle.CompareAndSwap(last, now.UnixNano())
+}
+
 // Budgets holds the budgets of one host. The zero value is ready.
 type Budgets struct {
 	upstreams, accounts sync.Map // name to *Budget
@@ -79,13 +95,13 @@
 
 // Allow takes one repeated attempt to an upstream for a client account from
 // both budgets. Where it may not be made, the reason says which was empty.
-func (b *Budgets) Allow(why Reason, upstream, account string) (Reason, bool) {
+func (b *Budgets) Allow(now time.Time, why Reason, upstream, account string) (Reason, bool) {
 	accounts := budgetOf(&b.accounts, account)
 	rest := int64(0)
 	if why == ReasonStalled {
 		rest = movesLeave
 	}
-	if !accounts.take(rest) {
+	if !accounts.take(rest) && !accounts.trickled(now) {
 		return ReasonAccount, false
 	}
 	if !budgetOf(&b.upstreams, upstream).take(0) {
--- a/workload/request.go
+++ b/workload/request.go
@@ -71,7 +71,7 @@
 	}
 	id := r.entry.snapshot.Upstreams[choice.Index].ID
 	if len(r.attempts) > 0 && !f.setup.NoBudget {
-		if _, ok := r.entry.budgets.Allow(why, id, r.account()); !ok {
+		if _, ok := r.entry.budgets.Allow(r.route.Now, why, id, r.account()); !ok {
 			f.result.refused(r.arrival)
 			return false
 		}
