--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -60,7 +60,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	r := &run{Generation: g, dispatcher: d, started: time.Now(), tried: map[string]bool{}}
+	r := &run{Generation: g, dispatcher: d, started: time.Now(), tried: map[string]bool{}, work: d.workOf(g)}
 	failure := r.carryOut(ctx)
 	switch {
 	case g.Log.State() == journal.StateMoved:
@@ -80,7 +80,8 @@
 	started    time.Time
 	tried      map[string]bool // failed since the last token
 	failures   int             // attempts that may have harmed their engine
-	next       *target         // where a move goes on; nil for a free choice
+	work       work
+	next       *target // where a move goes on; nil for a free choice
 }
 
 // carryOut makes attempts until one ends the answer.
@@ -122,6 +123,7 @@
 func (r *run) countFailure(host hosts.Host, err error, progressed bool) int {
 	events.AttemptFailed.Log(r.dispatcher.logger, "request", r.Log.RequestID, "upstream", host.ID, "error", err)
 	Retries.Inc(string(upstream.ReasonOf(err)))
+	r.dispatcher.noteFailure(r.Service.Pool, host, err)
 	if progressed {
 		clear(r.tried)
 	}
@@ -141,11 +143,11 @@
 	if r.next != nil {
 		return r.next.host, true
 	}
-	host, ok := r.dispatcher.pickStaying(r.Service.Pool, r.tried, "")
+	host, ok := r.dispatcher.pickStaying(r.Service.Pool, r.tried, "", r.work.request)
 	if !ok {
 		clear(r.tried)
 	}
-	return host, ok
+	return host, ok && r.mayAttempt(host)
 }
 
 func failureOf(err error) *apierr.Error {
@@ -197,7 +199,7 @@
 		StreamID: streamID, RequestID: r.Log.RequestID,
 		Model: r.Service.Model, Adapter: r.Service.Adapter,
 		Prompt: r.Log.Prompt, Prior: prior, PriorTokens: count,
-		MaxTokens: r.Log.MaxTokens, Priority: upstream.PriorityNormal,
+		MaxTokens: r.Log.MaxTokens, Priority: r.work.priority(),
 	})
 	if err != nil {
 		return err
@@ -237,10 +239,14 @@
 	move := r.dispatcher.moves.add(r, host, a, cancel)
 	defer r.dispatcher.moves.remove(move)
 	engine := r.dispatcher.engine(host)
+	meter := r.measure(host)
+	whole := false
+	defer func() { meter.end(whole) }()
 	for resumes := 0; ; {
-		read, err := r.copyTokens(a.Number, stream)
+		read, err := r.copyTokens(a.Number, stream, meter)
 		_ = stream.Close()
 		if err == nil {
+			whole = true
 			return nil
 		}
 		if r.next = move.target.Load(); r.next != nil {
@@ -265,7 +271,7 @@
 }
 
 // copyTokens writes a stream's tokens to the log; nil means its end.
-func (r *run) copyTokens(attempt uint64, stream upstream.TokenStream) (read int, err error) {
+func (r *run) copyTokens(attempt uint64, stream upstream.TokenStream, m *meter) (read int, err error) {
 	for {
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -274,6 +280,7 @@
 		if err != nil {
 			return read, err
 		}
+		m.token()
 		if r.Log.Append(attempt, token.Index, token.Text) {
 			read++
 		}
