--- a/cmd/cardamompier/commands_test.go
+++ b/cmd/cardamompier/commands_test.go
@@ -142,3 +142,11 @@
 		}
 	}
 }
+
+func TestEveryCommandHasAnExample(t *testing.T) {
+	for _, c := range commandsOf(&options{}) {
+		if !strings.Contains(c.parser.AdditionalHelpAppend, "cardamompier "+c.parser.Name+" ") || c.parser.Description == "" {
+			t.Errorf("%s has no description or no example", c.parser.Name)
+		}
+	}
+}
--- a/cmd/cardamompier/main.go
+++ b/cmd/cardamompier/main.go
@@ -74,10 +74,7 @@
 	flaggy.String(&o.platform, "p", "platform", "URL of the platform's key-value service")
 	flaggy.Bool(&o.json, "j", "json", "print JSON")
 	flaggy.Duration(&o.timeout, "t", "timeout", "longest time for the calls on the platform")
-	commands := []command{
-		checkCommand(&o), publishCommand(&o), statusCommand(), diffCommand(&o),
-		historyCommand(), rollbackCommand(&o), resolveCommand(&o),
-	}
+	commands := commandsOf(&o)
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
 	}
@@ -91,6 +88,13 @@
 	os.Exit(exitUsage)
 }
 
+func commandsOf(o *options) []command {
+	return []command{
+		checkCommand(o), publishCommand(o), statusCommand(), diffCommand(o),
+		historyCommand(), rollbackCommand(o), resolveCommand(o),
+	}
+}
+
 func execute(c command, o options) int {
 	s := &session{options: o, out: os.Stdout, errOut: os.Stderr}
 	if o.platform == "" && !c.local {
--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -181,3 +182,19 @@
 		t.Fatalf("%d marks and %d revisions kept, want at most %d", len(doc.Recent), len(kept), maxMarks)
 	}
 }
+
+func TestTooLargeConfigurationIsRefused(t *testing.T) {
+	store := kvmem.New()
+	mustPublish(t, store, serviceChange("badges", "m1"))
+	change := serviceChange("proofs", "m1")
+	proofs := change.Files.Services["proofs"]
+	proofs.Model = strings.Repeat("m", kv.MaxValueSize)
+	change.Files.Services["proofs"] = proofs
+	_, err := publisher(store, "me").Publish(context.Background(), change)
+	if failed := failureOf(t, err); failed.Reason != PublishTooLarge {
+		t.Fatalf("got %v", failed)
+	}
+	if doc, _, _ := Read(context.Background(), store); doc.Revision != 1 {
+		t.Fatalf("revision %d after a refused publish, want 1", doc.Revision)
+	}
+}
