--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -63,9 +63,10 @@
 			"same":       cmdSame,
 			"control":    cmdControl,
 			"signals":    cmdSignals,
-			"owner":      cmdOwner,
+			"list":       cmdList,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
+			"burst":      cmdBurst,
 		},
 	})
 }
