--- a/cmd/cardamompier/inforce.go
+++ b/cmd/cardamompier/inforce.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const inForcePollInterval = 100 * time.Millisecond
@@ -46,11 +48,7 @@
 }
 
 func hostsBehind(statuses []hostStatus, revision uint64) []string {
-	var behind []string
-	for _, status := range statuses {
-		if status.Error != "" || status.Revision < revision {
-			behind = append(behind, status.Host)
-		}
-	}
-	return behind
+	return lo.FilterMap(statuses, func(s hostStatus, _ int) (string, bool) {
+		return s.Host, s.Error != "" || s.Revision < revision
+	})
 }
--- a/config/document.go
+++ b/config/document.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"maps"
 
+	"github.com/samber/lo"
+
 	"github.com/cardamompier/cardamompier/kv"
 )
 
@@ -82,12 +84,7 @@
 
 // markOf returns the mark of a revision, when it is recent enough to be kept.
 func (d Document) markOf(revision uint64) (Mark, bool) {
-	for _, mark := range d.Recent {
-		if mark.Revision == revision {
-			return mark, true
-		}
-	}
-	return Mark{}, false
+	return lo.Find(d.Recent, func(mark Mark) bool { return mark.Revision == revision })
 }
 
 // sign makes the document the next revision, written by mark's writer.
--- a/config/group.go
+++ b/config/group.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // watcherCount is how many members of a group watch the store.
@@ -26,19 +27,10 @@
 // watches says whether Self is one of the group's watchers. A host that does
 // not see itself among the members watches.
 func (g Group) watches() bool {
-	found := false
-	for _, m := range g.Members {
-		found = found || m.ID == g.Self
-	}
-	if !found {
+	if !lo.ContainsBy(g.Members, func(m GroupMember) bool { return m.ID == g.Self }) {
 		return true
 	}
-	for _, id := range Watchers(g.Members) {
-		if id == g.Self {
-			return true
-		}
-	}
-	return false
+	return lo.Contains(Watchers(g.Members), g.Self)
 }
 
 // Watchers returns the members that watch the store, by rendezvous hashing:
@@ -46,10 +38,9 @@
 // enough of them. A member that joins or leaves changes at most one of the
 // watchers of its own domain.
 func Watchers(members []GroupMember) []string {
-	ordered := make([]candidate, len(members))
-	for i, m := range members {
-		ordered[i] = candidate{GroupMember: m, score: xxhash.Sum64String(SpreadName + "/" + m.ID)}
-	}
+	ordered := lo.Map(members, func(m GroupMember, _ int) candidate {
+		return candidate{GroupMember: m, score: xxhash.Sum64String(SpreadName + "/" + m.ID)}
+	})
 	slices.SortFunc(ordered, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
 	})
