Measure the size of the configuration's document

Cause: the control budget of 3 KB/s a node had no figure for configuration. Change: experiment config prints bytes and decoding time by items.

--- a/cmd/experiment/config.go
+++ b/cmd/experiment/config.go
@@ -38,6 +38,7 @@
 	return experiment{parser: parser, run: func() int {
 		measureFollowers(o)
 		measurePublishers(o)
+		measureSize()
 		return 0
 	}}
 }
