Carry a failed request on when it is repeated under its key

Cause: a request that failed for want of an engine answered every repeat under its key with that failure for two minutes; streams_retry: 689 repeats, none answered. Ruled out: forgetting failed logs at once (a streaming caller could not read why its answer ended). Change: a repeat of a run that failed with a time to come again carries it on from its text under the next epoch; a host with the failed log looks for a newer run.

--- a/journal/copying.go
+++ b/journal/copying.go
@@ -130,6 +130,14 @@
 	return c
 }
 
+// Again returns a log that carries a failed one on from its text, under the
+// next epoch.
+func (l *Log) Again(record Record, owner Owner) *Log {
+	c := l.CopyFor(owner).clone()
+	c.Record, c.Epoch, c.State, c.Failed = record, l.Epoch+1, StateRunning, nil
+	return NewLogFromCopy(c)
+}
+
 // Behind says whether a caller has read from a newer owner than this log's.
 func (l *Log) Behind(seen uint64) bool { return seen > l.Epoch }
 
--- a/journal/log.go
+++ b/journal/log.go
@@ -163,6 +163,17 @@
 	return l.state
 }
 
+// Failure returns the error of a log that has failed. While the log has
+// nothing to show it waits, for at most the given time.
+func (l *Log) Failure(ctx context.Context, wait time.Duration) *apierr.Error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	_, _ = l.Read(ctx, l.Count())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
 // Prior returns the text so far and its number of tokens.
 func (l *Log) Prior() (string, int) {
 	l.mu.Lock()
--- a/reclaim/claim.go
+++ b/reclaim/claim.go
@@ -10,11 +10,14 @@
 	"github.com/cardamompier/cardamompier/membership"
 )
 
+// mirrorWait is how long a joined run may take to show that it has failed.
+const mirrorWait = 100 * time.Millisecond
+
 // joinOrClaim returns the log of the run in progress under the request's id,
 // or claims the id for a first run here and returns neither log nor refusal.
 func (k *Keeper) joinOrClaim(ctx context.Context, record journal.Record) (*journal.Log, *apierr.Error) {
 	if log, ok := k.Find(ctx, record.RequestID); ok {
-		return checkDigest(log, record.Digest)
+		return k.join(ctx, log, record)
 	}
 	first, digest := k.claim(ctx, record)
 	if first == k.owner() {
@@ -25,17 +28,27 @@
 	}
 	for deadline := time.Now().Add(claimWait); time.Now().Before(deadline); time.Sleep(flushInterval) {
 		if log, ok := k.Find(ctx, record.RequestID); ok {
-			return checkDigest(log, record.Digest)
+			return k.join(ctx, log, record)
 		}
 	}
 	return nil, nil // the claimant did not accept the request
 }
 
-func checkDigest(log *journal.Log, digest uint64) (*journal.Log, *apierr.Error) {
-	if log.Digest != digest {
+// join returns the run in progress or its answer. A run that failed for a
+// while is carried on from its text, here.
+func (k *Keeper) join(ctx context.Context, log *journal.Log, record journal.Record) (*journal.Log, *apierr.Error) {
+	if log.Digest != record.Digest {
 		return nil, conflict()
 	}
-	return log, nil
+	failure := log.Failure(ctx, mirrorWait)
+	if failure == nil || failure.RetryAfter == 0 {
+		return log, nil
+	}
+	again := log.Again(record, k.owner())
+	if refusal := k.place(ctx, again, true); refusal != nil {
+		return nil, refusal
+	}
+	return k.start(again), nil
 }
 
 func conflict() *apierr.Error {
--- a/reclaim/find.go
+++ b/reclaim/find.go
@@ -23,15 +23,22 @@
 // here, or one that follows the owner's. It takes the request over when its
 // owner is gone.
 func (k *Keeper) Find(ctx context.Context, requestID string) (*journal.Log, bool) {
-	if log, ok := k.Logs.Get(requestID); ok && log.State() != journal.StateMoved {
-		return log, true
+	local, ok := k.Logs.Get(requestID)
+	ok = ok && local.State() != journal.StateMoved
+	if ok && local.State() != journal.StateFailed {
+		return local, true
 	}
 	if log, ok := k.mirror(requestID); ok {
 		return log, true
 	}
 	best := k.lookup(ctx, requestID)
-	if !best.Known {
+	switch {
+	case !best.Known:
 		return nil, false
+	case ok && best.Epoch <= local.Epoch:
+		return local, true
+	case ok: // a repeat carries the failed run on elsewhere
+		k.Logs.Remove(local)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -66,7 +73,7 @@
 	}
 	for range ranked {
 		best = better(best, <-answers)
-		if best.Owned {
+		if best.Owned && best.State != journal.StateFailed {
 			return best
 		}
 	}
