--- a/cardamompier.go
+++ b/cardamompier.go
@@ -24,6 +24,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -106,6 +107,7 @@
 	s.start(func() { s.gateway.Dispatcher.RunMoves(background) })
 	s.start(func() { s.awaitNotice(background) })
 	s.start(func() { s.spreader.Run(background) })
+	s.start(func() { do.MustInvoke[*quota.Quota](s.injector).Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,7 +19,13 @@
 func main() {
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
-	experiments := []experiment{pathExperiment(), costExperiment(), streamsExperiment(), configExperiment()}
+	experiments := []experiment{
+		configExperiment(),
+		costExperiment(),
+		limitsExperiment(),
+		pathExperiment(),
+		streamsExperiment(),
+	}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
 	}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -66,6 +66,7 @@
 			"list":       cmdList,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
+			"burst":      cmdBurst,
 		},
 	})
 }
