Measure what the unannounced loss of owner and engine costs

Cause: the loss was stated, not measured. Showing each token after its copy would cost a round trip a token; it stays for notices.

--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -64,6 +64,7 @@
 			"control":    cmdControl,
 			"signals":    cmdSignals,
 			"list":       cmdList,
+			"lost":       cmdLost,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
 			"burst":      cmdBurst,
--- a/scenario/streams_test.go
+++ b/scenario/streams_test.go
@@ -301,6 +301,30 @@
 	compare(ts, first, again)
 }
 
+// lost CALLER ENTRY N: reads the answer that exists now, which must have N tokens, and prints how
+// many tokens the caller was shown that are not in it.
+func cmdLost(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	first := w.caller(ts, args[0])
+	again := &caller{
+		ts: ts, entries: []string{w.process(ts, args[1]).address}, key: first.key, stream: true, id: first.id,
+		limit: time.Now().Add(eventuallyTimeout), ended: make(chan struct{}),
+	}
+	again.run()
+	if !again.done || strconv.Itoa(again.tokens) != args[2] {
+		ts.Fatalf("the answer that exists has %d tokens, %s %s", again.tokens, again.fault, again.refusal)
+	}
+	shown, exists := strings.Fields(first.text.String()), strings.Fields(again.text.String())
+	same := 0
+	for same < len(shown) && same < len(exists) && shown[same] == exists[same] {
+		same++
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "shown=%d lost=%d\n", len(shown), len(shown)-same)
+	if first.done && same != len(shown) {
+		ts.Fatalf("%s has a whole answer that differs from token %d on", args[0], same)
+	}
+}
+
 // same CALLER CALLER: both must have the same text of the same request.
 func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
 	compare(ts, worldOf(ts).caller(ts, args[0]), worldOf(ts).caller(ts, args[1]))
