Look for a request further down its order of members

Cause: after a wave the holder may rank below the first eight members. Change: a caller that resumes is looked for among the first 32, a first run under a key still among eight.

--- a/reclaim/claim.go
+++ b/reclaim/claim.go
@@ -16,7 +16,7 @@
 // joinOrClaim returns the log of the run in progress under the request's id,
 // or claims the id for a first run here and returns neither log nor refusal.
 func (k *Keeper) joinOrClaim(ctx context.Context, record journal.Record) (*journal.Log, *apierr.Error) {
-	if log, ok := k.Find(ctx, record.RequestID); ok {
+	if log, ok := k.find(ctx, record.RequestID, firstLookups); ok {
 		return k.join(ctx, log, record)
 	}
 	first, digest := k.claim(ctx, record)
@@ -27,7 +27,7 @@
 		return nil, conflict()
 	}
 	for deadline := time.Now().Add(claimWait); time.Now().Before(deadline); time.Sleep(flushInterval) {
-		if log, ok := k.Find(ctx, record.RequestID); ok {
+		if log, ok := k.find(ctx, record.RequestID, firstLookups); ok {
 			return k.join(ctx, log, record)
 		}
 	}
--- a/reclaim/find.go
+++ b/reclaim/find.go
@@ -23,6 +23,11 @@
 // here, or one that follows the owner's. It takes the request over when its
 // owner is gone.
 func (k *Keeper) Find(ctx context.Context, requestID string) (*journal.Log, bool) {
+	return k.find(ctx, requestID, maxLookups)
+}
+
+// find asks up to the given number of members in the request's order.
+func (k *Keeper) find(ctx context.Context, requestID string, lookups int) (*journal.Log, bool) {
 	local, ok := k.Logs.Get(requestID)
 	ok = ok && local.State() != journal.StateMoved
 	if ok && local.State() != journal.StateFailed {
@@ -31,7 +36,7 @@
 	if log, ok := k.mirror(requestID); ok {
 		return log, true
 	}
-	best := k.lookup(ctx, requestID)
+	best := k.lookup(ctx, requestID, lookups)
 	switch {
 	case !best.Known:
 		return nil, false
@@ -61,12 +66,12 @@
 
 // lookup asks the members that may know a request, and the owner that they
 // name. The highest epoch wins, and its owner before its holder.
-func (k *Keeper) lookup(ctx context.Context, requestID string) lookupAnswer {
+func (k *Keeper) lookup(ctx context.Context, requestID string, lookups int) lookupAnswer {
 	self := k.Members.Self()
 	best := k.lookHere(requestID)
 	best.address = self.InnerAddress
 	ranked := journal.Rank(requestID, k.Members.View().Members)
-	ranked = ranked[:min(maxLookups, len(ranked))]
+	ranked = ranked[:min(lookups, len(ranked))]
 	answers := make(chan lookupAnswer, len(ranked))
 	for _, m := range ranked {
 		go func() { answers <- k.ask(ctx, m.InnerAddress, requestID) }()
@@ -127,7 +132,7 @@
 			return
 		}
 		time.Sleep(findPause)
-		from = k.lookup(ctx, mirror.RequestID)
+		from = k.lookup(ctx, mirror.RequestID, maxLookups)
 	}
 }
 
@@ -294,7 +299,7 @@
 	best := k.lookHere(requestID)
 	best.address = k.owner().InnerAddress
 	if reason == labelOrphan {
-		best = k.lookup(ctx, requestID)
+		best = k.lookup(ctx, requestID, maxLookups)
 	}
 	if best.Known && !best.Owned && best.Epoch == epoch && best.address == k.owner().InnerAddress {
 		k.takeOver(ctx, best, reason)
--- a/reclaim/keeper.go
+++ b/reclaim/keeper.go
@@ -57,8 +57,10 @@
 	orphanGrace = time.Second
 	// maxPlaceTries bounds the members that are asked to hold a new copy.
 	maxPlaceTries = 3
-	// maxLookups bounds the members that are asked for a request.
-	maxLookups       = 8
+	// firstLookups are the members that are asked whether a key was used
+	// before, maxLookups those that are asked for a request that was accepted.
+	firstLookups     = 8
+	maxLookups       = 32
 	maxOrphansAtOnce = 64
 	notReadyWait     = time.Second
 	// firstViewWait bounds the wait of a new host for its view of the others.
