Look at a holder's membership once a view

Cause: each flush scanned all members for each request: at 340 members and 100 requests 1.7 million comparisons a second, by count, not measured. Change: a view in which the holder stays is scanned once. Measured: go test -race ./... passes.

--- a/reclaim/copying.go
+++ b/reclaim/copying.go
@@ -21,9 +21,10 @@
 	renewed  time.Time // when the last acknowledged message was sent
 	failed   bool      // the last call to the holder failed
 	placing  bool
-	placedAt time.Time     // of the last try
-	released bool          // this host leaves the request to its holder
-	gone     chan struct{} // closed once the holder knows that
+	checked  *membership.View // in which the holder was seen to stay
+	placedAt time.Time        // of the last try
+	released bool             // this host leaves the request to its holder
+	gone     chan struct{}    // closed once the holder knows that
 }
 
 // appendRequest is the progress of all requests with one holder.
@@ -194,9 +195,13 @@
 	if entry.placing || time.Since(entry.placedAt) < replaceInterval {
 		return false
 	}
+	if !entry.failed && entry.checked == view {
+		return false
+	}
 	entry.placing = entry.failed || leavingOrGone(entry.holder.ID, view)
+	entry.checked = view
 	if entry.placing {
-		entry.placedAt = time.Now()
+		entry.placedAt, entry.checked = time.Now(), nil
 	}
 	return entry.placing
 }
