--- a/cardamompier.go
+++ b/cardamompier.go
@@ -102,6 +102,7 @@
 	s.registryEnded.Go(func() { s.registry.Run(background) })
 	s.start(func() { s.gateway.Keeper.Run(background) })
 	s.start(func() { s.gateway.Dispatcher.RunMoves(background) })
+	s.start(func() { s.gateway.RunGates(background) })
 	s.start(func() { s.awaitNotice(background) })
 	s.start(func() { do.MustInvoke[*quota.Quota](s.injector).Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
--- a/hosts/poller.go
+++ b/hosts/poller.go
@@ -92,14 +92,25 @@
 	}
 }
 
-// Usable returns the live hosts of a pool for new work. A view older than
-// maxAge is refreshed first; when that fails, only hosts that say themselves
-// that they take work are returned.
+// Usable returns the live hosts of a pool for new work, by Fresh.
 func (p *Poller) Usable(ctx context.Context, pool string) []Host {
+	var out []Host
+	for _, h := range p.Fresh(ctx, pool).Pool(pool) {
+		if h.State == StateLive {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Fresh returns a view by which new work may be given to the hosts of a pool.
+// A view older than maxAge is refreshed first; when that fails, the result
+// shows as live only the hosts that say themselves that they take work.
+func (p *Poller) Fresh(ctx context.Context, pool string) *Snapshot {
 	for range refreshTries {
 		view := p.Current()
 		if view.Age() <= maxAge {
-			return view.live(pool)
+			return view
 		}
 		// The process may have been paused during a refresh, too: look again.
 		if p.refresh(ctx, view) != nil {
@@ -107,42 +118,31 @@
 		}
 		Stale.Inc(labelRefreshed)
 	}
-	return p.checked(ctx, p.Current().live(pool))
+	return p.checked(ctx, p.Current(), pool)
 }
 
-// checked returns the hosts that pass the direct check.
-func (p *Poller) checked(ctx context.Context, list []Host) []Host {
-	if p.check == nil {
-		Stale.Add(labelExcluded, int64(len(list)))
-		return nil
-	}
+// checked returns the hosts of a pool, those that fail the check as leaving.
+func (p *Poller) checked(ctx context.Context, view *Snapshot, pool string) *Snapshot {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	passed := make([]bool, len(list))
+	list := append([]Host{}, view.Pool(pool)...)
 	var asking sync.WaitGroup
 	for i, h := range list {
-		asking.Go(func() { passed[i] = p.check(ctx, h) == nil })
+		asking.Go(func() {
+			if h.State == StateLive && (p.check == nil || p.check(ctx, h) != nil) {
+				list[i].State = StateLeaving
+			}
+		})
 	}
 	asking.Wait()
-	var out []Host
-	for i, h := range list {
-		if passed[i] {
-			out = append(out, h)
-		}
-	}
-	Stale.Add(labelChecked, int64(len(out)))
-	Stale.Add(labelExcluded, int64(len(list)-len(out)))
-	return out
-}
-
-func (s *Snapshot) live(pool string) []Host {
-	var out []Host
-	for _, h := range s.Pool(pool) {
+	for _, h := range list {
 		if h.State == StateLive {
-			out = append(out, h)
+			Stale.Inc(labelChecked)
+		} else {
+			Stale.Inc(labelExcluded)
 		}
 	}
-	return out
+	return NewSnapshot(list, view.ReadAt)
 }
 
 // refresh replaces the view that the caller saw, from a peer that polls or
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,6 +66,7 @@
 			"control":    cmdControl,
 			"signals":    cmdSignals,
 			"list":       cmdList,
+			"lost":       cmdLost,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
 			"seeded":     cmdSeeded,
@@ -144,12 +147,31 @@
 	return p
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// The ports of freeAddress lie below those that the system gives to outgoing
+// connections.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+// nextPort counts the ports that were handed out; test processes that run at
+// once begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 101) }
+
+// freeAddress returns a loopback address that nothing listens on. No address
+// is tried twice, so that scripts that run at once do not open each other's.
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portCount {
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+nextPort.Add(1)%portCount, 10))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 // awaitListening waits until an address accepts connections.
