--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -171,3 +171,32 @@
 		return err == nil && strings.Contains(text, args[1]) != neg
 	})
 }
+
+// joined: waits until every running entry host knows every other.
+func cmdJoined(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	for name, p := range w.processes {
+		if p.inner == "" {
+			continue
+		}
+		awaitTrue(ts, eventuallyTimeout, name+" knows the others", func() bool {
+			_, text, err := request(http.MethodGet, "http://"+p.inner+"/status", "", "", "")
+			return err == nil && w.namesAll(text)
+		})
+	}
+}
+
+// namesAll says whether a status lists every running entry host as a member.
+func (w *world) namesAll(status string) bool {
+	for name, p := range w.processes {
+		select {
+		case <-p.exited:
+			continue
+		default:
+		}
+		if p.inner != "" && !strings.Contains(status, `"id":"`+name+`"`) {
+			return false
+		}
+	}
+	return true
+}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -68,6 +68,7 @@
 			"count":      cmdCount,
 			"soak":       cmdSoak,
 			"burst":      cmdBurst,
+			"joined":     cmdJoined,
 		},
 	})
 }
