Add the resilient key-value client

Cause: a lost answer to a write was passed on as unknown, reads were never repeated, and an outage was felt by each call alone. Ruled out: a blind retry (reads as a conflict), a read-back alone (a late write lands after it), a tombstone (one write more). Change: kv.Swap and kv.Resolve read back and close the expected version; kv.Client adds a budget with priorities, backoff, a breaker and counters. kvmem can delay a write past its lost answer, and be slow.

--- a/kv/kvmem/faults.go
+++ b/kv/kvmem/faults.go
@@ -35,6 +35,14 @@
 	LoseAnswers float64 `json:"lose_answers"`
 	// LoseNext loses the answers of the next n writes.
 	LoseNext int `json:"lose_next"`
+	// DelayWrites is the share of writes, 0 to 1, and DelayNext the number of
+	// next writes, whose answer is lost at once and that arrive DelayBy later.
+	DelayWrites float64       `json:"delay_writes"`
+	DelayNext   int           `json:"delay_next"`
+	DelayBy     time.Duration `json:"delay_by_ns"`
+	// SlowCalls is the share of calls, 0 to 1, that take SlowBy longer.
+	SlowCalls float64       `json:"slow_calls"`
+	SlowBy    time.Duration `json:"slow_by_ns"`
 	// StaleReads is the share of gets, 0 to 1, answered with the value before the last.
 	StaleReads float64 `json:"stale_reads"`
 	// WritesPerSecond and ReadsPerSecond limit the calls; zero means unlimited.
@@ -103,6 +111,9 @@
 	st.mu.Lock()
 	st.calls[op]++
 	outage, latency := st.set.Outage, st.set.Latency
+	if st.set.SlowCalls > 0 && st.random.Float64() < st.set.SlowCalls {
+		latency += st.set.SlowBy
+	}
 	limiter := st.writes
 	if op == opGet || op == opList || op == opWatch {
 		limiter = st.reads
@@ -140,6 +151,18 @@
 	return &kv.Error{Op: op, Key: key, Reason: kv.ReasonUnknown}
 }
 
+// takeDelay says whether a write arrives late, and by how much.
+func (st *faultState) takeDelay() (time.Duration, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	late := st.set.DelayWrites > 0 && st.random.Float64() < st.set.DelayWrites
+	if st.set.DelayNext > 0 {
+		st.set.DelayNext--
+		late = true
+	}
+	return st.set.DelayBy, late
+}
+
 func (st *faultState) takeStaleRead() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/kv/kvmem/store.go
+++ b/kv/kvmem/store.go
@@ -89,6 +89,20 @@
 	if err := s.begin(ctx, opSwap, w.Key); err != nil {
 		return 0, err
 	}
+	w.Value = append([]byte{}, w.Value...)
+	if delay, late := s.faults.takeDelay(); late {
+		time.AfterFunc(delay, func() { _, _ = s.swap(w) })
+		return 0, &kv.Error{Op: opSwap, Key: w.Key, Reason: kv.ReasonUnknown}
+	}
+	version, err := s.swap(w)
+	if err != nil {
+		return 0, err
+	}
+	return version, s.faults.answer(opSwap, w.Key)
+}
+
+// swap carries out a compare-and-swap.
+func (s *Store) swap(w kv.Write) (kv.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current := s.entries[w.Key].Version; current != w.Expect {
@@ -102,9 +116,8 @@
 		lease.keys[w.Key] = struct{}{}
 	}
 	s.revision++
-	value := append([]byte{}, w.Value...)
-	s.put(kv.Entry{Key: w.Key, Value: value, Version: s.revision, Lease: w.Lease})
-	return s.revision, s.faults.answer(opSwap, w.Key)
+	s.put(kv.Entry{Key: w.Key, Value: w.Value, Version: s.revision, Lease: w.Lease})
+	return s.revision, nil
 }
 
 // Delete implements kv.Store.
@@ -193,3 +206,10 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// History returns the changes that are kept, in order.
+func (s *Store) History() []kv.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]kv.Event{}, s.history...)
+}
--- a/provide.go
+++ b/provide.go
@@ -28,7 +28,7 @@
 // provide declares how each part of an entry host is made.
 func provide(s settings.Settings, logger hclog.Logger) *do.RootScope {
 	i := do.New()
-	do.ProvideValue[kv.Store](i, kvhttp.NewClient(s.Platform.KeyValue))
+	do.ProvideValue[kv.Store](i, kv.NewClient(kvhttp.NewClient(s.Platform.KeyValue), kv.Options{}))
 	do.ProvideValue(i, inner.NewServer())
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
