Record orders by partition owners in group commits

Cause: a write per claim and per outcome needs 2 writes an order, and a claim was lost for good when its outcome could not be recorded in time. Change: three ledgers with one interface (Direct, Partitioned, Shared), one evaluation of claims and outcomes; Recorder finishes past the deadline, releases uncertain claims and keeps large answers apart; keys carry their time. Partitioned is wired in.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,7 +19,7 @@
 func main() {
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
-	experiments := []experiment{}
+	experiments := []experiment{ordersExperiment()}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
 	}
--- a/events/list.go
+++ b/events/list.go
@@ -32,10 +32,3 @@
 	MemberLeft     = define(1302, "member left", hclog.Info, "An entry host left or was found dead.")
 	RegisterFailed = define(1303, "registration failed", hclog.Warn, "This entry host could not be registered with the platform.")
 )
-
-// Events of orders: 1400 to 1499.
-var (
-	OrderClaimed      = define(1400, "order claimed", hclog.Debug, "An order's claim is recorded.")
-	OrderOutcomeLost  = define(1401, "order outcome unknown", hclog.Warn, "An order may have run; its outcome is not known.")
-	OrderRecordFailed = define(1402, "order record failed", hclog.Warn, "An order's claim or outcome could not be recorded.")
-)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"io"
 	"net/http"
 	"time"
@@ -12,13 +11,9 @@
 
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/config"
-	"github.com/cardamompier/cardamompier/events"
-	"github.com/cardamompier/cardamompier/order"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
-const maxKeyLength = 200 // bytes
-
 // servePlain answers a call to a plain service. It stands outside of huma,
 // which describes fixed bodies: method, path and body are the service's own.
 func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) {
@@ -56,7 +51,7 @@
 	if c.service.Idempotent {
 		return g.Dispatcher.Call(ctx, c.service, work)
 	}
-	return g.runOrder(ctx, c, work, r.Header.Get(headerIdempotent))
+	return g.runOrder(ctx, c, work, r.Header)
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apierr.Error) {
@@ -71,73 +66,6 @@
 	return body, nil
 }
 
-// runOrder runs non-idempotent work at most once for its key.
-func (g *Gateway) runOrder(ctx context.Context, c call, work upstream.Call, key string) (upstream.Reply, *apierr.Error) {
-	if key == "" || len(key) > maxKeyLength {
-		return upstream.Reply{}, apierr.New(apierr.CodeKeyRequired, "an Idempotency-Key of 1 to 200 bytes is needed")
-	}
-	id := order.ID{Account: c.account.Name, Key: key}
-	claim, record, err := g.Ledger.Claim(ctx, id, digestOf(c.service.Name, work))
-	if err != nil {
-		return upstream.Reply{}, refusalOfLedger(err)
-	}
-	if claim == nil {
-		return replyOfRecord(record)
-	}
-	events.OrderClaimed.Log(g.Logger, "request", work.RequestID, "key", key)
-	work.OrderKey = c.account.Name + "/" + key
-	reply, failed := g.Dispatcher.Call(ctx, c.service, work)
-	g.finishOrder(ctx, claim, work, reply, failed)
-	return reply, failed
-}
-
-// finishOrder records what became of a claimed order.
-func (g *Gateway) finishOrder(ctx context.Context, claim *order.Claim, work upstream.Call, reply upstream.Reply, failed *apierr.Error) {
-	state, outcome := order.StateDone, &order.Outcome{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
-	if failed != nil {
-		state, outcome = order.StateUnknown, nil
-		if failed.Ran == apierr.NotRun {
-			state = order.StateNotRun
-		}
-	}
-	if err := g.Ledger.Finish(ctx, claim, state, outcome); err != nil {
-		events.OrderRecordFailed.Log(g.Logger, "request", work.RequestID, "error", err)
-	}
-}
-
-func replyOfRecord(record order.Record) (upstream.Reply, *apierr.Error) {
-	switch record.State {
-	case order.StateDone:
-		o := record.Outcome
-		return upstream.Reply{Status: o.Status, ContentType: o.ContentType, Body: o.Body}, nil
-	case order.StateNotRun:
-		return upstream.Reply{}, apierr.New(apierr.CodeUpstreamFailed, "the order was not run; send it under a new key")
-	case order.StateClaimed:
-		inProgress := apierr.New(apierr.CodeOrderInProgress, "the order is in progress or its host was lost")
-		return upstream.Reply{}, inProgress.WithRan(apierr.RanUnknown).WithRetryAfter(time.Second)
-	default:
-		return upstream.Reply{}, apierr.New(apierr.CodeOrderUnknown, "the order may have run").WithRan(apierr.RanUnknown)
-	}
-}
-
-func refusalOfLedger(err error) *apierr.Error {
-	var failed *order.Error
-	if errors.As(err, &failed) && failed.Reason == order.ReasonConflict {
-		return apierr.New(apierr.CodeKeyConflict, "the key was used with a different request").WithCause(err)
-	}
-	return apierr.New(apierr.CodePlatformUnavailable, "the order could not be recorded, and was not run").
-		WithRetryAfter(time.Second).WithCause(err)
-}
-
-func digestOf(service string, work upstream.Call) order.Digest {
-	h := sha256.New()
-	for _, part := range []string{service, work.Method, work.Path, work.Query, work.ContentType} {
-		_, _ = io.WriteString(h, part+"\x00")
-	}
-	_, _ = h.Write(work.Body)
-	return order.Digest(h.Sum(nil))
-}
-
 func writeReply(w http.ResponseWriter, reply upstream.Reply) {
 	if reply.ContentType != "" {
 		w.Header().Set("Content-Type", reply.ContentType)
--- a/order/direct.go
+++ b/order/direct.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"net/url"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cardamompier/cardamompier/kv"
 )
 
-// keyPrefix is where the records of direct claims are stored.
-const keyPrefix = "order/"
+// directPrefix is where the records of direct claims are stored.
+const directPrefix = "order/d/"
 
-// Direct is a Ledger with one write for each claim and one for each outcome.
+// directAttempts bounds the reads and writes of one operation.
+const directAttempts = 4
+
+// Direct is a Ledger with one value for each order: a write for its claim and
+// one for its outcome. It drops no records.
 type Direct struct {
 	store  kv.Store
 	writer string
@@ -28,74 +32,113 @@
 }
 
 // Claim implements Ledger.
-func (d *Direct) Claim(ctx context.Context, id ID, digest Digest) (*Claim, Record, error) {
-	record := Record{State: StateClaimed, Digest: digest, Writer: d.writer, Nonce: uuid.NewString(), At: time.Now().UTC()}
-	version, err := d.write(ctx, id, record, 0)
-	if err == nil {
-		return &Claim{ID: id, Digest: digest, token: version}, record, nil
-	}
-	switch kv.ReasonOf(err) {
-	case kv.ReasonConflict, kv.ReasonUnknown:
-		return d.resolveClaim(ctx, id, record)
-	default:
-		return nil, Record{}, &Error{ID: id, Reason: ReasonUnavailable, Cause: err}
-	}
-}
-
-// resolveClaim reads the record back: the claim was won if it is ours.
-func (d *Direct) resolveClaim(ctx context.Context, id ID, ours Record) (*Claim, Record, error) {
-	stored, version, err := d.read(ctx, id)
-	if err != nil {
-		return nil, Record{}, err
-	}
-	if stored.Nonce == ours.Nonce {
-		return &Claim{ID: id, Digest: ours.Digest, token: version}, stored, nil
-	}
-	if stored.Digest != ours.Digest {
-		return nil, stored, &Error{ID: id, Reason: ReasonConflict}
-	}
-	return nil, stored, nil
+func (d *Direct) Claim(ctx context.Context, request Request) (*Claim, Record, error) {
+	claim := newClaim(request)
+	answer, err := d.apply(ctx, claimOperation(claim, time.Now, d.writer), Record{}, 0)
+	return resultOfClaim(claim, answer, err)
 }
 
 // Finish implements Ledger.
 func (d *Direct) Finish(ctx context.Context, claim *Claim, state State, outcome *Outcome) error {
-	record := Record{State: state, Digest: claim.Digest, Outcome: outcome, Writer: d.writer, Nonce: uuid.NewString(), At: time.Now().UTC()}
-	version, _ := claim.token.(kv.Version)
-	if _, err := d.write(ctx, claim.ID, record, version); err != nil {
-		return &Error{ID: claim.ID, Reason: ReasonUnavailable, Cause: err}
+	op := finishOperation(claim, time.Now, d.writer, state, outcome)
+	record, version, err := d.read(ctx, claim.ID)
+	if err != nil && err.Reason != ReasonNotFound {
+		return err
 	}
-	return nil
+	answer, err := d.apply(ctx, op, record, version)
+	return resultOfFinish(claim.ID, answer, err)
 }
 
 // Get implements Ledger.
 func (d *Direct) Get(ctx context.Context, id ID) (Record, error) {
 	record, _, err := d.read(ctx, id)
-	return record, err
+	if err != nil {
+		return Record{}, err
+	}
+	return record, nil
+}
+
+// apply evaluates an operation against the record at a version, and writes
+// what it asks for. It starts anew when the record has changed meanwhile.
+func (d *Direct) apply(ctx context.Context, op operation, existing Record, version kv.Version) (verdict, *Error) {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	for conflicts := 0; conflicts < directAttempts; {
+		answer := evaluate(existing, version != 0, op)
+		if !answer.write {
+			return answer, nil
+		}
+		result := d.write(ctx, op.ID, answer.Record, version)
+		if result.Outcome == kv.OutcomeWon {
+			return answer, nil
+		}
+		reason := kv.ReasonOf(result.Cause)
+		if reason == kv.ReasonRateLimited && pause(ctx, limitedPause/2+rand.N(limitedPause)) {
+			continue
+		}
+		if reason != kv.ReasonConflict {
+			return verdict{}, &Error{ID: op.ID, Reason: reasonOfDirect(result, version), Cause: result.Cause}
+		}
+		conflicts++
+		var err *Error
+		if existing, version, err = d.read(ctx, op.ID); err != nil {
+			return verdict{}, err
+		}
+	}
+	return verdict{}, &Error{ID: op.ID, Reason: ReasonUnreadable}
 }
 
-func (d *Direct) read(ctx context.Context, id ID) (Record, kv.Version, error) {
-	entry, err := d.store.Get(ctx, storeKey(id))
+func (d *Direct) read(ctx context.Context, id ID) (Record, kv.Version, *Error) {
+	entry, err := d.store.Get(ctx, directKey(id))
 	if kv.ReasonOf(err) == kv.ReasonNotFound {
 		return Record{}, 0, &Error{ID: id, Reason: ReasonNotFound}
 	}
 	if err != nil {
-		return Record{}, 0, &Error{ID: id, Reason: ReasonUnavailable, Cause: err}
+		return Record{}, 0, &Error{ID: id, Reason: ReasonUnreadable, Cause: err}
 	}
 	var record Record
-	if err := json.Unmarshal(entry.Value, &record); err != nil {
+	if err := cbor.Unmarshal(entry.Value, &record); err != nil {
 		return Record{}, 0, &Error{ID: id, Reason: ReasonCorrupt, Cause: err}
 	}
 	return record, entry.Version, nil
 }
 
-func (d *Direct) write(ctx context.Context, id ID, record Record, expect kv.Version) (kv.Version, error) {
-	value, err := json.Marshal(record)
+func (d *Direct) write(ctx context.Context, id ID, record Record, expect kv.Version) kv.Result {
+	value, err := cbor.Marshal(record)
 	if err != nil {
-		return 0, &kv.Error{Op: "encode", Key: id.Key, Reason: kv.ReasonInvalid, Cause: err}
+		return kv.Result{Outcome: kv.OutcomeLost, Cause: &kv.Error{Op: "encode", Key: id.Key, Reason: kv.ReasonInvalid, Cause: err}}
 	}
-	return d.store.CompareAndSwap(ctx, kv.Write{Key: storeKey(id), Value: value, Expect: expect})
+	w := kv.Write{Key: directKey(id), Value: value, Expect: expect}
+	return kv.Swap(kv.WithPurpose(ctx, kv.PurposeOrder), d.store, w, func(entry kv.Entry) kv.Match {
+		var stored Record
+		if cbor.Unmarshal(entry.Value, &stored) == nil && stored.Nonce == record.Nonce {
+			return kv.MatchOurs
+		}
+		return kv.MatchForeign // nobody but its claimant replaces a claim
+	})
+}
+
+func directKey(id ID) string {
+	return directPrefix + url.PathEscape(id.Account) + "/" + url.PathEscape(id.Key)
 }
 
-func storeKey(id ID) string {
-	return keyPrefix + url.PathEscape(id.Account) + "/" + url.PathEscape(id.Key)
+// reasonOfDirect is reasonOfStore for a write without a read before it.
+func reasonOfDirect(result kv.Result, version kv.Version) Reason {
+	reason := reasonOfStore(result)
+	if reason == ReasonUnavailable && version == 0 {
+		return ReasonUnreadable
+	}
+	return reason
+}
+
+// reasonOfStore returns the reason for a write that was not won.
+func reasonOfStore(result kv.Result) Reason {
+	switch {
+	case result.Outcome == kv.OutcomeUnknown:
+		return ReasonUnknown
+	case kv.ReasonOf(result.Cause) == kv.ReasonTooLarge:
+		return ReasonTooLarge
+	default:
+		return ReasonUnavailable
+	}
 }
--- a/provide.go
+++ b/provide.go
@@ -45,7 +45,10 @@
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
 	})
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
-		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
+		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
+		ledger := order.NewPartitioned(store, s.HostID, members, do.MustInvoke[*inner.Client](i), order.Options{})
+		ledger.Register(do.MustInvoke[*inner.Server](i))
+		return order.NewRecorder(ledger, store, logger.Named("order")), nil
 	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// keysCreated is the time of every idempotency key of a run.
+var keysCreated = time.Now().UTC().Format(time.RFC3339)
+
 func request(method, url, key, idempotencyKey, body string) (int, string, error) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -152,6 +155,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
+		req.Header.Set("Idempotency-Key-Created", keysCreated)
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
