--- a/order/committer.go
+++ b/order/committer.go
@@ -59,8 +59,8 @@
 	owner string
 	// pace bounds the commits.
 	pace *rate.Limiter
-	// shared says that other hosts commit to the same log without owning it.
-	shared bool
+	// tenure is nil when other hosts commit to the same log without owning it.
+	tenure *tenure
 
 	mu      sync.Mutex
 	pending []*pendingOperation
@@ -70,10 +70,18 @@
 	log     *log
 	known   bool // the log is as the service last had it, for all we know
 	deposed time.Time
+	// generation of the tenure under which the log was loaded, and that of
+	// the last commit that was won.
+	generation, confirmed uint64
 }
 
-func newCommitter(owner string, o Options, log *log, shared bool) *committer {
-	return &committer{owner: owner, pace: rate.NewLimiter(rate.Every(o.Interval), paceBurst), shared: shared, log: log}
+func newCommitter(owner string, o Options, log *log, t *tenure) *committer {
+	return &committer{owner: owner, pace: rate.NewLimiter(rate.Every(o.Interval), paceBurst), tenure: t, log: log}
+}
+
+// trusted says that no other host can have committed since our last commit.
+func (c *committer) trusted() bool {
+	return c.tenure != nil && c.confirmed == c.generation && c.tenure.holds(c.generation)
 }
 
 // submit waits until the operation is committed or was refused.
@@ -141,7 +149,15 @@
 // run commits a batch, again after a conflict unless the partition was lost.
 func (c *committer) run(ctx context.Context, batch []*pendingOperation) {
 	for range commitRounds {
-		if failed := c.acquire(ctx); failed != nil {
+		failed := c.acquire(ctx)
+		if isLimited(failed) && pause(ctx, limitedPause/2+rand.N(limitedPause)) {
+			Commits.Inc(commitLimited)
+			continue
+		}
+		if failed != nil {
+			if failed.Reason != ReasonNotOwner {
+				c.evaluate(batch) // what is recorded holds in an outage, too
+			}
 			fail(batch, *failed)
 			return
 		}
@@ -157,26 +173,48 @@
 	fail(batch, Error{Reason: ReasonUnreadable})
 }
 
-// acquire loads the log unless it is known, and takes the partition over from
-// another owner with the next commit.
+// isLimited says that only the service's rate limit was in the way.
+func isLimited(failed *Error) bool {
+	return failed != nil && failed.Cause != nil && kv.ReasonOf(failed.Cause) == kv.ReasonRateLimited
+}
+
+// acquire loads the log unless it is known. A partition of another owner is
+// taken over by the next commit, once that owner's tenure has ended.
 func (c *committer) acquire(ctx context.Context) *Error {
+	if c.tenure != nil {
+		generation, err := c.tenure.hold(ctx)
+		if err != nil {
+			return &Error{Reason: ReasonUnreadable, Cause: err}
+		}
+		c.known = c.known && c.generation == generation
+		c.generation = generation
+	}
 	if c.known {
 		return nil
 	}
-	if !c.shared && time.Since(c.deposed) < deposedPause {
+	if time.Since(c.deposed) < deposedPause {
 		return &Error{Reason: ReasonNotOwner}
 	}
 	if err := c.log.load(ctx); err != nil {
 		return &Error{Reason: ReasonUnreadable, Cause: err}
 	}
+	if !c.free(ctx) {
+		return &Error{Reason: ReasonNotOwner}
+	}
 	c.known = true
 	return nil
 }
 
+// free says that no other host owns the partition.
+func (c *committer) free(ctx context.Context) bool {
+	owner := c.log.head.Owner
+	return c.tenure == nil || owner == "" || owner == c.owner || c.tenure.ended(ctx, owner)
+}
+
 // epoch returns the epoch of the next commit: a higher one when another host
 // owned the partition.
 func (c *committer) epoch() uint64 {
-	if c.shared || c.log.head.Owner == c.owner {
+	if c.tenure == nil || c.log.head.Owner == c.owner {
 		return c.log.head.Epoch
 	}
 	return c.log.head.Epoch + 1
@@ -214,9 +252,10 @@
 		Commits.Inc(commitWon)
 		// Another host may have committed after ours was read back.
 		c.known = result.Current.Version == 0
+		c.confirmed = c.generation
 		c.log.forget(ctx)
 		return true
-	case kv.ReasonOf(result.Cause) == kv.ReasonConflict && (c.shared || c.log.head.Owner != c.owner):
+	case kv.ReasonOf(result.Cause) == kv.ReasonConflict && (c.tenure == nil || c.log.head.Owner != c.owner):
 		Commits.Inc(commitConflict)
 		c.known = false
 		return false
@@ -233,7 +272,11 @@
 		fail(batch, Error{Reason: ReasonUnknown, Cause: result.Cause})
 	default: // surely without effect: the log is as it was
 		Commits.Inc(commitFailed)
-		fail(batch, Error{Reason: reasonOfStore(result), Cause: result.Cause})
+		reason := reasonOfStore(result)
+		if reason == ReasonUnavailable && !c.trusted() {
+			reason = ReasonUnreadable
+		}
+		fail(batch, Error{Reason: reason, Cause: result.Cause})
 	}
 	return true
 }
--- a/order/partitioned.go
+++ b/order/partitioned.go
@@ -90,8 +90,9 @@
 func NewPartitioned(store kv.Store, self string, members Members, peers Peers, options Options) *Partitioned {
 	o := options.withDefaults()
 	l := &Partitioned{store: store, self: self, peers: peers, members: members, options: o}
+	held := newTenure(store, self)
 	for n := range o.Partitions {
-		l.committers = append(l.committers, newCommitter(self, o, newLog(store, partitionPrefix(n), o.Clock), false))
+		l.committers = append(l.committers, newCommitter(self, o, newLog(store, partitionPrefix(n), o.Clock), held))
 	}
 	return l
 }
--- a/order/shared.go
+++ b/order/shared.go
@@ -24,7 +24,7 @@
 	o := options.withDefaults()
 	l := &Shared{store: store, self: self, options: o}
 	for n := range o.Partitions {
-		l.committers = append(l.committers, newCommitter(self, o, newLog(store, bucketPrefix(n), o.Clock), true))
+		l.committers = append(l.committers, newCommitter(self, o, newLog(store, bucketPrefix(n), o.Clock), nil))
 	}
 	return l
 }
