--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,7 +33,11 @@
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineCommand.String(&id, "", "id", "the engine's name")
 	engineCommand.Duration(&tokenTime, "", "token-time", "time of one token")
+	deskOptions := desk.Options{}
 	deskCommand := flaggy.NewSubcommand("desk")
+	deskCommand.Int(&deskOptions.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
+	deskCommand.Duration(&deskOptions.Delay, "", "delay", "time that an order takes after it was counted")
+	deskCommand.Bool(&deskOptions.Refuse, "", "refuse", "take no orders")
 	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
@@ -44,7 +48,7 @@
 	case engineCommand.Used:
 		serve(listen, enginesim.New(enginesim.Options{ID: id, TokenTime: tokenTime, Salt: enginesim.SaltOf(id)}).Handler())
 	case deskCommand.Used:
-		serve(listen, (&desk.Desk{}).Handler())
+		serve(listen, (&desk.Desk{Options: deskOptions}).Handler())
 	default:
 		flaggy.ShowHelp("a command is needed")
 		os.Exit(exitUsage)
