--- a/order/committer.go
+++ b/order/committer.go
@@ -24,6 +24,7 @@
 	commitUnknown  = "unknown"
 	commitFailed   = "failed"
 	commitLimited  = "rate_limited"
+	commitReleased = "released"
 )
 
 const (
@@ -46,6 +47,7 @@
 type pendingOperation struct {
 	ctx     context.Context
 	op      operation
+	release bool // the partition is to be given up
 	done    chan struct{}
 	verdict verdict
 	failed  *Error
@@ -59,6 +61,8 @@
 	owner string
 	// pace bounds the commits.
 	pace *rate.Limiter
+	// askRelease asks the present owner to give the partition up.
+	askRelease func(ctx context.Context, owner string)
 	// tenure is nil when other hosts commit to the same log without owning it.
 	tenure *tenure
 
@@ -86,7 +90,10 @@
 
 // submit waits until the operation is committed or was refused.
 func (c *committer) submit(ctx context.Context, op operation) (verdict, *Error) {
-	p := &pendingOperation{ctx: ctx, op: op, done: make(chan struct{})}
+	return c.enqueue(&pendingOperation{ctx: ctx, op: op, done: make(chan struct{})})
+}
+
+func (c *committer) enqueue(p *pendingOperation) (verdict, *Error) {
 	c.mu.Lock()
 	c.pending = append(c.pending, p)
 	start := !c.active
@@ -98,8 +105,8 @@
 	select {
 	case <-p.done:
 		return p.verdict, p.failed
-	case <-ctx.Done():
-		return verdict{}, &Error{ID: op.ID, Reason: ReasonUnknown, Cause: ctx.Err()}
+	case <-p.ctx.Done():
+		return verdict{}, &Error{ID: p.op.ID, Reason: ReasonUnknown, Cause: p.ctx.Err()}
 	}
 }
 
@@ -109,7 +116,11 @@
 		time.Sleep(c.pace.Reserve().Delay())
 		batch := c.take()
 		ctx, cancel := context.WithTimeout(kv.WithPurpose(context.Background(), kv.PurposeOrder), commitTimeout)
-		c.run(ctx, batch)
+		if batch[0].release {
+			batch[0].failed = c.release(ctx)
+		} else {
+			c.run(ctx, batch)
+		}
 		cancel()
 		for _, p := range batch {
 			close(p.done)
@@ -131,6 +142,10 @@
 	defer c.mu.Unlock()
 	size, n := 0, 0
 	for ; n < len(c.pending) && size < maxBatchSize; n++ {
+		if c.pending[n].release {
+			n = max(n, 1) // on its own
+			break
+		}
 		size += sizeOf(c.pending[n].op)
 	}
 	batch := c.pending[:n:n]
@@ -208,7 +223,31 @@
 // free says that no other host owns the partition.
 func (c *committer) free(ctx context.Context) bool {
 	owner := c.log.head.Owner
-	return c.tenure == nil || owner == "" || owner == c.owner || c.tenure.ended(ctx, owner)
+	if c.tenure == nil || owner == "" || owner == c.owner {
+		return true
+	}
+	if c.tenure.ended(ctx, owner) {
+		return true
+	}
+	c.askRelease(ctx, owner)
+	return false
+}
+
+// release gives the partition up, so that another host need not wait for the
+// end of this one's tenure.
+func (c *committer) release(ctx context.Context) *Error {
+	if err := c.log.load(ctx); err != nil {
+		return &Error{Reason: ReasonUnreadable, Cause: err}
+	}
+	c.known, c.confirmed = false, 0
+	if c.log.head.Owner != c.owner {
+		return nil
+	}
+	if result := c.log.commit(ctx, "", c.log.head.Epoch, nil); result.Outcome != kv.OutcomeWon {
+		return &Error{Reason: reasonOfStore(result), Cause: result.Cause}
+	}
+	Commits.Inc(commitReleased)
+	return nil
 }
 
 // epoch returns the epoch of the next commit: a higher one when another host
--- a/order/partitioned.go
+++ b/order/partitioned.go
@@ -81,6 +81,7 @@
 	peers      Peers
 	members    Members
 	options    Options
+	tenure     *tenure
 	committers []*committer
 }
 
@@ -90,9 +91,11 @@
 func NewPartitioned(store kv.Store, self string, members Members, peers Peers, options Options) *Partitioned {
 	o := options.withDefaults()
 	l := &Partitioned{store: store, self: self, peers: peers, members: members, options: o}
-	held := newTenure(store, self)
+	l.tenure = newTenure(store, self)
 	for n := range o.Partitions {
-		l.committers = append(l.committers, newCommitter(self, o, newLog(store, partitionPrefix(n), o.Clock), held))
+		c := newCommitter(self, o, newLog(store, partitionPrefix(n), o.Clock), l.tenure)
+		c.askRelease = func(ctx context.Context, owner string) { l.askRelease(ctx, owner, n) }
+		l.committers = append(l.committers, c)
 	}
 	return l
 }
@@ -126,10 +129,14 @@
 	return owner.ID
 }
 
+// Partition returns the number of an order's partition.
+func (l *Partitioned) Partition(id ID) int { return partitionOf(id, l.options.Partitions) }
+
 // Register answers the operations that other entry hosts send.
 func (l *Partitioned) Register(server *inner.Server) {
 	inner.Register(server, inner.KindOrderClaim, l.serve)
 	inner.Register(server, inner.KindOrderFinish, l.serve)
+	inner.Register(server, inner.KindOrderRelease, l.serveRelease)
 }
 
 func (l *Partitioned) serve(ctx context.Context, op operation) (verdict, error) {
--- a/order/tenure.go
+++ b/order/tenure.go
@@ -17,6 +17,8 @@
 	// tenureIdle is how long a host without operations renews its tenure.
 	tenureIdle   = 10 * time.Minute
 	tenurePrefix = "order/owner/"
+	// grantAttempts bounds the grants of one beginning.
+	grantAttempts = 4
 )
 
 // tenure is the lease under which a host owns partitions. While it lasts no
@@ -67,7 +69,7 @@
 // begin starts a generation.
 func (t *tenure) begin(ctx context.Context) (uint64, error) {
 	sent := time.Now()
-	lease, err := t.store.Grant(ctx, tenureTTL)
+	lease, err := t.grant(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -92,6 +94,18 @@
 	return t.generation, nil
 }
 
+// grant asks for a lease, again after a lost answer: a lease that nobody
+// knows of ends by itself.
+func (t *tenure) grant(ctx context.Context) (lease kv.LeaseID, err error) {
+	for range grantAttempts {
+		lease, err = t.store.Grant(ctx, tenureTTL)
+		if kv.ReasonOf(err) != kv.ReasonUnknown {
+			break
+		}
+	}
+	return lease, err
+}
+
 func matchLease(entry kv.Entry, lease kv.LeaseID) kv.Match {
 	if entry.Lease == lease {
 		return kv.MatchOurs
@@ -146,6 +160,17 @@
 	}
 }
 
+// end gives up the lease.
+func (t *tenure) end(ctx context.Context) {
+	t.mu.Lock()
+	lease := t.lease
+	t.lease = 0
+	t.mu.Unlock()
+	if lease != 0 {
+		_ = t.store.Revoke(ctx, lease)
+	}
+}
+
 // ended verifies that another host's tenure has ended. The write at the
 // version that was read makes sure that the read was not an old one.
 func (t *tenure) ended(ctx context.Context, host string) bool {
--- a/order/world_test.go
+++ b/order/world_test.go
@@ -165,6 +165,11 @@
 		return fail(inner.ReasonConnect)
 	}
 	h := w.hosts[address]
+	if release, ok := req.(releaseRequest); ok {
+		h.gate.wait()
+		_, err := h.owner.serveRelease(ctx, release)
+		return err
+	}
 	type result struct {
 		answer verdict
 		err    error
--- a/provide.go
+++ b/provide.go
@@ -9,6 +9,7 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
 	"github.com/cardamompier/cardamompier/inner"
@@ -41,14 +42,24 @@
 	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
 		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
 	})
+	do.ProvideValue(i, gossip.NewTable(s.HostID))
+	do.Provide(i, func(i do.Injector) (*gossip.Spreader, error) {
+		neighbours := do.MustInvoke[*membership.Registry](i).Neighbours
+		spreader := gossip.NewSpreader(do.MustInvoke[*gossip.Table](i), s.InnerListen, do.MustInvoke[*inner.Client](i), neighbours)
+		spreader.Register(do.MustInvoke[*inner.Server](i))
+		return spreader, nil
+	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
 	})
-	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
+	do.Provide(i, func(i do.Injector) (*order.Partitioned, error) {
 		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
 		ledger := order.NewPartitioned(store, s.HostID, members, do.MustInvoke[*inner.Client](i), order.Options{})
 		ledger.Register(do.MustInvoke[*inner.Server](i))
-		return order.NewRecorder(ledger, store, logger.Named("order")), nil
+		return ledger, nil
+	})
+	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
+		return order.NewRecorder(do.MustInvoke[*order.Partitioned](i), do.MustInvoke[kv.Store](i), logger.Named("order")), nil
 	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
@@ -57,6 +68,9 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
 			Journals:   journal.NewStore(journalRetention),
+			Holder:     journal.NewHolder(journalRetention),
+			Peers:      do.MustInvoke[*inner.Client](i),
+			InnerAPI:   do.MustInvoke[*inner.Server](i),
 			Logger:     logger.Named("gateway"),
 		}), nil
 	})
--- a/scenario/orders_test.go
+++ b/scenario/orders_test.go
@@ -1,9 +1,12 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -14,17 +17,6 @@
 	"github.com/cardamompier/cardamompier/order"
 )
 
-// orderCommands are the commands of the scenarios of orders.
-func orderCommands() map[string]func(*testscript.TestScript, bool, []string) {
-	return map[string]func(*testscript.TestScript, bool, []string){
-		"ownedkey":        cmdOwnedKey,
-		"startorder":      cmdStartOrder,
-		"awaitorder":      cmdAwaitOrder,
-		"eventuallyorder": cmdEventuallyOrder,
-		"raceorder":       cmdRaceOrder,
-	}
-}
-
 // maxKeyTries bounds the search for a key.
 const maxKeyTries = 10_000
 
@@ -52,11 +44,12 @@
 		if partition < 0 {
 			partition = ledger.Partition(id)
 		}
-		if ledger.Partition(id) == partition && fmt.Sprintf("key-%d", n) > ts.Getenv("LAST_"+args[2]) {
-			ts.Setenv(args[0], id.Key)
-			ts.Setenv("LAST_"+args[2], id.Key)
-			return
+		if ledger.Partition(id) != partition || worldOf(ts).keys[id.Key] {
+			continue
 		}
+		worldOf(ts).keys[id.Key] = true
+		ts.Setenv(args[0], id.Key)
+		return
 	}
 	ts.Fatalf("no key for %s was found", args[2])
 }
@@ -86,7 +79,7 @@
 }
 
 // awaitorder LABEL TEXT: waits for the answer of an order in the background,
-// which must hold TEXT.
+// which must match the regular expression TEXT.
 func cmdAwaitOrder(ts *testscript.TestScript, _ bool, args []string) {
 	placed := worldOf(ts).orders[args[0]]
 	select {
@@ -95,7 +88,7 @@
 		ts.Fatalf("order %s got no answer", args[0])
 	}
 	ts.Check(placed.err)
-	if !strings.Contains(placed.text, args[1]) {
+	if !regexp.MustCompile(args[1]).MatchString(placed.text) {
 		ts.Fatalf("order %s got %d %s", args[0], placed.status, placed.text)
 	}
 }
@@ -139,3 +132,23 @@
 		_, _ = io.WriteString(ts.Stdout(), strings.TrimSpace(text)+"\n")
 	}
 }
+
+// calls VAR OP: sets VAR to the number of the service's calls of a kind.
+func cmdCalls(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strconv.FormatUint(callsOf(ts, args[1]), 10))
+}
+
+// morecalls VAR OP: waits until the service has had more calls of a kind.
+func cmdMoreCalls(ts *testscript.TestScript, _ bool, args []string) {
+	before, err := strconv.ParseUint(ts.Getenv(args[0]), 10, 64)
+	ts.Check(err)
+	awaitTrue(ts, eventuallyTimeout, "another call "+args[1], func() bool { return callsOf(ts, args[1]) > before })
+}
+
+func callsOf(ts *testscript.TestScript, op string) uint64 {
+	_, text, err := request(http.MethodGet, worldOf(ts).platform+"/standin/calls", "", "", "")
+	ts.Check(err)
+	var calls map[string]uint64
+	ts.Check(json.Unmarshal([]byte(text), &calls))
+	return calls[op]
+}
--- a/status.go
+++ b/status.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 )
@@ -17,15 +19,26 @@
 // PathStatus is where the inner listener serves Status.
 const PathStatus = "/status"
 
+// PathRequests is where the inner listener tells which running requests the
+// host owns or holds a copy of.
+const PathRequests = "/requests"
+
+// PathUpstreams is where the inner listener shows the host list in use.
+const PathUpstreams = "/upstreams"
+
 // Status is what an entry host says of itself to operators.
 type Status struct {
 	Host          string `json:"host"`
 	FailureDomain string `json:"failure_domain"`
 	// Revision of the configuration in force; zero when none is known.
-	Revision uint64              `json:"revision"`
-	Ready    bool                `json:"ready"`
-	Leaving  bool                `json:"leaving"`
-	Members  []membership.Member `json:"members"`
+	Revision uint64 `json:"revision"`
+	Ready    bool   `json:"ready"`
+	// NotReady says why the host is not ready; empty when it is.
+	NotReady string `json:"not_ready,omitempty"`
+	// Config says how the configuration is followed.
+	Config  config.State        `json:"config"`
+	Leaving bool                `json:"leaving"`
+	Members []membership.Member `json:"members"`
 	// HostListAgeMS is the age of the upstream list, in milliseconds.
 	HostListAgeMS int64 `json:"host_list_age_ms"`
 }
@@ -37,20 +50,45 @@
 		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members,
 		HostListAgeMS: time.Since(s.poller.Current().ReadAt).Milliseconds(),
 	}
-	if snapshot := s.follower.Current(); snapshot != nil {
-		out.Revision, out.Ready = snapshot.Revision, !out.Leaving
-	}
+	out.Config = s.follower.State()
+	out.Revision = out.Config.Revision
+	out.NotReady = notReady(out)
+	out.Ready = out.NotReady == ""
 	return out
 }
 
+// notReady returns why a host with this status should get no requests.
+func notReady(status Status) string {
+	switch {
+	case status.Leaving:
+		return "leaving"
+	case status.Revision == 0 && status.Config.CheckedMS < 0:
+		return "neither the platform nor a peer gave a configuration"
+	case status.Revision == 0:
+		return "no configuration was published"
+	default:
+		return ""
+	}
+}
+
 // innerServer serves operators and other entry hosts, never callers.
 func (s *Server) innerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+inner.Path, do.MustInvoke[*inner.Server](s.injector))
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.Status())
 	})
+	mux.HandleFunc("GET "+PathRequests, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.gateway.Keeper.Roles())
+	})
+	mux.HandleFunc("GET "+PathUpstreams, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.poller.Current().Hosts)
+	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
 }
