--- a/order/world_test.go
+++ b/order/world_test.go
@@ -152,6 +152,13 @@
 	return w.random.Float64() < p
 }
 
+// linkFails says that a message between hosts is lost.
+func (w *world) linkFails() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64() < w.lossy
+}
+
 func (w *world) draw(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -161,7 +168,7 @@
 // Call implements Peers between the hosts of the world.
 func (w *world) Call(ctx context.Context, address string, kind inner.Kind, req, resp any) error {
 	fail := func(reason inner.Reason) error { return &inner.Error{Peer: address, Kind: kind, Reason: reason} }
-	if w.chance(w.lossy) {
+	if w.linkFails() {
 		return fail(inner.ReasonConnect)
 	}
 	h := w.hosts[address]
@@ -187,7 +194,7 @@
 		if errors.As(r.err, &failure) {
 			return &inner.Error{Peer: address, Kind: kind, Reason: inner.ReasonHandler, Code: failure.Code}
 		}
-		if w.chance(w.lossy) {
+		if w.linkFails() {
 			return fail(inner.ReasonBroken)
 		}
 		*resp.(*verdict) = r.answer
