--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -69,6 +69,7 @@
 	c.Duration(&o.EventLag, "", "event-lag", "age at which cache events are shown")
 	c.UInt64(&o.EventLoss, "", "event-loss", "lose each n-th cache event")
 	c.Duration(&o.ReportLag, "", "report-lag", "age of load reports")
+	c.Bool(&o.IgnoreFence, "", "ignore-fence", "take orders with old fencing numbers")
 	c.String(&o.CrashMark, "", "crash-mark", "text in a prompt that ends the process")
 }
 
--- a/standin/enginesim/engine.go
+++ b/standin/enginesim/engine.go
@@ -33,6 +33,7 @@
 	arrivals int
 	breaks   chan struct{} // closed to break the connections of token streams
 	reports  []upstream.LoadReport
+	orders   Orders
 }
 
 type stream struct {
--- a/standin/enginesim/handler.go
+++ b/standin/enginesim/handler.go
@@ -28,6 +28,8 @@
 	mux.HandleFunc("GET "+enginehttp.PathExport, e.serveExport)
 	mux.HandleFunc("POST "+enginehttp.PathImport, e.serveImport)
 	mux.HandleFunc("GET "+enginehttp.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+enginehttp.PathOrder, e.serveOrder)
+	mux.HandleFunc("GET "+PathOrders, e.serveOrders)
 	mux.HandleFunc("POST "+PathControl, e.serveControl)
 	mux.HandleFunc("GET "+PathStats, e.serveStats)
 	return mux
@@ -64,7 +66,9 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(e.load())
+	report := e.load()
+	report.Serving = e.Orders().Serving
+	_ = json.NewEncoder(w).Encode(report)
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
--- a/standin/enginesim/options.go
+++ b/standin/enginesim/options.go
@@ -29,6 +29,8 @@
 	CrashMark string
 	// Crash ends the process. Required with CrashMark.
 	Crash func()
+	// IgnoreFence makes the engine one that takes orders with old fencing numbers.
+	IgnoreFence bool
 	// Salt makes the text of one engine differ from another's, as sampling does.
 	Salt uint64
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -61,6 +61,8 @@
 	CacheUsed float64
 	// Leaving says that the host received a reclaim notice.
 	Leaving bool
+	// Serving is the last order that the engine took.
+	Serving Order
 	// At is the engine's clock when the report was made.
 	At time.Time
 }
