--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -39,7 +39,10 @@
 	deskCommand.Int(&deskOptions.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
 	deskCommand.Duration(&deskOptions.Delay, "", "delay", "time that an order takes after it was counted")
 	deskCommand.Bool(&deskOptions.Refuse, "", "refuse", "take no orders")
-	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand} {
+	leaderOptions := &leader{}
+	leaderCommand := flaggy.NewSubcommand("leader")
+	leaderOptions.flags(leaderCommand)
+	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, leaderCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -52,6 +55,8 @@
 		serve(listen, enginesim.New(engine).Handler())
 	case deskCommand.Used:
 		serve(listen, (&desk.Desk{Options: deskOptions}).Handler())
+	case leaderCommand.Used:
+		leaderOptions.run(listen)
 	default:
 		flaggy.ShowHelp("a command is needed")
 		os.Exit(exitUsage)
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -72,6 +72,8 @@
 			"awaitorder":      cmdAwaitOrder,
 			"eventuallyorder": cmdEventuallyOrder,
 			"raceorder":       cmdRaceOrder,
+			"leader":          cmdLeader,
+			"want":            cmdWant,
 			"calls":           cmdCalls,
 			"morecalls":       cmdMoreCalls,
 		},
