--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,7 +19,9 @@
 func main() {
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
-	experiments := []experiment{pathExperiment(), costExperiment(), streamsExperiment(), ordersExperiment()}
+	experiments := []experiment{
+		pathExperiment(), costExperiment(), streamsExperiment(), configExperiment(), ordersExperiment(),
+	}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,13 +36,14 @@
 	engineFlags(engineCommand, &engine)
 	deskOptions := desk.Options{}
 	deskCommand := flaggy.NewSubcommand("desk")
-	deskCommand.Int(&deskOptions.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
-	deskCommand.Duration(&deskOptions.Delay, "", "delay", "time that an order takes after it was counted")
-	deskCommand.Bool(&deskOptions.Refuse, "", "refuse", "take no orders")
+	deskFlags(deskCommand, &deskOptions)
 	leaderOptions := &leader{}
 	leaderCommand := flaggy.NewSubcommand("leader")
 	leaderOptions.flags(leaderCommand)
-	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, leaderCommand} {
+	demonstration := demoOptions{dir: "examples", port: 7500}
+	demoCommand := flaggy.NewSubcommand("demo")
+	demoFlags(demoCommand, &demonstration)
+	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, leaderCommand, demoCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -57,12 +58,22 @@
 		serve(listen, (&desk.Desk{Options: deskOptions}).Handler())
 	case leaderCommand.Used:
 		leaderOptions.run(listen)
+	case demoCommand.Used:
+		if err := runDemo(demonstration); err != nil {
+			fail(err)
+		}
 	default:
 		flaggy.ShowHelp("a command is needed")
 		os.Exit(exitUsage)
 	}
 }
 
+func deskFlags(c *flaggy.Subcommand, o *desk.Options) {
+	c.Int(&o.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
+	c.Duration(&o.Delay, "", "delay", "time that an order takes after it was counted")
+	c.Bool(&o.Refuse, "", "refuse", "take no orders")
+}
+
 func engineFlags(c *flaggy.Subcommand, o *enginesim.Options) {
 	c.String(&o.ID, "", "id", "the engine's name")
 	c.Duration(&o.TokenTime, "", "token-time", "time of one step")
--- a/order/log.go
+++ b/order/log.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	// sealSize is the size of a head's entries at which they move to a
-	// segment, in bytes.
-	sealSize = 128 << 10
+	defaultSealSize = 128 << 10 // bytes
 	// maxBatchSize bounds the entries of one commit, in bytes.
 	maxBatchSize = 256 << 10
 	// recentCommits is how many commits a head remembers by their nonces.
@@ -91,6 +89,9 @@
 	store  kv.Store
 	prefix string
 	clock  Clock
+	// sealSize is the size of a head's entries at which they move to a
+	// segment, in bytes.
+	sealSize int
 
 	head    head
 	version kv.Version
@@ -100,7 +101,7 @@
 }
 
 func newLog(store kv.Store, prefix string, clock Clock) *log {
-	return &log{store: store, prefix: prefix, clock: clock, records: map[ID]Record{}, folded: map[string]bool{}}
+	return &log{store: store, prefix: prefix, clock: clock, sealSize: defaultSealSize, records: map[ID]Record{}, folded: map[string]bool{}}
 }
 
 func (l *log) headKey() string { return l.prefix + "head" }
@@ -171,7 +172,7 @@
 func (l *log) commit(ctx context.Context, owner string, epoch uint64, entries []logEntry) kv.Result {
 	next := l.head.next()
 	next.Owner, next.Epoch = owner, epoch
-	if next.entriesSize() >= sealSize {
+	if next.entriesSize() >= l.sealSize {
 		if result := l.seal(ctx, &next); result.Outcome != kv.OutcomeWon {
 			return result
 		}
--- a/order/world_test.go
+++ b/order/world_test.go
@@ -68,6 +68,18 @@
 	return s.Store.CompareAndSwap(ctx, w)
 }
 
+func (s gatedStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.gate.wait()
+	defer s.gate.wait()
+	return s.Store.Grant(ctx, ttl)
+}
+
+func (s gatedStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	s.gate.wait()
+	defer s.gate.wait()
+	return s.Store.KeepAlive(ctx, id)
+}
+
 // testHost is one entry host.
 type testHost struct {
 	name   string
@@ -123,9 +135,12 @@
 		case "direct":
 			ledger = NewDirect(store, h.name)
 		case "shared":
-			ledger = NewShared(store, h.name, options)
+			shared := NewShared(store, h.name, options)
+			sealEarly(shared.committers)
+			ledger = shared
 		default:
 			h.owner = NewPartitioned(store, h.name, h, w, options)
+			sealEarly(h.owner.committers)
 			ledger = h.owner
 		}
 		h.ledger = NewRecorder(ledger, store, hclog.NewNullLogger())
@@ -137,6 +152,13 @@
 	return w
 }
 
+// sealEarly makes segments of a few records.
+func sealEarly(committers []*committer) {
+	for _, c := range committers {
+		c.log.sealSize = 600
+	}
+}
+
 // show sets the members that a host believes in.
 func (w *world) show(h *testHost, names []string) {
 	view := &membership.View{}
