Wait until a paused process has stopped

Cause: order_owner_paused once got its answer from the owner after SIGSTOP (full race run): the signal returns before every thread has stopped.

--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -73,6 +73,7 @@
 			"eventuallyorder": cmdEventuallyOrder,
 			"raceorder":       cmdRaceOrder,
 			"leader":          cmdLeader,
+			"pausenow":        cmdPauseNow,
 			"want":            cmdWant,
 			"calls":           cmdCalls,
 			"morecalls":       cmdMoreCalls,
--- a/scenario/leases_test.go
+++ b/scenario/leases_test.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -33,3 +35,22 @@
 	ts.Check(os.WriteFile(next, []byte(ts.ReadFile(args[1])), 0o600))
 	ts.Check(os.Rename(next, ts.MkAbs(args[0])))
 }
+
+// pausenow NAME: sends SIGSTOP and waits until every thread has stopped; the
+// signal alone returns before they have.
+func cmdPauseNow(ts *testscript.TestScript, _ bool, args []string) {
+	p := worldOf(ts).process(ts, args[0])
+	ts.Check(p.command.Process.Signal(syscall.SIGSTOP))
+	pattern := fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid)
+	awaitTrue(ts, eventuallyTimeout, args[0]+" to stop", func() bool {
+		threads, err := filepath.Glob(pattern)
+		ts.Check(err)
+		for _, thread := range threads {
+			data, err := os.ReadFile(thread)
+			if err == nil && !strings.Contains(string(data), ") T ") {
+				return false
+			}
+		}
+		return true
+	})
+}
