--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -20,7 +20,12 @@
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
 	experiments := []experiment{
-		pathExperiment(), costExperiment(), streamsExperiment(), configExperiment(), ordersExperiment(),
+		configExperiment(),
+		costExperiment(),
+		limitsExperiment(),
+		ordersExperiment(),
+		pathExperiment(),
+		streamsExperiment(),
 	}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
--- a/inner/message.go
+++ b/inner/message.go
@@ -33,6 +33,8 @@
 	KindOrderGet    Kind = 202
 	// KindOrderRelease asks the owner of a partition to give it up.
 	KindOrderRelease Kind = 203
+	// KindQuotaGrant: package quota, 300 to 399.
+	KindQuotaGrant Kind = 300
 )
 
 // Path is where the inner listener serves the protocol.
--- a/provide.go
+++ b/provide.go
@@ -18,6 +18,7 @@
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -64,12 +65,17 @@
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
 		return order.NewRecorder(do.MustInvoke[*order.Partitioned](i), do.MustInvoke[kv.Store](i), logger.Named("order")), nil
 	})
+	do.Provide(i, func(i do.Injector) (*quota.Quota, error) {
+		members := quota.NewView(s.HostID, do.MustInvoke[*membership.Registry](i).View)
+		return quota.New(members, do.MustInvoke[*config.Follower](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i)), nil
+	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
 			Config:     do.MustInvoke[*config.Follower](i),
 			Members:    do.MustInvoke[*membership.Registry](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
+			Quota:      do.MustInvoke[*quota.Quota](i),
 			Journals:   journal.NewStore(journalRetention),
 			Holder:     journal.NewHolder(journalRetention),
 			Peers:      do.MustInvoke[*inner.Client](i),
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -63,9 +64,10 @@
 			"same":       cmdSame,
 			"control":    cmdControl,
 			"signals":    cmdSignals,
-			"owner":      cmdOwner,
+			"list":       cmdList,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
+			"burst":      cmdBurst,
 
 			"ownedkey":        cmdOwnedKey,
 			"startorder":      cmdStartOrder,
@@ -151,9 +153,11 @@
 	return p
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. Its IP
+// number is this test run's own: ports of another run do not get in the way.
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
 	ts.Check(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
