--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -25,6 +25,7 @@
 		limitsExperiment(),
 		outageExperiment(),
 		overloadExperiment(),
+		ordersExperiment(),
 		pathExperiment(),
 		policyExperiment(),
 		streamsExperiment(),
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -69,6 +70,17 @@
 			"soak":       cmdSoak,
 			"burst":      cmdBurst,
 			"joined":     cmdJoined,
+
+			"ownedkey":        cmdOwnedKey,
+			"startorder":      cmdStartOrder,
+			"awaitorder":      cmdAwaitOrder,
+			"eventuallyorder": cmdEventuallyOrder,
+			"raceorder":       cmdRaceOrder,
+			"leader":          cmdLeader,
+			"pausenow":        cmdPauseNow,
+			"want":            cmdWant,
+			"calls":           cmdCalls,
+			"morecalls":       cmdMoreCalls,
 		},
 	})
 }
@@ -80,6 +92,8 @@
 	hosts     []hosts.Host
 	processes map[string]*process
 	callers   map[string]*caller
+	orders    map[string]*placedOrder
+	keys      map[string]bool   // idempotency keys that ownedkey gave
 	domainOf  map[string]string // failure domain by process name
 }
 
@@ -97,6 +111,7 @@
 	w := &world{
 		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
 	}
+	w.orders, w.keys = map[string]*placedOrder{}, map[string]bool{}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.killAll)
@@ -140,9 +155,11 @@
 	return p
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. Its IP
+// number is this test run's own: ports of another run do not get in the way.
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
 	ts.Check(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
