--- a/cardamompier.go
+++ b/cardamompier.go
@@ -23,6 +23,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/order"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
@@ -165,6 +166,7 @@
 		err = shutdownErr
 	}
 	s.stop()
+	do.MustInvoke[*order.Partitioned](s.injector).Close(ctx)
 	s.registryEnded.Wait()
 	do.MustInvoke[*inner.Client](s.injector).Close()
 	do.MustInvoke[*inner.Server](s.injector).Close()
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -26,6 +26,7 @@
 		membershipExperiment(),
 		outageExperiment(),
 		overloadExperiment(),
+		ordersExperiment(),
 		pathExperiment(),
 		policyExperiment(),
 		streamsExperiment(),
--- a/provide.go
+++ b/provide.go
@@ -30,7 +30,7 @@
 // provide declares how each part of an entry host is made.
 func provide(s settings.Settings, logger hclog.Logger) *do.RootScope {
 	i := do.New()
-	do.ProvideValue[kv.Store](i, kvhttp.NewClient(s.Platform.KeyValue))
+	do.ProvideValue[kv.Store](i, kv.NewClient(kvhttp.NewClient(s.Platform.KeyValue), kv.Options{}))
 	do.ProvideValue(i, inner.NewServer())
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
@@ -59,8 +59,14 @@
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
 	})
+	do.Provide(i, func(i do.Injector) (*order.Partitioned, error) {
+		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
+		ledger := order.NewPartitioned(store, s.HostID, members, do.MustInvoke[*inner.Client](i), order.Options{})
+		ledger.Register(do.MustInvoke[*inner.Server](i))
+		return ledger, nil
+	})
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
-		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
+		return order.NewRecorder(do.MustInvoke[*order.Partitioned](i), do.MustInvoke[kv.Store](i), logger.Named("order")), nil
 	})
 	do.Provide(i, func(i do.Injector) (*quota.Quota, error) {
 		members := quota.NewView(s.HostID, do.MustInvoke[*membership.Registry](i).View)
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -73,6 +73,18 @@
 			"relayed":    cmdRelayed,
 			"cut":        cmdCut,
 			"burst":      cmdBurst,
+			"joined":     cmdJoined,
+
+			"ownedkey":        cmdOwnedKey,
+			"startorder":      cmdStartOrder,
+			"awaitorder":      cmdAwaitOrder,
+			"eventuallyorder": cmdEventuallyOrder,
+			"raceorder":       cmdRaceOrder,
+			"leader":          cmdLeader,
+			"pausenow":        cmdPauseNow,
+			"want":            cmdWant,
+			"calls":           cmdCalls,
+			"morecalls":       cmdMoreCalls,
 		},
 	})
 }
@@ -84,6 +96,8 @@
 	hosts     []hosts.Host
 	processes map[string]*process
 	callers   map[string]*caller
+	orders    map[string]*placedOrder
+	keys      map[string]bool   // idempotency keys that ownedkey gave
 	domainOf  map[string]string // failure domain by process name
 	relays    map[string][]*relay
 }
@@ -103,6 +117,7 @@
 		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
 		relays: map[string][]*relay{},
 	}
+	w.orders, w.keys = map[string]*placedOrder{}, map[string]bool{}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(w.closeRelays)
@@ -147,24 +162,22 @@
 	return p
 }
 
-// The ports of freeAddress lie below those that the system gives to outgoing
-// connections.
+// The ports of freeAddress.
 const (
 	firstPort = 10000
 	portCount = 20000
 )
 
-// nextPort counts the ports that were handed out; test processes that run at
-// once begin at different ones.
+// nextPort counts the ports that were handed out.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(int64(os.Getpid()) * 101) }
-
-// freeAddress returns a loopback address that nothing listens on. No address
-// is tried twice, so that scripts that run at once do not open each other's.
+// freeAddress returns a loopback address that nothing listens on. Its IP
+// number is this test run's own: ports of another run do not get in the way.
+// No port is tried twice, so that scripts do not open each other's.
 func freeAddress(ts *testscript.TestScript) string {
+	pid := os.Getpid()
 	for range portCount {
-		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+nextPort.Add(1)%portCount, 10))
+		address := fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, firstPort+nextPort.Add(1)%portCount)
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
