--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -144,7 +144,7 @@
 		}
 		events := writer.encode(chunk, at.next)
 		if chunk.State == journal.StateMoved {
-			events = writer.moved(g.addresses())
+			events = writer.moved(g.addresses(""))
 		}
 		if !send(events) || chunk.State != journal.StateRunning {
 			return
