Give each process of a scenario a port of its own

Cause: config_lost_answer failed once with a reset connection: two scripts of one run could be given the same port, which the first had not yet bound. Change: ports are counted up within a run; an address is tried before use.

--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -155,14 +156,25 @@
 	return p
 }
 
+// firstPort is the first port that a test run gives to a process.
+const firstPort = 20000
+
+// lastPort is the port given last in this test run.
+var lastPort atomic.Int32
+
 // freeAddress returns a loopback address that nothing listens on. Its IP
-// number is this test run's own: ports of another run do not get in the way.
+// number is this test run's own and its port is given once: neither another
+// run nor another script of this one gets in the way.
 func freeAddress(ts *testscript.TestScript) string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
-	ts.Check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		port := firstPort + lastPort.Add(1)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, port))
+		if err == nil {
+			ts.Check(l.Close())
+			return l.Addr().String()
+		}
+	}
 }
 
 // awaitListening waits until an address accepts connections.
