--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -162,29 +162,25 @@
 	return p
 }
 
-// The ports of freeAddress.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
+// firstPort is the first port that a test run gives to a process.
+const firstPort = 20000
 
-// nextPort counts the ports that were handed out.
-var nextPort atomic.Int64
+// lastPort is the port given last in this test run.
+var lastPort atomic.Int32
 
 // freeAddress returns a loopback address that nothing listens on. Its IP
-// number is this test run's own: ports of another run do not get in the way.
-// No port is tried twice, so that scripts do not open each other's.
+// number is this test run's own and its port is given once: neither another
+// run nor another script of this one gets in the way.
 func freeAddress(ts *testscript.TestScript) string {
 	pid := os.Getpid()
-	for range portCount {
-		address := fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, firstPort+nextPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
+	for {
+		port := firstPort + lastPort.Add(1)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, port))
+		if err == nil {
+			ts.Check(l.Close())
+			return l.Addr().String()
 		}
 	}
-	ts.Fatalf("no port is free")
-	return ""
 }
 
 // awaitListening waits until an address accepts connections.
