--- a/cmd/cardamompier/commands_test.go
+++ b/cmd/cardamompier/commands_test.go
@@ -56,11 +56,21 @@
 	}))
 	t.Cleanup(server.Close)
 	member := membership.Member{ID: id, FailureDomain: "kigali-a", InnerAddress: server.Listener.Addr().String()}
-	value, err := json.Marshal(member)
+	addSeed(t, store, member)
+}
+
+// addSeed adds an entry host to the list of seeds.
+func addSeed(t *testing.T, store kv.Store, member membership.Member) {
+	t.Helper()
+	seeds, version, err := membership.ReadSeeds(context.Background(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := json.Marshal(membership.SeedList{Members: append(seeds, member)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	write := kv.Write{Key: membership.KeyPrefix + id, Value: value}
+	write := kv.Write{Key: membership.SeedKey, Value: value, Expect: version}
 	if _, err := store.CompareAndSwap(context.Background(), write); err != nil {
 		t.Fatal(err)
 	}
@@ -127,10 +137,7 @@
 func TestUnreachableEntryHostIsShown(t *testing.T) {
 	store := published(t)
 	register(t, store, "n1", 0)
-	member, _ := json.Marshal(membership.Member{ID: "n2", InnerAddress: "127.0.0.1:1"})
-	if _, err := store.CompareAndSwap(context.Background(), kv.Write{Key: membership.KeyPrefix + "n2", Value: member}); err != nil {
-		t.Fatal(err)
-	}
+	addSeed(t, store, membership.Member{ID: "n2", InnerAddress: "127.0.0.1:1"})
 	var out bytes.Buffer
 	s := &session{options: options{timeout: time.Second}, store: store, out: &out, errOut: &out}
 	if code := runStatus(s); code != 0 {
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -23,6 +23,7 @@
 		configExperiment(),
 		costExperiment(),
 		limitsExperiment(),
+		membershipExperiment(),
 		outageExperiment(),
 		overloadExperiment(),
 		ordersExperiment(),
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -109,8 +110,9 @@
 
 // route chooses an upstream of a pool for a request.
 func (d *Dispatcher) route(name string, tried map[string]bool, avoid string, req routing.Request) (hosts.Host, bool) {
+	list := d.hosts.Fresh(context.Background(), name)
 	p, now := d.pool(name), time.Now()
-	v := p.view(name, d.hosts.Current(), now)
+	v := p.view(name, list, now)
 	req.Tried, req.AvoidDomain, req.Now = lo.Keys(tried), avoid, now
 	req.Sequence = p.sequence.Add(1)
 	choice := routing.Adaptive{}.Pick(v.snapshot, &req, rand.Uint64())
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+)
+
+// ringCount is the number of rings on which each member has a successor that
+// it probes and sends values to.
+const ringCount = 4
+
+// View is an immutable view of the members. Lists are in order of the ids.
+type View struct {
+	// ReadAt is when the view was made from the records known then; zero until
+	// this host has joined.
+	ReadAt time.Time
+	// Members are those that take part, this host included: a member that has
+	// been suspect for absentTimeout is left out, though it may come back.
+	Members []Member
+	// All are the members that are not known to have ended.
+	All        []Member
+	byID       map[string]Member
+	neighbours []Member
+}
+
+func newView(all []Member, absent func(Member) bool, self string, readAt time.Time) *View {
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return &View{
+		ReadAt: readAt, All: all,
+		Members:    lo.Reject(all, func(m Member, _ int) bool { return absent(m) }),
+		byID:       lo.KeyBy(all, func(m Member) string { return m.ID }),
+		neighbours: successors(all, self),
+	}
+}
+
+// Member returns a member in All by its id.
+func (v *View) Member(id string) (Member, bool) {
+	m, ok := v.byID[id]
+	return m, ok
+}
+
+// Usable returns the members that take new work, as far as is known.
+func (v *View) Usable() []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() })
+}
+
+// InDomain returns the usable members in a failure domain.
+func (v *View) InDomain(domain string) []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() && m.FailureDomain == domain })
+}
+
+// OutsideDomain returns the usable members in other failure domains.
+func (v *View) OutsideDomain(domain string) []Member {
+	return lo.Filter(v.Members, func(m Member, _ int) bool { return m.Usable() && m.FailureDomain != domain })
+}
+
+// Chosen returns up to count usable members in the rendezvous order of a key:
+// hosts with the same view choose the same, and a change of the members moves
+// few choices.
+func (v *View) Chosen(key string, count int) []Member {
+	usable := v.Usable()
+	sortByRank(usable, key)
+	return usable[:min(count, len(usable))]
+}
+
+// sortByRank puts members into the rendezvous order of a key.
+func sortByRank(members []Member, key string) {
+	rank := func(m Member) uint64 { return xxhash.Sum64String(key + "/" + m.ID) }
+	sort.Slice(members, func(i, j int) bool { return rank(members[i]) < rank(members[j]) })
+}
+
+// successors returns the member after self on each ring, each member once. A
+// ring is the order of the members by a hash of the ring's number and the id.
+func successors(members []Member, self string) []Member {
+	taken := map[string]bool{self: true}
+	var out []Member
+	for ring := range byte(ringCount) {
+		own := ringHash(ring, self)
+		best, distance := -1, uint64(0)
+		for i, m := range members {
+			// The subtraction wraps, as the ring does.
+			if d := ringHash(ring, m.ID) - own; !taken[m.ID] && (best < 0 || d < distance) {
+				best, distance = i, d
+			}
+		}
+		if best >= 0 {
+			taken[members[best].ID] = true
+			out = append(out, members[best])
+		}
+	}
+	return out
+}
+
+func ringHash(ring byte, id string) uint64 {
+	return xxhash.Sum64String(string([]byte{'0' + ring, '/'}) + id)
+}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -69,6 +69,9 @@
 			"lost":       cmdLost,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
+			"seeded":     cmdSeeded,
+			"relayed":    cmdRelayed,
+			"cut":        cmdCut,
 			"burst":      cmdBurst,
 			"joined":     cmdJoined,
 
@@ -96,6 +99,7 @@
 	orders    map[string]*placedOrder
 	keys      map[string]bool   // idempotency keys that ownedkey gave
 	domainOf  map[string]string // failure domain by process name
+	relays    map[string][]*relay
 }
 
 // process is one running program.
@@ -111,10 +115,12 @@
 func setUp(env *testscript.Env) error {
 	w := &world{
 		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
+		relays: map[string][]*relay{},
 	}
 	w.orders, w.keys = map[string]*placedOrder{}, map[string]bool{}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
+	env.Defer(w.closeRelays)
 	env.Defer(w.killAll)
 	return nil
 }
@@ -156,25 +162,29 @@
 	return p
 }
 
-// firstPort is the first port that a test run gives to a process.
-const firstPort = 20000
+// The ports of freeAddress.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
 
-// lastPort is the port given last in this test run.
-var lastPort atomic.Int32
+// nextPort counts the ports that were handed out.
+var nextPort atomic.Int64
 
 // freeAddress returns a loopback address that nothing listens on. Its IP
-// number is this test run's own and its port is given once: neither another
-// run nor another script of this one gets in the way.
+// number is this test run's own: ports of another run do not get in the way.
+// No port is tried twice, so that scripts do not open each other's.
 func freeAddress(ts *testscript.TestScript) string {
 	pid := os.Getpid()
-	for {
-		port := firstPort + lastPort.Add(1)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, port))
-		if err == nil {
-			ts.Check(l.Close())
-			return l.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, firstPort+nextPort.Add(1)%portCount)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
 		}
 	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 // awaitListening waits until an address accepts connections.
--- a/status.go
+++ b/status.go
@@ -36,8 +36,10 @@
 	// NotReady says why the host is not ready; empty when it is.
 	NotReady string `json:"not_ready,omitempty"`
 	// Config says how the configuration is followed.
-	Config  config.State        `json:"config"`
-	Leaving bool                `json:"leaving"`
+	Config  config.State `json:"config"`
+	Leaving bool         `json:"leaving"`
+	// Joined says that the host found the other entry hosts, or is the first.
+	Joined  bool                `json:"joined"`
 	Members []membership.Member `json:"members"`
 	// HostListAgeMS is the age of the upstream list, in milliseconds.
 	HostListAgeMS int64 `json:"host_list_age_ms"`
@@ -47,7 +49,7 @@
 func (s *Server) Status() Status {
 	out := Status{
 		Host: s.settings.HostID, FailureDomain: s.settings.FailureDomain,
-		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members,
+		Leaving: s.registry.Self().Leaving, Members: s.registry.View().Members, Joined: s.registry.Joined(),
 		HostListAgeMS: time.Since(s.poller.Current().ReadAt).Milliseconds(),
 	}
 	out.Config = s.follower.State()
