--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -23,7 +23,10 @@
 		configExperiment(),
 		costExperiment(),
 		limitsExperiment(),
+		outageExperiment(),
+		overloadExperiment(),
 		pathExperiment(),
+		policyExperiment(),
 		streamsExperiment(),
 	}
 	for _, e := range experiments {
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -10,6 +10,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/routing"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
@@ -199,7 +200,7 @@
 // move prepares another engine for an attempt and then breaks the attempt, so
 // that the generation goes on there. The attempt yields tokens meanwhile.
 func (d *Dispatcher) move(ctx context.Context, entry *moving) {
-	host, ok := d.pickStaying(entry.run.Service.Pool, map[string]bool{entry.host.ID: true}, entry.host.FailureDomain)
+	host, ok := d.pickStaying(entry.run.Service.Pool, map[string]bool{entry.host.ID: true}, entry.host.FailureDomain, entry.run.work.request)
 	if !ok {
 		d.moves.putBack(entry)
 		return
@@ -220,12 +221,14 @@
 
 // pickStaying picks a live host of a pool, outside a failure domain where
 // there is one, that did not refuse work because it is leaving.
-func (d *Dispatcher) pickStaying(pool string, tried map[string]bool, avoid string) (hosts.Host, bool) {
+func (d *Dispatcher) pickStaying(
+	pool string, tried map[string]bool, avoid string, req routing.Request,
+) (hosts.Host, bool) {
 	skipped := maps.Clone(tried)
 	var second hosts.Host
 	found := false
 	for {
-		host, ok := d.pick(pool, skipped)
+		host, ok := d.route(pool, skipped, avoid, req)
 		if !ok {
 			return second, found
 		}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -27,6 +27,7 @@
 			return reply, nil
 		}
 		events.AttemptFailed.Log(d.logger, "request", call.RequestID, "upstream", host.ID, "error", err)
+		d.noteFailure(service.Pool, host, err)
 		failure = failureOf(err)
 		if !service.Idempotent && failure.Ran != apierr.NotRun {
 			return upstream.Reply{}, failure
