Hold client accounts to their rates over all entry hosts

Cause: requests_per_second of an account was not enforced. Change: package admission: each host takes a part of each rate by spread usage digests, lowers it at once and raises it a round later; package gateway feeds it through gossip and refuses with rate_limited and a time to come again. Room shares the streams in progress by weight with lending; measured only so far. Ruled out: a call to the key-value service for each request. Seen to fail first: limits_account.txtar with the call to admit made void.

--- a/cardamompier.go
+++ b/cardamompier.go
@@ -103,6 +103,7 @@
 	s.start(func() { s.poller.Run(background) })
 	s.start(func() { s.registry.Run(background) })
 	s.start(func() { s.gateway.Keeper.Run(background) })
+	s.start(func() { s.gateway.Admission.Run(background) })
 	s.start(func() { s.gateway.Dispatcher.RunMoves(background) })
 	s.start(func() { s.spreader.Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,7 +19,7 @@
 func main() {
 	flaggy.SetName("experiment")
 	flaggy.SetDescription("Measures cardamompier's parts. Example: experiment orders --help")
-	experiments := []experiment{pathExperiment(), costExperiment(), streamsExperiment(), configExperiment(), policyExperiment(), outageExperiment()}
+	experiments := []experiment{pathExperiment(), costExperiment(), streamsExperiment(), configExperiment(), policyExperiment(), outageExperiment(), limitsExperiment(), overloadExperiment()}
 	for _, e := range experiments {
 		flaggy.AttachSubcommand(e.parser, 1)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 type Parts struct {
 	Config     *config.Follower
 	Members    *membership.Registry
+	Admission  *Admission
 	Dispatcher *dispatch.Dispatcher
 	Ledger     order.Ledger
 	Journals   *journal.Store
@@ -124,7 +125,8 @@
 	return account, snapshot, nil
 }
 
-// authorize authenticates a request and checks that it may call the service.
+// authorize authenticates a request, checks that it may call the service and
+// counts it against the client account's rate.
 func (g *Gateway) authorize(header, service string, kind config.Kind) (call, *apierr.Error) {
 	if g.draining.Load() {
 		return call{}, apierr.New(apierr.CodeDraining, "this host is stopping; ask another address").WithRetryAfter(notReadyWait)
@@ -140,5 +142,8 @@
 	if !account.Allows(service) {
 		return call{}, apierr.New(apierr.CodeForbidden, "the client account may not call this service")
 	}
+	if refusal := g.Admission.admit(account); refusal != nil {
+		return call{}, refusal
+	}
 	return call{account: account, service: s}, nil
 }
--- a/provide.go
+++ b/provide.go
@@ -60,8 +60,10 @@
 	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
-			Config:     do.MustInvoke[*config.Follower](i),
-			Members:    do.MustInvoke[*membership.Registry](i),
+			Config:  do.MustInvoke[*config.Follower](i),
+			Members: do.MustInvoke[*membership.Registry](i),
+			Admission: gateway.NewAdmission(do.MustInvoke[*config.Follower](i),
+				do.MustInvoke[*membership.Registry](i), do.MustInvoke[*gossip.Table](i)),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
 			Journals:   journal.NewStore(journalRetention),
--- a/workload/fleet.go
+++ b/workload/fleet.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routing"
 )
@@ -38,6 +39,12 @@
 	Stragglers int
 	// Outage is the share of engines that die in the middle of the run.
 	Outage float64
+	// Places bounds the streams in progress at each engine; the entry hosts
+	// share them evenly and refuse what does not fit. Zero means no bound.
+	Places int
+	// Deadline is the longest time of short work that counts as good; later
+	// answers are given up. Zero means none.
+	Deadline time.Duration
 	// OwnOnly leaves out the digests of other entry hosts.
 	OwnOnly bool
 }
@@ -65,6 +72,7 @@
 	history    routing.History
 	popularity routing.Popularity
 	budgets    retry.Budgets
+	room       admission.Room
 	sequence   uint64
 	refreshes  int
 }
--- a/workload/request.go
+++ b/workload/request.go
@@ -49,16 +49,57 @@
 	r.route = routing.Request{Blocks: a.Blocks, Long: r.work.Long, Sequence: e.sequence}
 	e.history.Arrive(r.work)
 	f.result.request(a)
-	if !r.send("") {
+	if !r.enter() {
 		r.done = true
+		f.result.NotAdmitted++
+		return
+	}
+	if !r.send("") {
+		r.close()
 		f.result.failed(a)
 		return
 	}
+	if f.setup.Deadline > 0 && !a.Class.Long {
+		f.clock.After(f.setup.Deadline, r.expire)
+	}
 	if f.setup.Hedge && !r.work.Long {
 		f.clock.After(routing.MinHedge, r.awaitFirst)
 	}
 }
 
+// enter takes a place in the entry host's room.
+func (r *request) enter() bool {
+	setup := &r.fleet.setup
+	if setup.Places == 0 {
+		return true
+	}
+	equal := func(string) float64 { return 1 }
+	capacity := setup.Places * setup.User.Engines / setup.User.Entries
+	return r.entry.room.Enter(r.account(), capacity, r.entry.room.Share(r.account(), equal)) == nil
+}
+
+// close ends the request and gives its place back.
+func (r *request) close() {
+	r.done = true
+	if r.fleet.setup.Places > 0 {
+		r.entry.room.Leave(r.account())
+	}
+}
+
+// expire gives the request up at its deadline.
+func (r *request) expire() {
+	if r.done {
+		return
+	}
+	for _, at := range r.attempts {
+		if !at.ended {
+			r.drop(at)
+		}
+	}
+	r.close()
+	r.fleet.result.failed(r.arrival)
+}
+
 // send starts an attempt at the engine that the policy chooses; why is empty
 // for the first.
 func (r *request) send(why retry.Reason) bool {
@@ -216,14 +257,14 @@
 }
 
 func (r *request) retry() {
-	if !r.send(retry.ReasonFailed) {
-		r.done = true
+	if !r.done && !r.send(retry.ReasonFailed) {
+		r.close()
 		r.fleet.result.failed(r.arrival)
 	}
 }
 
 func (r *request) finish(at *attempt) {
-	r.done = true
+	r.close()
 	r.entry.history.Add(r.arrival.Prompt, r.arrival.Answer, r.work)
 	upstream := r.entry.snapshot.Upstreams[at.engine]
 	r.entry.lives[at.engine].Succeed()
--- a/workload/result.go
+++ b/workload/result.go
@@ -36,6 +36,8 @@
 	// Requests, Attempts, Finished and Failed count; Refused counts attempts
 	// that a budget did not allow.
 	Requests, Attempts, Finished, Failed, Refused int
+	// NotAdmitted counts the requests that admission refused.
+	NotAdmitted int
 	// Prompt and Cached count the prompt tokens of first attempts.
 	Prompt, Cached int
 	// Recomputed counts the tokens computed again by later attempts.
@@ -56,6 +58,7 @@
 	r.Finished += other.Finished
 	r.Failed += other.Failed
 	r.Refused += other.Refused
+	r.NotAdmitted += other.NotAdmitted
 	r.Prompt += other.Prompt
 	r.Cached += other.Cached
 	r.Recomputed += other.Recomputed
