Run suspects alone and refuse requests that crash upstreams in the daemon

Cause: a request that crashes each engine was sent to four of them, and again when its caller repeated it. Change: the dispatcher reports upstreams that died without notice under a request's content digest, spreads the evidence by gossip, claims a trial per upstream in the key-value service for a suspect, and refuses what is quarantined. Seen to fail first: crash_content.txtar with the verdicts off ends with upstream_failed in place of request_quarantined. Measured: crash_content.txtar, four engines and two entry hosts: two engines lost, both hosts refuse, another request is served.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	transport *http.Transport
 	pools     sync.Map // name to *pool
 	budgets   retry.Budgets
+	isolation *Isolation
 
 	mu     sync.Mutex
 	plains map[string]*plainhttp.Client
@@ -43,6 +44,9 @@
 }
 
 // New returns a dispatcher over the hosts in the poller's list.
-func New(list *hosts.Poller, logger hclog.Logger) *Dispatcher {
-	return &Dispatcher{hosts: list, logger: logger, transport: enginehttp.NewTransport(), plains: map[string]*plainhttp.Client{}}
+func New(list *hosts.Poller, isolation *Isolation, logger hclog.Logger) *Dispatcher {
+	return &Dispatcher{
+		hosts: list, logger: logger, isolation: isolation,
+		transport: enginehttp.NewTransport(), plains: map[string]*plainhttp.Client{},
+	}
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -61,6 +61,7 @@
 		}
 	}()
 	r := &run{Generation: g, dispatcher: d, started: time.Now(), tried: map[string]bool{}, work: d.workOf(g)}
+	defer r.endTrial()
 	failure := r.carryOut(ctx)
 	switch {
 	case g.Log.State() == journal.StateMoved:
@@ -81,6 +82,7 @@
 	tried      map[string]bool // failed since the last token
 	failures   int             // attempts that may have harmed their engine
 	work       work
+	trial      *trial  // of a suspect, while it runs alone
 	next       *target // where a move goes on; nil for a free choice
 }
 
@@ -91,6 +93,9 @@
 	}
 	failure := apierr.New(apierr.CodeNoUpstream, "no upstream is available").WithRetryAfter(retryAfter)
 	for pause := attemptPause; ; pause = min(2*pause, maxPause) {
+		if refusal := r.quarantined(); refusal != nil {
+			return refusal
+		}
 		host, chosen := r.choose()
 		if !chosen && r.Log.Count() == 0 && time.Since(r.started) > noUpstreamWait {
 			return failure
@@ -124,6 +129,7 @@
 	events.AttemptFailed.Log(r.dispatcher.logger, "request", r.Log.RequestID, "upstream", host.ID, "error", err)
 	Retries.Inc(string(upstream.ReasonOf(err)))
 	r.dispatcher.noteFailure(r.Service.Pool, host, err)
+	r.noteCrash(host, err)
 	if progressed {
 		clear(r.tried)
 	}
@@ -140,6 +146,7 @@
 
 // choose returns the host of the next attempt.
 func (r *run) choose() (hosts.Host, bool) {
+	r.endTrial()
 	if r.next != nil {
 		return r.next.host, true
 	}
@@ -147,7 +154,7 @@
 	if !ok {
 		clear(r.tried)
 	}
-	return host, ok && r.mayAttempt(host)
+	return host, ok && r.isolate(host) && r.mayAttempt(host)
 }
 
 func failureOf(err error) *apierr.Error {
@@ -247,6 +254,7 @@
 		_ = stream.Close()
 		if err == nil {
 			whole = true
+			r.clearSuspect()
 			return nil
 		}
 		if r.next = move.target.Load(); r.next != nil {
@@ -281,6 +289,7 @@
 			return read, err
 		}
 		m.token()
+		r.passTrial()
 		if r.Log.Append(attempt, token.Index, token.Text) {
 			read++
 		}
--- a/provide.go
+++ b/provide.go
@@ -53,7 +53,8 @@
 		return spreader, nil
 	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
-		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
+		isolation := dispatch.NewIsolation(do.MustInvoke[*gossip.Table](i), do.MustInvoke[kv.Store](i), logger.Named("isolation"))
+		return dispatch.New(do.MustInvoke[*hosts.Poller](i), isolation, logger.Named("dispatch")), nil
 	})
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
 		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -57,6 +57,7 @@
 			"order":      cmdOrder,
 			"get":        cmdGet,
 			"eventually": cmdEventually,
+			"running":    cmdRunning,
 			"caller":     cmdCaller,
 			"await":      cmdAwait,
 			"reread":     cmdReread,
