--- a/admission/room.go
+++ b/admission/room.go
@@ -6,6 +6,26 @@
 	"time"
 )
 
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// ReasonShare: the upstreams are full and the account has its fair share.
+	ReasonShare Reason = "account_share"
+	// ReasonFull: the upstreams are full.
+	ReasonFull Reason = "pool_full"
+)
+
+// Refusal is a refused request. RetryAfter is when a repeat may be taken.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "not admitted: " + string(r.Reason) }
+
 const (
 	// lendUntil is the used part of a room up to which any account may use
 	// what others leave.
--- a/apierr/body.go
+++ b/apierr/body.go
@@ -25,7 +25,7 @@
 		Type:         e.Code,
 		Message:      e.Detail,
 		Ran:          e.ran(),
-		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		RetryAfterMS: int64(math.Ceil(float64(e.RetryAfter) / float64(time.Millisecond))),
 		RequestID:    requestID,
 	}}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -48,9 +49,9 @@
 type Parts struct {
 	Config     *config.Follower
 	Members    *membership.Registry
-	Admission  *Admission
 	Dispatcher *dispatch.Dispatcher
 	Ledger     order.Ledger
+	Quota      Quota
 	Journals   *journal.Store
 	Holder     *journal.Holder
 	Peers      *inner.Client
@@ -58,6 +59,14 @@
 	Logger     hclog.Logger
 }
 
+// Quota keeps the limits of client accounts over all entry hosts.
+type Quota interface {
+	// Admit spends one request of an account's limit, or refuses it.
+	Admit(ctx context.Context, account *config.Account) *apierr.Error
+	// Used counts the tokens that were generated for an account.
+	Used(account string, tokens int)
+}
+
 // Gateway is the caller-facing server. Use New.
 type Gateway struct {
 	Parts
@@ -125,8 +134,7 @@
 	return account, snapshot, nil
 }
 
-// authorize authenticates a request, checks that it may call the service and
-// counts it against the client account's rate.
+// authorize authenticates a request and checks that it may call the service.
 func (g *Gateway) authorize(header, service string, kind config.Kind) (call, *apierr.Error) {
 	if g.draining.Load() {
 		return call{}, apierr.New(apierr.CodeDraining, "this host is stopping; ask another address").WithRetryAfter(notReadyWait)
@@ -142,8 +150,14 @@
 	if !account.Allows(service) {
 		return call{}, apierr.New(apierr.CodeForbidden, "the client account may not call this service")
 	}
-	if refusal := g.Admission.admit(account); refusal != nil {
+	return call{account: account, service: s}, nil
+}
+
+// admit authorizes a request and spends one of its client account's limit.
+func (g *Gateway) admit(ctx context.Context, header, service string, kind config.Kind) (call, *apierr.Error) {
+	c, refusal := g.authorize(header, service, kind)
+	if refusal != nil {
 		return call{}, refusal
 	}
-	return call{account: account, service: s}, nil
+	return c, g.Quota.Admit(ctx, c.account)
 }
--- a/provide.go
+++ b/provide.go
@@ -18,6 +18,7 @@
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -59,14 +60,17 @@
 	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
 		return order.NewDirect(do.MustInvoke[kv.Store](i), s.HostID), nil
 	})
+	do.Provide(i, func(i do.Injector) (*quota.Quota, error) {
+		members := quota.NewView(s.HostID, do.MustInvoke[*membership.Registry](i).View)
+		return quota.New(members, do.MustInvoke[*config.Follower](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i)), nil
+	})
 	do.Provide(i, func(i do.Injector) (*gateway.Gateway, error) {
 		return gateway.New(gateway.Parts{
-			Config:  do.MustInvoke[*config.Follower](i),
-			Members: do.MustInvoke[*membership.Registry](i),
-			Admission: gateway.NewAdmission(do.MustInvoke[*config.Follower](i),
-				do.MustInvoke[*membership.Registry](i), do.MustInvoke[*gossip.Table](i)),
+			Config:     do.MustInvoke[*config.Follower](i),
+			Members:    do.MustInvoke[*membership.Registry](i),
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
+			Quota:      do.MustInvoke[*quota.Quota](i),
 			Journals:   journal.NewStore(journalRetention),
 			Holder:     journal.NewHolder(journalRetention),
 			Peers:      do.MustInvoke[*inner.Client](i),
