--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -82,8 +82,10 @@
 	tried      map[string]bool // failed since the last token
 	failures   int             // attempts that may have harmed their engine
 	work       work
-	trial      *trial  // of a suspect, while it runs alone
-	next       *target // where a move goes on; nil for a free choice
+	trial      *trial // of a suspect, while it runs alone
+	// awaitsTrial is set while a suspect waits for an upstream of its own.
+	awaitsTrial bool
+	next        *target // where a move goes on; nil for a free choice
 }
 
 // carryOut makes attempts until one ends the answer.
@@ -97,7 +99,7 @@
 			return refusal
 		}
 		host, chosen := r.choose()
-		if !chosen && r.Log.Count() == 0 && time.Since(r.started) > noUpstreamWait {
+		if !chosen && !r.awaitsTrial && r.Log.Count() == 0 && time.Since(r.started) > noUpstreamWait {
 			return failure
 		}
 		if chosen {
@@ -147,6 +149,7 @@
 // choose returns the host of the next attempt.
 func (r *run) choose() (hosts.Host, bool) {
 	r.endTrial()
+	r.awaitsTrial = false
 	if r.next != nil {
 		return r.next.host, true
 	}
--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -130,6 +130,7 @@
 		return true
 	}
 	r.trial = i.claim(host.ID)
+	r.awaitsTrial = r.trial == nil
 	r.work.request.Blocks = nil // suspects spread by load
 	return r.trial != nil
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -26,10 +26,12 @@
 var Choices = metrics.New("routing_choices_total", "Chosen upstreams, by the reason of the choice.")
 
 // pool feeds the routing of one pool: its newest snapshot, and what this host
-// measured of its upstreams. The zero value is ready.
+// measured of its upstreams.
 type pool struct {
-	current    atomic.Pointer[poolView]
-	sequence   atomic.Uint64
+	current  atomic.Pointer[poolView]
+	sequence atomic.Uint64
+	// relisted is called when the pool's hosts changed.
+	relisted   func(*hosts.Snapshot)
 	history    routing.History
 	popularity routing.Popularity
 
@@ -52,10 +54,16 @@
 	if p, ok := d.pools.Load(name); ok {
 		return p.(*pool)
 	}
-	p, _ := d.pools.LoadOrStore(name, &pool{})
+	p, _ := d.pools.LoadOrStore(name, &pool{relisted: d.forgetBudgets})
 	return p.(*pool)
 }
 
+// forgetBudgets drops the budgets of hosts that are not listed any more.
+func (d *Dispatcher) forgetBudgets(list *hosts.Snapshot) {
+	listed := lo.SliceToMap(list.Hosts, func(h hosts.Host) (string, bool) { return h.ID, true })
+	d.budgets.Forget(func(upstream string) bool { return listed[upstream] })
+}
+
 // view returns a view of the newest list. One caller at a time builds it; the
 // others use the last one, unless the list changed.
 func (p *pool) view(name string, source *hosts.Snapshot, now time.Time) *poolView {
@@ -94,6 +102,7 @@
 		v.layout = old.layout
 	} else {
 		v.layout = routing.NewLayout(upstreams)
+		p.relisted(source)
 	}
 	v.snapshot = routing.NewSnapshot(upstreams, v.layout, p.history.LongShare())
 	v.snapshot.Hot = p.popularity.Hot(len(upstreams))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -37,10 +37,8 @@
 	ReasonFailed   Reason = "attempt_failed"
 	ReasonHedge    Reason = "hedge"
 	ReasonStalled  Reason = "stalled"
-	ReasonLeaving  Reason = "leaving"
 	ReasonUpstream Reason = "upstream_budget"
 	ReasonAccount  Reason = "account_budget"
-	ReasonDeadline Reason = "deadline"
 )
 
 // Budget is a token bucket. Use newBudget.
@@ -128,9 +126,3 @@
 	b, _ := m.LoadOrStore(name, newBudget())
 	return b.(*Budget)
 }
-
-// Expired says whether work that needs at least the given span should not be
-// sent any more. A zero deadline never expires.
-func Expired(now, deadline time.Time, needs time.Duration) bool {
-	return !deadline.IsZero() && now.Add(needs).After(deadline)
-}
