--- a/workload/fleet.go
+++ b/workload/fleet.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routing"
 )
@@ -39,12 +38,6 @@
 	Stragglers int
 	// Outage is the share of engines that die in the middle of the run.
 	Outage float64
-	// Places bounds the streams in progress at each engine; the entry hosts
-	// share them evenly and refuse what does not fit. Zero means no bound.
-	Places int
-	// Deadline is the longest time of short work that counts as good; later
-	// answers are given up. Zero means none.
-	Deadline time.Duration
 	// OwnOnly leaves out the digests of other entry hosts.
 	OwnOnly bool
 }
@@ -57,6 +50,7 @@
 	entries []*entry
 	digests [][]digest // by entry, by engine
 	result  *Result
+	open    int // requests that have not ended
 }
 
 // digest is what one entry host tells the others of one engine.
@@ -72,7 +66,6 @@
 	history    routing.History
 	popularity routing.Popularity
 	budgets    retry.Budgets
-	room       admission.Room
 	sequence   uint64
 	refreshes  int
 }
@@ -113,7 +106,7 @@
 	var tick func()
 	tick = func() {
 		run()
-		if f.clock.Now() < f.setup.Options.Duration+drain {
+		if f.clock.Now() < f.setup.Options.Duration || f.open > 0 {
 			f.clock.After(interval, tick)
 		}
 	}
--- a/workload/request.go
+++ b/workload/request.go
@@ -48,56 +48,22 @@
 	r := &request{fleet: f, entry: e, arrival: a, work: e.history.Predict(a.Prompt, maxTokens)}
 	r.route = routing.Request{Blocks: a.Blocks, Long: r.work.Long, Sequence: e.sequence}
 	e.history.Arrive(r.work)
+	f.open++
 	f.result.request(a)
-	if !r.enter() {
-		r.done = true
-		f.result.NotAdmitted++
-		return
-	}
 	if !r.send("") {
 		r.close()
 		f.result.failed(a)
 		return
 	}
-	if f.setup.Deadline > 0 && !a.Class.Long {
-		f.clock.After(f.setup.Deadline, r.expire)
-	}
 	if f.setup.Hedge && !r.work.Long {
 		f.clock.After(routing.MinHedge, r.awaitFirst)
 	}
 }
 
-// enter takes a place in the entry host's room.
-func (r *request) enter() bool {
-	setup := &r.fleet.setup
-	if setup.Places == 0 {
-		return true
-	}
-	equal := func(string) float64 { return 1 }
-	capacity := setup.Places * setup.User.Engines / setup.User.Entries
-	return r.entry.room.Enter(r.account(), capacity, r.entry.room.Share(r.account(), equal)) == nil
-}
-
-// close ends the request and gives its place back.
+// close ends the request.
 func (r *request) close() {
 	r.done = true
-	if r.fleet.setup.Places > 0 {
-		r.entry.room.Leave(r.account())
-	}
-}
-
-// expire gives the request up at its deadline.
-func (r *request) expire() {
-	if r.done {
-		return
-	}
-	for _, at := range r.attempts {
-		if !at.ended {
-			r.drop(at)
-		}
-	}
-	r.close()
-	r.fleet.result.failed(r.arrival)
+	r.fleet.open--
 }
 
 // send starts an attempt at the engine that the policy chooses; why is empty
