--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -61,6 +61,7 @@
 		}
 	}()
 	r := &run{Generation: g, dispatcher: d, started: time.Now(), tried: map[string]bool{}, work: d.workOf(g)}
+	defer r.endTrial()
 	failure := r.carryOut(ctx)
 	switch {
 	case g.Log.State() == journal.StateMoved:
@@ -81,7 +82,10 @@
 	tried      map[string]bool // failed since the last token
 	failures   int             // attempts that may have harmed their engine
 	work       work
-	next       *target // where a move goes on; nil for a free choice
+	trial      *trial // of a suspect, while it runs alone
+	// awaitsTrial is set while a suspect waits for an upstream of its own.
+	awaitsTrial bool
+	next        *target // where a move goes on; nil for a free choice
 }
 
 // carryOut makes attempts until one ends the answer.
@@ -91,8 +95,11 @@
 	}
 	failure := apierr.New(apierr.CodeNoUpstream, "no upstream is available").WithRetryAfter(retryAfter)
 	for pause := attemptPause; ; pause = min(2*pause, maxPause) {
+		if refusal := r.quarantined(); refusal != nil {
+			return refusal
+		}
 		host, chosen := r.choose()
-		if !chosen && r.Log.Count() == 0 && time.Since(r.started) > noUpstreamWait {
+		if !chosen && !r.awaitsTrial && r.Log.Count() == 0 && time.Since(r.started) > noUpstreamWait {
 			return failure
 		}
 		if chosen {
@@ -124,6 +131,7 @@
 	events.AttemptFailed.Log(r.dispatcher.logger, "request", r.Log.RequestID, "upstream", host.ID, "error", err)
 	Retries.Inc(string(upstream.ReasonOf(err)))
 	r.dispatcher.noteFailure(r.Service.Pool, host, err)
+	r.noteCrash(host, err)
 	if progressed {
 		clear(r.tried)
 	}
@@ -141,6 +149,8 @@
 
 // choose returns the host of the next attempt.
 func (r *run) choose() (hosts.Host, bool) {
+	r.endTrial()
+	r.awaitsTrial = false
 	if r.next != nil {
 		return r.next.host, true
 	}
@@ -148,7 +158,7 @@
 	if !ok {
 		clear(r.tried)
 	}
-	return host, ok && r.mayAttempt(host)
+	return host, ok && r.isolate(host) && r.mayAttempt(host)
 }
 
 func failureOf(err error) *apierr.Error {
@@ -248,6 +258,7 @@
 		_ = stream.Close()
 		if err == nil {
 			whole = true
+			r.clearSuspect()
 			return nil
 		}
 		if r.next = move.target.Load(); r.next != nil {
@@ -282,6 +293,7 @@
 			return read, err
 		}
 		m.token()
+		r.passTrial()
 		if r.Log.Append(attempt, token.Index, token.Text) {
 			read++
 		}
