--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -24,7 +24,10 @@
 		costExperiment(),
 		limitsExperiment(),
 		ordersExperiment(),
+		outageExperiment(),
+		overloadExperiment(),
 		pathExperiment(),
+		policyExperiment(),
 		streamsExperiment(),
 	}
 	for _, e := range experiments {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,13 +8,13 @@
 import (
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/upstream/enginehttp"
 	"github.com/cardamompier/cardamompier/upstream/plainhttp"
 )
@@ -33,7 +33,8 @@
 	hosts     *hosts.Poller
 	logger    hclog.Logger
 	transport *http.Transport
-	next      atomic.Uint64
+	pools     sync.Map // name to *pool
+	budgets   retry.Budgets
 
 	mu     sync.Mutex
 	plains map[string]*plainhttp.Client
