Give no two scripts of a run the same address

Cause: full race run: limits failed to connect to its platform (connection refused): two scripts at once were given one port, since freeAddress closes its listener before the process listens. Ruled out: other runs on the machine (the IP number is the run's own). Change: freeAddress returns an address once.

--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -154,14 +155,23 @@
 	return p
 }
 
+// givenAddresses are the addresses that freeAddress has returned: a script that
+// runs at the same time must not get one before its process listens on it.
+var givenAddresses sync.Map
+
 // freeAddress returns a loopback address that nothing listens on. Its IP
 // number is this test run's own: ports of another run do not get in the way.
 func freeAddress(ts *testscript.TestScript) string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
-	ts.Check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
+		ts.Check(err)
+		address := l.Addr().String()
+		ts.Check(l.Close())
+		if _, taken := givenAddresses.LoadOrStore(address, true); !taken {
+			return address
+		}
+	}
 }
 
 // awaitListening waits until an address accepts connections.
