--- a/cmd/cardamompier/status.go
+++ b/cmd/cardamompier/status.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sort"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cardamompier/cardamompier"
@@ -59,35 +61,50 @@
 	}
 }
 
-// readStatuses asks every registered entry host for its status.
+// readStatuses asks every entry host for its status: the seeds, then the
+// members that they know, and so on.
 func readStatuses(ctx context.Context, store kv.Store) ([]hostStatus, error) {
-	entries, _, err := store.List(ctx, membership.KeyPrefix)
+	next, _, err := membership.ReadSeeds(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]hostStatus, len(entries))
+	asked, known := map[string]bool{}, map[string]bool{}
+	all := []hostStatus{}
+	for len(next) > 0 {
+		next = lo.Filter(lo.UniqBy(next, idOf), func(m membership.Member, _ int) bool { return !asked[m.ID] })
+		round := askAll(ctx, next)
+		for _, m := range next {
+			asked[m.ID] = true
+		}
+		next = lo.FlatMap(round, func(s hostStatus, _ int) []membership.Member { return s.Members })
+		for _, m := range next {
+			known[m.ID] = true
+		}
+		all = append(all, round...)
+	}
+	// A seed that no member knows has ended since the list was written.
+	out := lo.Filter(all, func(s hostStatus, _ int) bool { return len(known) == 0 || known[s.Host] })
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out, nil
+}
+
+func idOf(m membership.Member) string { return m.ID }
+
+func askAll(ctx context.Context, members []membership.Member) []hostStatus {
+	out := make([]hostStatus, len(members))
 	var group errgroup.Group
 	group.SetLimit(maxStatusCalls)
-	for i, entry := range entries {
+	for i, m := range members {
 		group.Go(func() error {
-			out[i] = statusOfEntry(ctx, entry)
+			out[i] = hostStatus{Status: cardamompier.Status{Host: m.ID, FailureDomain: m.FailureDomain}}
+			if err := readStatus(ctx, m.InnerAddress, &out[i].Status); err != nil {
+				out[i].Error = err.Error()
+			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return out, nil
-}
-
-func statusOfEntry(ctx context.Context, entry kv.Entry) hostStatus {
-	var m membership.Member
-	if err := json.Unmarshal(entry.Value, &m); err != nil {
-		return hostStatus{Status: cardamompier.Status{Host: entry.Key}, Error: err.Error()}
-	}
-	s := hostStatus{Status: cardamompier.Status{Host: m.ID, FailureDomain: m.FailureDomain}}
-	if err := readStatus(ctx, m.InnerAddress, &s.Status); err != nil {
-		s.Error = err.Error()
-	}
-	return s
+	return out
 }
 
 func readStatus(ctx context.Context, address string, into *cardamompier.Status) error {
--- a/gossip/repair.go
+++ b/gossip/repair.go
@@ -13,32 +13,48 @@
 
 const (
 	bucketCount = 32
-	// settleTime keeps items that change often out of the compared hashes.
+	// settleTime keeps owned items, which change often, out of the compared
+	// hashes until they rest.
 	settleTime = 2 * time.Second
+	// repairTimeout bounds one comparison, during which no pushes start.
+	repairTimeout = time.Second
 )
 
 // repair compares the table with one neighbour's and exchanges what differs.
-func (s *Spreader) repair(ctx context.Context) {
+// It reports whether both were equal.
+func (s *Spreader) repair(ctx context.Context) bool {
 	neighbours := s.neighbours()
-	if len(neighbours) > 0 {
-		s.RepairWith(ctx, neighbours[rand.IntN(len(neighbours))])
+	if len(neighbours) == 0 {
+		return false
 	}
-}
-
-// RepairWith compares the table with one host's and exchanges what differs.
-// It reports whether the host answered.
-func (s *Spreader) RepairWith(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
+	address := neighbours[rand.IntN(len(neighbours))]
 	var differ diffReply
 	request := diffRequest{From: s.self, Hashes: s.table.hashes()}
 	if s.transport.Call(ctx, address, inner.KindStateDiff, request, &differ) != nil {
 		return false
 	}
-	if len(differ.Buckets) == 0 {
-		return true
+	if len(differ.Buckets) > 0 {
+		s.exchange(ctx, address, differ.Buckets)
 	}
-	request = diffRequest{From: s.self, Buckets: differ.Buckets, Digests: s.table.digests(differ.Buckets)}
+	return len(differ.Buckets) == 0
+}
+
+// ExchangeAll compares all names with one host and exchanges what differs, for
+// a host that joins or comes back. It reports whether the host answered.
+func (s *Spreader) ExchangeAll(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	buckets := make([]int, bucketCount)
+	for i := range buckets {
+		buckets[i] = i
+	}
+	return s.exchange(ctx, address, buckets)
+}
+
+func (s *Spreader) exchange(ctx context.Context, address string, buckets []int) bool {
+	request := diffRequest{From: s.self, Buckets: buckets, Digests: s.table.digests(buckets)}
 	var reply diffReply
 	if s.transport.Call(ctx, address, inner.KindStateDiff, request, &reply) != nil {
 		return false
@@ -127,14 +143,14 @@
 	return reply
 }
 
-// hashes returns one hash for each bucket over the settled items in it.
+// hashes returns one hash for each bucket over the items in it that rest.
 func (t *Table) hashes() []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]uint64, bucketCount)
 	now := time.Now()
 	for name, item := range t.items {
-		if now.Sub(item.at) >= settleTime {
+		if item.Owner == "" || now.Sub(item.at) >= settleTime {
 			out[bucketOf(name)] ^= hashOf(name, item.Version)
 		}
 	}
--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -14,6 +14,8 @@
 	pushTimeout    = time.Second
 	pullTimeout    = 5 * time.Second
 	repairInterval = 5 * time.Second
+	// repairAgain is the time to the next repair after one that found a difference.
+	repairAgain = time.Second
 	// maxInlineSize is the largest value that is pushed whole, in bytes.
 	maxInlineSize = 512
 	// maxReplySize bounds the values in one answer, in bytes; the first item
@@ -82,7 +84,7 @@
 
 // Run spreads until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
-	repair := time.NewTicker(repairInterval)
+	repair := time.NewTimer(repairAgain)
 	defer repair.Stop()
 	var pushing sync.WaitGroup
 	defer pushing.Wait()
@@ -92,7 +94,11 @@
 			s.pushAll(ctx, &pushing)
 			pause(ctx, pushInterval)
 		case <-repair.C:
-			s.repair(ctx)
+			if s.repair(ctx) {
+				repair.Reset(repairInterval)
+			} else {
+				repair.Reset(repairAgain)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -197,19 +203,25 @@
 // fetch pulls announced items that are newer than the known ones.
 func (s *Spreader) fetch(from string, announced []digest) {
 	var names []string
-	s.mu.Lock()
 	for _, d := range announced {
-		if !s.pulling[d.Name] && s.table.wants(d) {
-			s.pulling[d.Name] = true
+		if s.table.wants(d) && s.startPull(d.Name) {
 			names = append(names, d.Name)
 		}
 	}
-	s.mu.Unlock()
 	for _, name := range names {
 		s.pull(from, name)
 	}
 }
 
+// startPull reports whether no pull of the name is under way.
+func (s *Spreader) startPull(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	started := !s.pulling[name]
+	s.pulling[name] = true
+	return started
+}
+
 func (s *Spreader) pull(from, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
--- a/provide.go
+++ b/provide.go
@@ -41,20 +41,24 @@
 		return follower, nil
 	})
 	do.Provide(i, func(i do.Injector) (*hosts.Poller, error) {
-		return hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts")), nil
-	})
-	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
-		return membership.NewRegistry(do.MustInvoke[kv.Store](i), memberOf(s), logger.Named("membership")), nil
+		poller := hosts.NewPoller(do.MustInvoke[hosts.Source](i), hostListInterval, logger.Named("hosts"))
+		poller.Share(do.MustInvoke[*gossip.Table](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i),
+			do.MustInvoke[*membership.Registry](i).HostListPollers)
+		poller.SetCheck(checkEngine(do.MustInvoke[*config.Follower](i)))
+		return poller, nil
 	})
 	do.ProvideValue(i, gossip.NewTable(s.HostID))
-	do.Provide(i, func(i do.Injector) (*gossip.Spreader, error) {
-		neighbours := do.MustInvoke[*membership.Registry](i).Neighbours
-		spreader := gossip.NewSpreader(do.MustInvoke[*gossip.Table](i), s.InnerListen, do.MustInvoke[*inner.Client](i), neighbours)
-		spreader.Register(do.MustInvoke[*inner.Server](i))
-		return spreader, nil
+	do.Provide(i, func(i do.Injector) (*membership.Registry, error) {
+		registry := membership.New(membership.Options{
+			Self: memberOf(s), Seeds: s.Seeds, Store: do.MustInvoke[kv.Store](i), Table: do.MustInvoke[*gossip.Table](i),
+			Transport: do.MustInvoke[*inner.Client](i), Logger: logger.Named("membership"),
+		})
+		registry.Register(do.MustInvoke[*inner.Server](i))
+		return registry, nil
 	})
 	do.Provide(i, func(i do.Injector) (*dispatch.Dispatcher, error) {
-		return dispatch.New(do.MustInvoke[*hosts.Poller](i), logger.Named("dispatch")), nil
+		isolation := dispatch.NewIsolation(do.MustInvoke[*gossip.Table](i), do.MustInvoke[kv.Store](i), logger.Named("isolation"))
+		return dispatch.New(do.MustInvoke[*hosts.Poller](i), isolation, logger.Named("dispatch")), nil
 	})
 	do.Provide(i, func(i do.Injector) (*order.Partitioned, error) {
 		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
@@ -99,7 +103,7 @@
 
 func memberOf(s settings.Settings) membership.Member {
 	return membership.Member{
-		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerListen,
+		ID: s.HostID, Address: s.Advertise, InnerAddress: s.InnerAdvertise,
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
 }
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -54,20 +54,26 @@
 
 // entry NAME DOMAIN [FLAG...]: starts an entry host; $NAME and $NAME_INNER are its addresses.
 func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
+	startEntry(ts, args[0], args[1], args[2:], func(*settings.Settings) {})
+}
+
+// startEntry starts an entry host with settings that the caller may change.
+func startEntry(ts *testscript.TestScript, name, domain string, flags []string, change func(*settings.Settings)) {
 	w := worldOf(ts)
-	name := args[0]
 	s := settings.Settings{
-		HostID: name, FailureDomain: args[1], Listen: freeAddress(ts), InnerListen: freeAddress(ts),
+		HostID: name, FailureDomain: domain, Listen: freeAddress(ts), InnerListen: freeAddress(ts),
 		Platform: settings.Platform{KeyValue: w.platform, HostList: w.platform}, LogLevel: "debug",
 	}
+	change(&s)
 	data, err := json.Marshal(s.WithDefaults())
 	ts.Check(err)
 	file := filepath.Join(w.dir, name+".settings.json")
 	ts.Check(os.WriteFile(file, data, 0o600))
-	p := w.start(ts, name, "cardamompierd", append([]string{"-s", file}, args[2:]...)...)
+	p := w.start(ts, name, "cardamompierd", append([]string{"-s", file}, flags...)...)
 	p.address, p.inner = s.Listen, s.InnerListen
 	w.domainOf[name] = s.FailureDomain
 	awaitListening(ts, p, p.address)
+	awaitJoined(p)
 	ts.Setenv(strings.ToUpper(name), p.address)
 	ts.Setenv(strings.ToUpper(name)+"_INNER", p.inner)
 }
@@ -175,3 +181,32 @@
 		return err == nil && strings.Contains(text, args[1]) != neg
 	})
 }
+
+// joined: waits until every running entry host knows every other.
+func cmdJoined(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	for name, p := range w.processes {
+		if p.inner == "" {
+			continue
+		}
+		awaitTrue(ts, eventuallyTimeout, name+" knows the others", func() bool {
+			_, text, err := request(http.MethodGet, "http://"+p.inner+"/status", "", "", "")
+			return err == nil && w.namesAll(text)
+		})
+	}
+}
+
+// namesAll says whether a status lists every running entry host as a member.
+func (w *world) namesAll(status string) bool {
+	for name, p := range w.processes {
+		select {
+		case <-p.exited:
+			continue
+		default:
+		}
+		if p.inner != "" && !strings.Contains(status, `"id":"`+name+`"`) {
+			return false
+		}
+	}
+	return true
+}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -9,7 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,6 +59,7 @@
 			"order":      cmdOrder,
 			"get":        cmdGet,
 			"eventually": cmdEventually,
+			"running":    cmdRunning,
 			"caller":     cmdCaller,
 			"await":      cmdAwait,
 			"reread":     cmdReread,
@@ -69,7 +70,11 @@
 			"lost":       cmdLost,
 			"count":      cmdCount,
 			"soak":       cmdSoak,
+			"seeded":     cmdSeeded,
+			"relayed":    cmdRelayed,
+			"cut":        cmdCut,
 			"burst":      cmdBurst,
+			"joined":     cmdJoined,
 
 			"ownedkey":        cmdOwnedKey,
 			"startorder":      cmdStartOrder,
@@ -95,6 +100,7 @@
 	orders    map[string]*placedOrder
 	keys      map[string]bool   // idempotency keys that ownedkey gave
 	domainOf  map[string]string // failure domain by process name
+	relays    map[string][]*relay
 }
 
 // process is one running program.
@@ -110,10 +116,12 @@
 func setUp(env *testscript.Env) error {
 	w := &world{
 		dir: env.WorkDir, processes: map[string]*process{}, callers: map[string]*caller{}, domainOf: map[string]string{},
+		relays: map[string][]*relay{},
 	}
 	w.orders, w.keys = map[string]*placedOrder{}, map[string]bool{}
 	env.Values[worldKey{}] = w
 	env.Vars = append(env.Vars, "PATH="+binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
+	env.Defer(w.closeRelays)
 	env.Defer(w.killAll)
 	return nil
 }
@@ -155,23 +163,29 @@
 	return p
 }
 
-// givenAddresses are the addresses that freeAddress has returned: a script that
-// runs at the same time must not get one before its process listens on it.
-var givenAddresses sync.Map
+// The ports of freeAddress.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+// nextPort counts the ports that were handed out.
+var nextPort atomic.Int64
 
 // freeAddress returns a loopback address that nothing listens on. Its IP
 // number is this test run's own: ports of another run do not get in the way.
+// No port is tried twice, so that scripts do not open each other's.
 func freeAddress(ts *testscript.TestScript) string {
 	pid := os.Getpid()
-	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff))
-		ts.Check(err)
-		address := l.Addr().String()
-		ts.Check(l.Close())
-		if _, taken := givenAddresses.LoadOrStore(address, true); !taken {
+	for range portCount {
+		address := fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, firstPort+nextPort.Add(1)%portCount)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
 			return address
 		}
 	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 // awaitListening waits until an address accepts connections.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"regexp"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/strictjson"
 )
@@ -29,6 +30,12 @@
 	// InnerListen is the IP number and port for other entry hosts and for
 	// operators. Required; callers must not reach it.
 	InnerListen string `json:"inner_listen"`
+	// InnerAdvertise is the IP number and port that other entry hosts are told.
+	// Default InnerListen.
+	InnerAdvertise string `json:"inner_advertise"`
+	// Seeds are inner addresses of entry hosts that are asked first at a start,
+	// before the key-value service. Default none.
+	Seeds []string `json:"seeds,omitempty"`
 	// Platform says where the platform's services are.
 	Platform Platform `json:"platform"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error". Default "info".
@@ -72,6 +79,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
 	}
+	if s.InnerAdvertise == "" {
+		s.InnerAdvertise = s.InnerListen
+	}
 	if s.Region == "" {
 		s.Region = "default"
 	}
@@ -101,6 +111,10 @@
 		return refuse("inner_listen", "an IP number and port")
 	case s.InnerListen == s.Listen:
 		return refuse("inner_listen", "another address than listen")
+	case !isDialable(s.InnerAdvertise):
+		return refuse("inner_advertise", "an IP number and port that other entry hosts can connect to")
+	case !lo.EveryBy(s.Seeds, isDialable):
+		return refuse("seeds", "IP numbers and ports that can be connected to")
 	case !isURL(s.Platform.KeyValue):
 		return refuse("platform.key_value", "an http URL")
 	case !isURL(s.Platform.HostList):
--- a/workload/fleet.go
+++ b/workload/fleet.go
@@ -50,6 +50,7 @@
 	entries []*entry
 	digests [][]digest // by entry, by engine
 	result  *Result
+	open    int // requests that have not ended
 }
 
 // digest is what one entry host tells the others of one engine.
@@ -105,7 +106,7 @@
 	var tick func()
 	tick = func() {
 		run()
-		if f.clock.Now() < f.setup.Options.Duration+drain {
+		if f.clock.Now() < f.setup.Options.Duration || f.open > 0 {
 			f.clock.After(interval, tick)
 		}
 	}
--- a/workload/request.go
+++ b/workload/request.go
@@ -48,9 +48,10 @@
 	r := &request{fleet: f, entry: e, arrival: a, work: e.history.Predict(a.Prompt, maxTokens)}
 	r.route = routing.Request{Blocks: a.Blocks, Long: r.work.Long, Sequence: e.sequence}
 	e.history.Arrive(r.work)
+	f.open++
 	f.result.request(a)
 	if !r.send("") {
-		r.done = true
+		r.close()
 		f.result.failed(a)
 		return
 	}
@@ -59,6 +60,12 @@
 	}
 }
 
+// close ends the request.
+func (r *request) close() {
+	r.done = true
+	r.fleet.open--
+}
+
 // send starts an attempt at the engine that the policy chooses; why is empty
 // for the first.
 func (r *request) send(why retry.Reason) bool {
@@ -216,14 +223,14 @@
 }
 
 func (r *request) retry() {
-	if !r.send(retry.ReasonFailed) {
-		r.done = true
+	if !r.done && !r.send(retry.ReasonFailed) {
+		r.close()
 		r.fleet.result.failed(r.arrival)
 	}
 }
 
 func (r *request) finish(at *attempt) {
-	r.done = true
+	r.close()
 	r.entry.history.Add(r.arrival.Prompt, r.arrival.Answer, r.work)
 	upstream := r.entry.snapshot.Upstreams[at.engine]
 	r.entry.lives[at.engine].Succeed()
