--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	host := hosts.Host{ID: last.Host, Address: last.Address}
-	stream, err := r.dispatcher.engine(host).Resume(ctx, last.StreamID, r.Log.Count())
+	stream, err := r.reopen(ctx, host, last)
 	if err == nil {
 		Moves.Inc(wayResume)
 		err = r.follow(ctx, cancel, host, last, stream)
@@ -180,6 +180,17 @@
 	return err == nil
 }
 
+// reopen reads an attempt on from the engine that has it.
+func (r *run) reopen(ctx context.Context, host hosts.Host, a journal.Attempt) (upstream.TokenStream, error) {
+	for try := 0; ; try++ {
+		stream, err := r.dispatcher.engine(host).Resume(ctx, a.StreamID, r.Log.Count())
+		if err == nil || try == maxResumes || ctx.Err() != nil || upstream.ReasonOf(err) == upstream.ReasonNoStream {
+			return stream, err
+		}
+		time.Sleep(attemptPause)
+	}
+}
+
 // attempt runs the generation at one engine, continuing after the text so far.
 func (r *run) attempt(ctx context.Context, host hosts.Host) error {
 	planned := r.next
@@ -238,7 +249,6 @@
 ) error {
 	move := r.dispatcher.moves.add(r, host, a, cancel)
 	defer r.dispatcher.moves.remove(move)
-	engine := r.dispatcher.engine(host)
 	meter := r.measure(host)
 	whole := false
 	defer func() { meter.end(whole) }()
@@ -260,7 +270,7 @@
 		if ctx.Err() != nil || resumes > maxResumes || upstream.ReasonOf(err) != upstream.ReasonBroken {
 			return err
 		}
-		next, resumeErr := engine.Resume(ctx, a.StreamID, r.Log.Count())
+		next, resumeErr := r.reopen(ctx, host, a)
 		if resumeErr != nil {
 			return err
 		}
