--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -34,11 +34,16 @@
 	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineFlags(engineCommand, &engine)
+	deskOptions := desk.Options{}
 	deskCommand := flaggy.NewSubcommand("desk")
+	deskFlags(deskCommand, &deskOptions)
+	leaderOptions := &leader{}
+	leaderCommand := flaggy.NewSubcommand("leader")
+	leaderOptions.flags(leaderCommand)
 	demonstration := demoOptions{dir: "examples", port: 7500}
 	demoCommand := flaggy.NewSubcommand("demo")
 	demoFlags(demoCommand, &demonstration)
-	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, demoCommand} {
+	for _, c := range []*flaggy.Subcommand{platformCommand, engineCommand, deskCommand, leaderCommand, demoCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -50,7 +55,9 @@
 		engine.Crash = func() { os.Exit(exitCrashed) }
 		serve(listen, enginesim.New(engine).Handler())
 	case deskCommand.Used:
-		serve(listen, (&desk.Desk{}).Handler())
+		serve(listen, (&desk.Desk{Options: deskOptions}).Handler())
+	case leaderCommand.Used:
+		leaderOptions.run(listen)
 	case demoCommand.Used:
 		if err := runDemo(demonstration); err != nil {
 			fail(err)
@@ -61,6 +68,12 @@
 	}
 }
 
+func deskFlags(c *flaggy.Subcommand, o *desk.Options) {
+	c.Int(&o.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
+	c.Duration(&o.Delay, "", "delay", "time that an order takes after it was counted")
+	c.Bool(&o.Refuse, "", "refuse", "take no orders")
+}
+
 func engineFlags(c *flaggy.Subcommand, o *enginesim.Options) {
 	c.String(&o.ID, "", "id", "the engine's name")
 	c.Duration(&o.TokenTime, "", "token-time", "time of one step")
@@ -72,6 +85,7 @@
 	c.Duration(&o.EventLag, "", "event-lag", "age at which cache events are shown")
 	c.UInt64(&o.EventLoss, "", "event-loss", "lose each n-th cache event")
 	c.Duration(&o.ReportLag, "", "report-lag", "age of load reports")
+	c.Bool(&o.IgnoreFence, "", "ignore-fence", "take orders with old fencing numbers")
 	c.String(&o.CrashMark, "", "crash-mark", "text in a prompt that ends the process")
 }
 
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// keysCreated is the time of every idempotency key of a run.
+var keysCreated = time.Now().UTC().Format(time.RFC3339)
+
 func request(method, url, key, idempotencyKey, body string) (int, string, error) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -154,6 +157,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
+		req.Header.Set("Idempotency-Key-Created", keysCreated)
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -171,3 +175,32 @@
 		return err == nil && strings.Contains(text, args[1]) != neg
 	})
 }
+
+// joined: waits until every running entry host knows every other.
+func cmdJoined(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	for name, p := range w.processes {
+		if p.inner == "" {
+			continue
+		}
+		awaitTrue(ts, eventuallyTimeout, name+" knows the others", func() bool {
+			_, text, err := request(http.MethodGet, "http://"+p.inner+"/status", "", "", "")
+			return err == nil && w.namesAll(text)
+		})
+	}
+}
+
+// namesAll says whether a status lists every running entry host as a member.
+func (w *world) namesAll(status string) bool {
+	for name, p := range w.processes {
+		select {
+		case <-p.exited:
+			continue
+		default:
+		}
+		if p.inner != "" && !strings.Contains(status, `"id":"`+name+`"`) {
+			return false
+		}
+	}
+	return true
+}
