--- a/inner/message.go
+++ b/inner/message.go
@@ -31,6 +31,8 @@
 	KindOrderClaim  Kind = 200
 	KindOrderFinish Kind = 201
 	KindOrderGet    Kind = 202
+	// KindOrderRelease asks the owner of a partition to give it up.
+	KindOrderRelease Kind = 203
 	// KindQuotaGrant: package quota, 300 to 399.
 	KindQuotaGrant Kind = 300
 )
