Admit the first requests of an account whose granter is settled

Cause: a granter met an account with an empty bucket, so that the first request was refused; and changes of the entry hosts were only noticed by a request, so that the first one after a quiet time looked like a change and began a second without grants. Ruled out: a burst that grows with quiet time (it would overshoot). Change: a settled granter begins with its burst; others begin to fill when their delay ends; changes are looked for five times a second.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+func TestFirstRequestOfASettledGranterIsAdmitted(t *testing.T) {
+	for _, rate := range []float64{0.5, 5, 500} {
+		granter, host := admission.NewGranter(), admission.NewLimiter()
+		limits := admission.Limits{RequestsPerSecond: rate}
+		req, _ := host.Need("a", epoch)
+		host.Granted("a", granter.Grant(req, limits, true, epoch), epoch, epoch)
+		if verdict, _ := host.Admit("a", limits, epoch); verdict != admission.Admitted {
+			t.Errorf("verdict %d at %v requests a second", verdict, rate)
+		}
+	}
+}
+
 func TestTokensOverTheLimitStopAdmission(t *testing.T) {
 	granter, limits := admission.NewGranter(), admission.Limits{TokensPerSecond: 100}
 	host := admission.NewLimiter()
--- a/admission/granter.go
+++ b/admission/granter.go
@@ -59,18 +59,26 @@
 // NewGranter returns a granter without accounts.
 func NewGranter() *Granter { return &Granter{accounts: map[string]*tenure{}} }
 
+// newTenure begins the responsibility for an account: with its burst saved up
+// when it is fresh, else with nothing until the old granter's grants ended.
+func newTenure(burst float64, fresh bool, now time.Time) *tenure {
+	if fresh {
+		return &tenure{since: now.Add(-tenureDelay), requests: Bucket{tokens: burst, at: now}, tokens: Bucket{at: now}}
+	}
+	begin := now.Add(tenureDelay)
+	return &tenure{since: now, requests: Bucket{at: begin}, tokens: Bucket{at: begin}}
+}
+
 // Grant answers one request for credit. The first request for an account
 // begins a tenure that gives nothing for tenureDelay, unless fresh is set:
 // the account's granter did not change since this process knows the others.
 func (g *Granter) Grant(req GrantRequest, limits Limits, fresh bool, now time.Time) Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	burst := max(1, limits.RequestsPerSecond*burstWindow.Seconds())
 	t, known := g.accounts[req.Account]
 	if !known {
-		t = &tenure{since: now}
-		if fresh {
-			t.since = now.Add(-tenureDelay)
-		}
+		t = newTenure(burst, fresh, now)
 		g.accounts[req.Account] = t
 	}
 	t.lastUse = now
@@ -78,7 +86,6 @@
 		t.tokens.Charge(req.TokensUsed)
 		return Grant{WaitMS: max(1, wait.Milliseconds())}
 	}
-	burst := max(1, limits.RequestsPerSecond*burstWindow.Seconds())
 	t.requests.Fill(limits.RequestsPerSecond, burst, now)
 	t.tokens.Fill(limits.TokensPerSecond, limits.TokensPerSecond*burstWindow.Seconds(), now)
 	t.tokens.Charge(req.TokensUsed)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -24,6 +24,8 @@
 	grantTimeout = 150 * time.Millisecond
 	// maxAsks bounds the requests for credit that one request waits for.
 	maxAsks = 3
+	// changeInterval is how often a change of the entry hosts is looked for.
+	changeInterval = 200 * time.Millisecond
 	// expireInterval is how often unused accounts are forgotten.
 	expireInterval = 10 * time.Second
 	// settleSpan is how long the members must have stayed the same before a
@@ -73,13 +75,18 @@
 	return q
 }
 
-// Run forgets unused accounts until ctx ends.
+// Run notices changes of the entry hosts and forgets unused accounts until
+// ctx ends.
 func (q *Quota) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
+	changes := time.NewTicker(changeInterval)
+	defer changes.Stop()
+	expiry := time.NewTicker(expireInterval)
+	defer expiry.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
+		case <-changes.C:
+			q.members.ChangedAt()
+		case now := <-expiry.C:
 			q.granter.Expire(now)
 			q.granter.Resign(func(account string) bool {
 				_, self := q.members.Granter(account)
