Keep the seeds that did not answer when a host joins alone

Ruled out as that failure's cause: hosts that join apart find each other also with the old code (new test, passes before and after).

--- a/membership/faults_test.go
+++ b/membership/faults_test.go
@@ -234,3 +234,22 @@
 		until(t, time.Minute, fmt.Sprint("the new host everywhere: ", f.check()), func() bool { return f.check() == "" })
 	})
 }
+
+// TestHostsThatJoinApartFindEachOther starts hosts that cannot reach each
+// other yet: each joins alone, and they unite when the links are there.
+func TestHostsThatJoinApartFindEachOther(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *fleet) {
+		names := []string{"n0", "n1", "n2"}
+		for i, a := range names {
+			for _, b := range names[i+1:] {
+				f.network.Cut(a, b, true)
+				f.network.Cut(b, a, true)
+			}
+		}
+		f.start("n1", "d1")
+		f.start("n2", "d2")
+		time.Sleep(7 * time.Second)
+		f.heal()
+		until(t, 15*time.Second, "equal views", func() bool { return f.check() == "" })
+	})
+}
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
@@ -91,7 +93,8 @@
 }
 
 // join exchanges records with the first seed that answers. When none does,
-// this host makes itself a seed.
+// this host adds itself to the seeds: those that did not answer stay until a
+// keeper replaces them, since they may only be slow.
 func (r *Registry) join(ctx context.Context) bool {
 	answered := false
 	for _, address := range r.Seeds {
@@ -112,7 +115,16 @@
 			return true
 		}
 	}
-	return writeSeeds(ctx, r.Store, []Member{r.Self()}, version) == nil
+	return writeSeeds(ctx, r.Store, withSeed(seeds, r.Self()), version) == nil
+}
+
+// withSeed adds a member to the seeds, in place of the oldest when they are full.
+func withSeed(seeds []Member, m Member) []Member {
+	out := lo.Reject(seeds, func(seed Member, _ int) bool { return seed.ID == m.ID })
+	if len(out) >= seedCount {
+		out = out[len(out)-seedCount+1:]
+	}
+	return append(out, m)
 }
 
 func (r *Registry) contact(ctx context.Context, address string) bool {
