Run provisioning in the daemon, under a lease for each pool

The daemon did not run package provision. Two entry hosts a pool, by rendezvous order, campaign for the duty provision/POOL; every entry host sends them its tokens a second (inner kind 400).

A step of the operators' floor, when it was a part of the forecast demand, was taken for a trend: the scenario waited 20 s in vain for a pool to shrink from 6 to 3. The floor is now apart from the forecast (TestPoolFollowsItsFloorAtOnce).

--- a/cardamompier.go
+++ b/cardamompier.go
@@ -24,6 +24,7 @@
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/provision"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
 )
@@ -76,6 +77,7 @@
 		poller:   do.MustInvoke[*hosts.Poller](injector),
 		registry: do.MustInvoke[*membership.Registry](injector),
 	}
+	do.MustInvoke[*provision.Keeper](injector) // registers before the listener opens
 	srv.callers = srv.gateway.Server()
 	srv.inner = srv.innerServer()
 	return srv, srv.listen()
@@ -106,6 +108,9 @@
 	s.start(func() { s.gateway.RunGates(background) })
 	s.start(func() { s.awaitNotice(background) })
 	s.start(func() { do.MustInvoke[*quota.Quota](s.injector).Run(background) })
+	if keeper := do.MustInvoke[*provision.Keeper](s.injector); keeper != nil {
+		s.start(func() { keeper.Run(background) })
+	}
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
--- a/cloud/cloudmem/cloudmem.go
+++ b/cloud/cloudmem/cloudmem.go
@@ -79,6 +79,13 @@
 	return ids
 }
 
+// Started returns how many hosts were ever started.
+func (c *Cloud) Started() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastID
+}
+
 // Offers implements cloud.API.
 func (c *Cloud) Offers(context.Context) ([]cloud.Offer, error) {
 	c.mu.Lock()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,13 +25,14 @@
 )
 
 func main() {
-	listen, hostFile := "", ""
+	listen, hostFile, marketFile := "", "", ""
 	engine := enginesim.Options{ID: "engine", TokenTime: 5 * time.Millisecond}
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for outside systems, for tests.")
 	flaggy.String(&listen, "l", "listen", "IP number and port")
 	platformCommand := flaggy.NewSubcommand("platform")
 	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
+	platformCommand.String(&marketFile, "", "market", "JSON file with the cloud's prices and the weight store")
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineFlags(engineCommand, &engine)
 	deskOptions := desk.Options{}
@@ -49,7 +50,7 @@
 	flaggy.Parse()
 	switch {
 	case platformCommand.Used:
-		serve(listen, platform.New(readHosts(hostFile)).Handler())
+		serve(listen, newPlatform(hostFile, marketFile).Handler())
 	case engineCommand.Used:
 		engine.Salt = enginesim.SaltOf(engine.ID)
 		engine.Crash = func() { os.Exit(exitCrashed) }
@@ -89,19 +90,30 @@
 	c.String(&o.CrashMark, "", "crash-mark", "text in a prompt that ends the process")
 }
 
-func readHosts(path string) []hosts.Host {
+func newPlatform(hostFile, marketFile string) *platform.Platform {
+	var list []hosts.Host
+	readJSON(hostFile, &list)
+	p := platform.New(list)
+	if marketFile != "" {
+		var market platform.Market
+		readJSON(marketFile, &market)
+		p.SetMarket(market)
+	}
+	return p
+}
+
+// readJSON reads a file into out, unless path is empty.
+func readJSON(path string, out any) {
 	if path == "" {
-		return nil
+		return
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		fail(err)
 	}
-	var list []hosts.Host
-	if err := json.Unmarshal(data, &list); err != nil {
+	if err := json.Unmarshal(data, out); err != nil {
 		fail(err)
 	}
-	return list
 }
 
 func serve(listen string, handler http.Handler) {
--- a/config/files.go
+++ b/config/files.go
@@ -150,9 +150,35 @@
 	case s.Kind == KindPlain && s.MaxTokens != 0:
 		return s, faultAt(path, data, "max_tokens", "no max_tokens for a plain service")
 	}
+	if field, expected := s.faultOfCapacity(); field != "" {
+		return s, faultAt(path, data, field, expected)
+	}
 	return s, nil
 }
 
+const expectedCapacity = "machine classes, each with a positive number of tokens a second"
+
+// faultOfCapacity returns the field of provisioning that is wrong, and what
+// was expected; empty when they are right.
+func (s *Service) faultOfCapacity() (field, expected string) {
+	for class, capacity := range s.Capacity {
+		if !namePattern.MatchString(class) || capacity <= 0 {
+			return "capacity", expectedCapacity
+		}
+	}
+	switch {
+	case s.Capacity != nil && len(s.Capacity) == 0:
+		return "capacity", expectedCapacity
+	case s.Kind == KindPlain && s.Capacity != nil:
+		return "capacity", "no capacity for a plain service"
+	case s.MinTokensPerSecond < 0:
+		return "min_tokens_per_second", "zero or more"
+	case s.MinTokensPerSecond > 0 && len(s.Capacity) == 0:
+		return "min_tokens_per_second", "a capacity beside it"
+	}
+	return "", ""
+}
+
 // ParseAccount decodes and checks a client account file and fills in its defaults.
 func ParseAccount(path string, data []byte) (Account, *FileError) {
 	var a Account
--- a/config/files_test.go
+++ b/config/files_test.go
@@ -9,6 +9,7 @@
 const goodAccount = `{"account": "a", "key_digests": ["sha256:2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"], "services": ["s"]}`
 
 func TestParseServiceRefusesWithLineAndField(t *testing.T) {
+	const model = "{\"service\": \"s\", \"kind\": \"model\", \"pool\": \"p\", \"model\": \"m\",\n"
 	tests := map[string]struct {
 		file     string
 		line     int
@@ -25,6 +26,12 @@
 		"model of plain":  {`{"service": "s", "kind": "plain", "pool": "p", "model": "m"}`, 1, "model", "no model or adapter for a plain service"},
 		"tokens of plain": {`{"service": "s", "kind": "plain", "pool": "p", "max_tokens": 9}`, 1, "max_tokens", "no max_tokens for a plain service"},
 		"bad deadline":    {"{\"service\": \"s\", \"kind\": \"plain\", \"pool\": \"p\",\n\"deadline\": \"-1s\"}", 2, "deadline", "a positive time span"},
+		"no classes":      {model + `"capacity": {}}`, 2, "capacity", expectedCapacity},
+		"no capacity":     {model + `"capacity": {"small": 0}}`, 2, "capacity", expectedCapacity},
+		"bad class":       {model + `"capacity": {"Small one": 5}}`, 2, "capacity", expectedCapacity},
+		"negative floor":  {model + `"capacity": {"small": 5}, "min_tokens_per_second": -1}`, 2, "min_tokens_per_second", "zero or more"},
+		"floor alone":     {model + `"min_tokens_per_second": 5}`, 2, "min_tokens_per_second", "a capacity beside it"},
+		"plain capacity":  {"{\"service\": \"s\", \"kind\": \"plain\", \"pool\": \"p\",\n\"capacity\": {\"small\": 5}}", 2, "capacity", "no capacity for a plain service"},
 		"no span":         {"{\"service\": \"s\", \"kind\": \"plain\", \"pool\": \"p\",\n\"deadline\": \"soon\"}", 2, "deadline", "a time span such as \"30s\""},
 	}
 	for name, test := range tests {
@@ -51,7 +58,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if again, fault := ParseService("f", stored); fault != nil || again != service {
+		if again, fault := ParseService("f", stored); fault != nil || !reflect.DeepEqual(again, service) {
 			t.Fatalf("stored as %s: %v", stored, fault)
 		}
 	})
--- a/config/types.go
+++ b/config/types.go
@@ -67,6 +67,13 @@
 	Deadline Duration `json:"deadline,omitempty"`
 	// MaxTokens bounds an answer, in tokens. Default 4096. KindModel only.
 	MaxTokens int `json:"max_tokens,omitempty"`
+	// Capacity is what a host of each machine class generates at the latency
+	// target, in tokens a second. The pool's hosts are bought by it. Default
+	// none: the pool is not provisioned. KindModel only.
+	Capacity map[string]float64 `json:"capacity,omitempty"`
+	// MinTokensPerSecond is what the pool is sized for when fewer are asked
+	// for, in tokens a second. Default 0, for a single host. With Capacity only.
+	MinTokensPerSecond float64 `json:"min_tokens_per_second,omitempty"`
 }
 
 // Account is one client account file.
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -296,6 +296,7 @@
 		r.passTrial()
 		if r.Log.Append(attempt, token.Index, token.Text) {
 			read++
+			m.pool.generated.Add(1)
 		}
 	}
 }
--- a/dispatch/meter.go
+++ b/dispatch/meter.go
@@ -42,6 +42,7 @@
 // meter measures one attempt. It is used by one goroutine.
 type meter struct {
 	run     *run
+	pool    *pool
 	host    hosts.Host
 	live    *routing.Live
 	typical time.Duration
@@ -52,7 +53,7 @@
 func (r *run) measure(host hosts.Host) *meter {
 	p := r.dispatcher.pool(r.Service.Pool)
 	v := p.view(r.Service.Pool, r.dispatcher.hosts.Current(), time.Now())
-	m := &meter{run: r, host: host, live: v.live(host), typical: v.snapshot.TypicalGap}
+	m := &meter{run: r, pool: p, host: host, live: v.live(host), typical: v.snapshot.TypicalGap}
 	if m.live == nil { // a host that has left the list
 		m.live = &routing.Live{}
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -35,6 +35,8 @@
 	relisted   func(*hosts.Snapshot)
 	history    routing.History
 	popularity routing.Popularity
+	// generated counts the tokens that were passed on.
+	generated atomic.Int64
 
 	mu      sync.Mutex // held while a view is built
 	decayed time.Time
@@ -59,6 +61,9 @@
 	return p.(*pool)
 }
 
+// Generated returns the tokens that were passed on for a pool since the start.
+func (d *Dispatcher) Generated(pool string) int64 { return d.pool(pool).generated.Load() }
+
 // forgetBudgets drops the budgets of hosts that are not listed any more.
 func (d *Dispatcher) forgetBudgets(list *hosts.Snapshot) {
 	listed := lo.SliceToMap(list.Hosts, func(h hosts.Host) (string, bool) { return h.ID, true })
--- a/inner/message.go
+++ b/inner/message.go
@@ -37,6 +37,8 @@
 	KindOrderRelease Kind = 203
 	// KindQuotaGrant: package quota, 300 to 399.
 	KindQuotaGrant Kind = 300
+	// KindProvisionRate: package provision, 400 to 499.
+	KindProvisionRate Kind = 400
 )
 
 // Path is where the inner listener serves the protocol.
--- a/provide.go
+++ b/provide.go
@@ -6,6 +6,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
 
+	"github.com/cardamompier/cardamompier/cloud/cloudhttp"
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/gateway"
@@ -18,8 +19,10 @@
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/order"
+	"github.com/cardamompier/cardamompier/provision"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/settings"
+	"github.com/cardamompier/cardamompier/weights/weightshttp"
 )
 
 const (
@@ -87,9 +90,27 @@
 			Logger:     logger.Named("gateway"),
 		}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*provision.Keeper, error) { return provideKeeper(i, s, logger), nil })
 	return i
 }
 
+// provideKeeper returns nil where provisioning is off.
+func provideKeeper(i do.Injector, s settings.Settings, logger hclog.Logger) *provision.Keeper {
+	if s.Platform.Cloud == "" {
+		return nil
+	}
+	return provision.NewKeeper(provision.Parts{
+		Self: s.HostID, Cloud: cloudhttp.NewClient(s.Platform.Cloud), Weights: weightshttp.NewClient(s.Platform.Weights),
+		Store:     do.MustInvoke[kv.Store](i),
+		Config:    do.MustInvoke[*config.Follower](i).Current,
+		Members:   do.MustInvoke[*membership.Registry](i).View,
+		Hosts:     do.MustInvoke[*hosts.Poller](i).Current,
+		Generated: do.MustInvoke[*dispatch.Dispatcher](i).Generated,
+		Peers:     do.MustInvoke[*inner.Client](i),
+		Logger:    logger.Named("provision"),
+	}, do.MustInvoke[*inner.Server](i))
+}
+
 // groupOf returns the entry hosts that follow the configuration together.
 func groupOf(self string, view *membership.View) config.Group {
 	group := config.Group{Self: self}
--- a/provision/provision.go
+++ b/provision/provision.go
@@ -24,7 +24,7 @@
 const Interval = 5 * time.Second
 
 // Orders counts starts and stops, and refused starts.
-var Orders = metrics.New("provision_orders_total", "Orders to the cloud API, by kind.")
+var Orders = metrics.New("provision_orders_total", "Orders to the cloud API, refused and failed ones, and what was held back, by kind.")
 
 // Labels of Orders.
 const (
@@ -32,6 +32,10 @@
 	labelStop    = "stop"
 	labelRefused = "refused"
 	labelFailed  = "failed"
+	// labelHeld counts rounds that were left out.
+	labelHeld = "held"
+	// labelUntold counts rates that did not leave for a candidate.
+	labelUntold = "untold"
 )
 
 // Pool is one pool of upstreams as the operators' files describe it.
@@ -39,9 +43,15 @@
 	Name string
 	// Capacity is what a host of each class serves at the latency target, in
 	// the units of Demand.
-	Capacity map[string]float64
+	Capacity func() map[string]float64
+	// Ready says whether the demand is known. Rounds in which it is not are
+	// left out. Nil means always.
+	Ready func() bool
 	// Demand returns the demand now.
 	Demand func() float64
+	// Floor is the least demand that the pool is sized for. It is no part of
+	// the forecast: a change of it is no trend. Nil means zero.
+	Floor func() float64
 	// Warm says whether a host has its model and takes work.
 	Warm func(hostID string) bool
 	// WarmUp is how long a host takes from its start until it is warm.
@@ -81,7 +91,11 @@
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
 	for {
-		p.Round(ctx, fence, time.Now())
+		if p.pool.Ready == nil || p.pool.Ready() {
+			p.Round(ctx, fence, time.Now())
+		} else {
+			Orders.Inc(labelHeld)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -138,7 +152,10 @@
 func (p *Provisioner) observe(offers []cloud.Offer, instances []cloud.Instance, now time.Time) planner.Observation {
 	o := planner.Observation{
 		Now: now, Demand: max(p.forecast.Demand(now), p.forecast.Demand(now.Add(p.pool.WarmUp()))),
-		Capacity: p.pool.Capacity, Offers: offers, Refused: p.refused, Risk: map[cloud.Market]float64{},
+		Capacity: p.pool.Capacity(), Offers: offers, Refused: p.refused, Risk: map[cloud.Market]float64{},
+	}
+	if p.pool.Floor != nil {
+		o.Demand = max(o.Demand, p.pool.Floor())
 	}
 	for _, offer := range offers {
 		o.Risk[offer.Market] = p.risk.PerHour(offer.Market)
--- a/provision/provision_test.go
+++ b/provision/provision_test.go
@@ -17,6 +17,7 @@
 type bench struct {
 	now    time.Time
 	demand float64
+	floor  float64
 	cloud  *cloudmem.Cloud
 	api    cloud.API
 }
@@ -34,8 +35,8 @@
 
 func (b *bench) provisioner() *provision.Provisioner {
 	return provision.New(b.api, provision.Pool{
-		Name: "runners", Capacity: map[string]float64{"small": 1},
-		Demand: func() float64 { return b.demand }, Warm: func(string) bool { return true },
+		Name: "runners", Capacity: func() map[string]float64 { return map[string]float64{"small": 1} },
+		Demand: func() float64 { return b.demand }, Floor: func() float64 { return b.floor }, Warm: func(string) bool { return true },
 		WarmUp: func() time.Duration { return time.Minute }, MaxStarts: func() int { return 3 },
 	}, planner.DefaultPolicy(), hclog.NewNullLogger())
 }
@@ -76,6 +77,18 @@
 	}
 }
 
+// A step of the floor is no trend: it neither overshoots nor lags.
+func TestPoolFollowsItsFloorAtOnce(t *testing.T) {
+	b := newBench()
+	p := b.provisioner()
+	for _, floor := range []float64{2, 4, 6, 3} {
+		b.floor = floor
+		if got := b.run(t.Context(), p, 4*provision.Interval); len(got) != int(floor) {
+			t.Fatalf("%d hosts for a floor of %v", len(got), floor)
+		}
+	}
+}
+
 // lossy loses the answers of starts that took effect.
 type lossy struct{ cloud.API }
 
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -20,10 +20,10 @@
 const eventuallyTimeout = 20 * time.Second
 
 // platform: starts the platform's stand-in; its URL is $PLATFORM.
-func cmdPlatform(ts *testscript.TestScript, _ bool, _ []string) {
+func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
 	address := freeAddress(ts)
-	p := w.start(ts, "platform", "standin", "-l", address, "platform")
+	p := w.start(ts, "platform", "standin", append([]string{"-l", address, "platform"}, args...)...)
 	awaitListening(ts, p, address)
 	w.platform = "http://" + address
 	ts.Setenv("PLATFORM", w.platform)
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -84,6 +84,8 @@
 			"leader":          cmdLeader,
 			"pausenow":        cmdPauseNow,
 			"want":            cmdWant,
+			"buyer":           cmdBuyer,
+			"killholder":      cmdKillHolder,
 			"calls":           cmdCalls,
 			"morecalls":       cmdMoreCalls,
 		},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,6 +48,10 @@
 	KeyValue string `json:"key_value"`
 	// HostList is the list of live and leaving hosts. Required.
 	HostList string `json:"host_list"`
+	// Cloud is the cloud API. Default none: no host is bought or ended.
+	Cloud string `json:"cloud,omitempty"`
+	// Weights is the weight store. Required with Cloud, and only then.
+	Weights string `json:"weights,omitempty"`
 }
 
 // Read reads, completes and checks a settings file. It returns *Error.
@@ -119,6 +123,14 @@
 		return refuse("platform.key_value", "an http URL")
 	case !isURL(s.Platform.HostList):
 		return refuse("platform.host_list", "an http URL")
+	case s.Platform.Cloud != "" && !isURL(s.Platform.Cloud):
+		return refuse("platform.cloud", "an http URL, or none")
+	case s.Platform.Weights != "" && !isURL(s.Platform.Weights):
+		return refuse("platform.weights", "an http URL, or none")
+	case s.Platform.Cloud != "" && s.Platform.Weights == "":
+		return refuse("platform.weights", "an http URL, as platform.cloud has one")
+	case s.Platform.Cloud == "" && s.Platform.Weights != "":
+		return refuse("platform.cloud", "an http URL, as platform.weights has one")
 	case hclog.LevelFromString(s.LogLevel) == hclog.NoLevel:
 		return refuse("log_level", "trace, debug, info, warn or error")
 	}
--- /dev/null
+++ b/standin/platform/market.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cardamompier/cardamompier/cloud"
+	"github.com/cardamompier/cardamompier/cloud/cloudhttp"
+	"github.com/cardamompier/cardamompier/cloud/cloudmem"
+	"github.com/cardamompier/cardamompier/config"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/weights"
+	"github.com/cardamompier/cardamompier/weights/weightshttp"
+)
+
+// Paths of the test endpoints for the cloud.
+const (
+	// PathReclaim gives notice to the reclaimable hosts of a failure domain.
+	PathReclaim = "/standin/reclaim"
+	// PathCloud shows how many hosts were ever started, and how many there are.
+	PathCloud = "/standin/cloud"
+)
+
+// Market is the file of the cloud's prices and of the weight store.
+type Market struct {
+	Offers []cloud.Offer `json:"offers"`
+	// StartDelay is the time from a start until the host is live. Default 0.
+	StartDelay config.Duration `json:"start_delay"`
+	// Address is that of every started host. Live hosts are in the host list
+	// when it is set; nothing needs to listen there.
+	Address string          `json:"address"`
+	Models  []weights.Model `json:"models"`
+	Limits  weights.Limits  `json:"limits"`
+}
+
+// Reclaim is the body of PathReclaim.
+type Reclaim struct {
+	FailureDomain string          `json:"failure_domain"`
+	Notice        config.Duration `json:"notice"`
+}
+
+// market is the state of the cloud and the weight store.
+type market struct {
+	cloud *cloudmem.Cloud
+	file  Market
+}
+
+// SetMarket adds a cloud and a weight store. It is called before Handler.
+func (p *Platform) SetMarket(file Market) {
+	m := &market{cloud: cloudmem.New(time.Now, time.Duration(file.StartDelay)), file: file}
+	m.cloud.SetAddresses(func(string) string { return file.Address })
+	for _, offer := range file.Offers {
+		m.cloud.SetPrice(offer.Market, offer.PricePerHour)
+	}
+	p.market = m
+}
+
+func (m *market) register(mux *http.ServeMux) {
+	if m == nil {
+		return
+	}
+	mux.Handle("/v1/cloud/", cloudhttp.Handler(m.cloud))
+	mux.Handle("/v1/weights/", weightshttp.Handler(m))
+	mux.HandleFunc("POST "+PathReclaim, m.serveReclaim)
+	mux.HandleFunc("GET "+PathCloud, m.serveCloud)
+}
+
+// hosts returns the live and leaving instances as the host list shows them.
+func (m *market) hosts() []hosts.Host {
+	if m == nil || m.file.Address == "" {
+		return nil
+	}
+	instances, _ := m.cloud.Instances(context.Background())
+	var list []hosts.Host
+	for _, i := range instances {
+		if i.State == cloud.StateStarting {
+			continue
+		}
+		list = append(list, hosts.Host{
+			ID: i.ID, Address: m.file.Address, FailureDomain: i.FailureDomain, Pool: i.Pool, Class: i.Class,
+			Reclaimable: i.Reclaimable, State: hosts.State(i.State),
+		})
+	}
+	return list
+}
+
+// Models implements weights.Store.
+func (m *market) Models(context.Context) ([]weights.Model, error) { return m.file.Models, nil }
+
+// Limits implements weights.Store.
+func (m *market) Limits(context.Context) (weights.Limits, error) { return m.file.Limits, nil }
+
+func (m *market) serveReclaim(w http.ResponseWriter, r *http.Request) {
+	var body Reclaim
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(m.cloud.Reclaim(body.FailureDomain, time.Duration(body.Notice)))
+}
+
+func (m *market) serveCloud(w http.ResponseWriter, r *http.Request) {
+	instances, _ := m.cloud.Instances(r.Context())
+	_ = json.NewEncoder(w).Encode(struct {
+		Started int `json:"started"`
+		Present int `json:"present"`
+	}{m.cloud.Started(), len(instances)})
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -23,9 +23,10 @@
 
 // Platform is the stand-in's state. Use New.
 type Platform struct {
-	Store *kvmem.Store
-	mu    sync.Mutex
-	list  []hosts.Host
+	Store  *kvmem.Store
+	mu     sync.Mutex
+	list   []hosts.Host
+	market *market // nil for none
 }
 
 // New returns a platform with an empty store and the given hosts.
@@ -44,7 +45,7 @@
 func (p *Platform) Hosts() []hosts.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]hosts.Host{}, p.list...)
+	return append(append([]hosts.Host{}, p.list...), p.market.hosts()...)
 }
 
 // Handler serves the platform's services and the test endpoints.
@@ -55,6 +56,7 @@
 	mux.HandleFunc("POST "+PathFaults, p.serveFaults)
 	mux.HandleFunc("POST "+PathHosts, p.serveHosts)
 	mux.HandleFunc("GET "+PathCalls, p.serveCalls)
+	p.market.register(mux)
 	return mux
 }
 
--- a/weights/weightshttp/weightshttp.go
+++ b/weights/weightshttp/weightshttp.go
@@ -16,7 +16,7 @@
 	pathLimits = "/v1/weights/limits"
 )
 
-// Client reads the store at one address.
+// Client reads the weight store at one address.
 type Client struct{ calls *jsonhttp.Client }
 
 var _ weights.Store = (*Client)(nil)
@@ -27,13 +27,13 @@
 // Models implements weights.Store.
 func (c *Client) Models(ctx context.Context) ([]weights.Model, error) {
 	var out []weights.Model
-	return out, typed(pathModels, c.calls.Call(ctx, http.MethodGet, pathModels, nil, &out))
+	return out, typed("models", c.calls.Call(ctx, http.MethodGet, pathModels, nil, &out))
 }
 
 // Limits implements weights.Store.
 func (c *Client) Limits(ctx context.Context) (weights.Limits, error) {
 	var out weights.Limits
-	return out, typed(pathLimits, c.calls.Call(ctx, http.MethodGet, pathLimits, nil, &out))
+	return out, typed("limits", c.calls.Call(ctx, http.MethodGet, pathLimits, nil, &out))
 }
 
 func typed(op string, err error) error {
