--- a/provide.go
+++ b/provide.go
@@ -63,15 +63,7 @@
 		isolation := dispatch.NewIsolation(do.MustInvoke[*gossip.Table](i), do.MustInvoke[kv.Store](i), logger.Named("isolation"))
 		return dispatch.New(do.MustInvoke[*hosts.Poller](i), isolation, logger.Named("dispatch")), nil
 	})
-	do.Provide(i, func(i do.Injector) (*order.Partitioned, error) {
-		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
-		ledger := order.NewPartitioned(store, s.HostID, members, do.MustInvoke[*inner.Client](i), order.Options{})
-		ledger.Register(do.MustInvoke[*inner.Server](i))
-		return ledger, nil
-	})
-	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
-		return order.NewRecorder(do.MustInvoke[*order.Partitioned](i), do.MustInvoke[kv.Store](i), logger.Named("order")), nil
-	})
+	provideOrders(i, s, logger)
 	do.Provide(i, func(i do.Injector) (*quota.Quota, error) {
 		members := quota.NewView(s.HostID, do.MustInvoke[*membership.Registry](i).View)
 		return quota.New(members, do.MustInvoke[*config.Follower](i), do.MustInvoke[*inner.Client](i), do.MustInvoke[*inner.Server](i)), nil
@@ -94,6 +86,18 @@
 	return i
 }
 
+func provideOrders(i do.Injector, s settings.Settings, logger hclog.Logger) {
+	do.Provide(i, func(i do.Injector) (*order.Partitioned, error) {
+		store, members := do.MustInvoke[kv.Store](i), do.MustInvoke[*membership.Registry](i)
+		ledger := order.NewPartitioned(store, s.HostID, members, do.MustInvoke[*inner.Client](i), order.Options{})
+		ledger.Register(do.MustInvoke[*inner.Server](i))
+		return ledger, nil
+	})
+	do.Provide(i, func(i do.Injector) (order.Ledger, error) {
+		return order.NewRecorder(do.MustInvoke[*order.Partitioned](i), do.MustInvoke[kv.Store](i), logger.Named("order")), nil
+	})
+}
+
 // provideKeeper returns nil where provisioning is off.
 func provideKeeper(i do.Injector, s settings.Settings, logger hclog.Logger) *provision.Keeper {
 	if s.Platform.Cloud == "" {
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -86,6 +86,8 @@
 			"want":            cmdWant,
 			"buyer":           cmdBuyer,
 			"killholder":      cmdKillHolder,
+			"reclaim":         cmdReclaim,
+			"bought":          cmdBought,
 			"calls":           cmdCalls,
 			"morecalls":       cmdMoreCalls,
 		},
--- a/standin/platform/market.go
+++ b/standin/platform/market.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cardamompier/cardamompier/cloud"
@@ -19,7 +20,7 @@
 const (
 	// PathReclaim gives notice to the reclaimable hosts of a failure domain.
 	PathReclaim = "/standin/reclaim"
-	// PathCloud shows how many hosts were ever started, and how many there are.
+	// PathCloud shows a CloudState.
 	PathCloud = "/standin/cloud"
 )
 
@@ -28,6 +29,9 @@
 	Offers []cloud.Offer `json:"offers"`
 	// StartDelay is the time from a start until the host is live. Default 0.
 	StartDelay config.Duration `json:"start_delay"`
+	// OrderDelay is the time that a start takes to have its effect and answer.
+	// Default 0.
+	OrderDelay config.Duration `json:"order_delay"`
 	// Address is that of every started host. Live hosts are in the host list
 	// when it is set; nothing needs to listen there.
 	Address string          `json:"address"`
@@ -35,6 +39,15 @@
 	Limits  weights.Limits  `json:"limits"`
 }
 
+// CloudState is what the cloud says of itself to a test.
+type CloudState struct {
+	// Started counts the hosts that were ever started, Present those that are.
+	Started int `json:"started"`
+	Present int `json:"present"`
+	// Reads counts the reads of the offers: one begins each round.
+	Reads int64 `json:"reads"`
+}
+
 // Reclaim is the body of PathReclaim.
 type Reclaim struct {
 	FailureDomain string          `json:"failure_domain"`
@@ -45,6 +58,7 @@
 type market struct {
 	cloud *cloudmem.Cloud
 	file  Market
+	reads atomic.Int64
 }
 
 // SetMarket adds a cloud and a weight store. It is called before Handler.
@@ -61,12 +75,30 @@
 	if m == nil {
 		return
 	}
-	mux.Handle("/v1/cloud/", cloudhttp.Handler(m.cloud))
+	mux.Handle("/v1/cloud/", cloudhttp.Handler(slowCloud{m.cloud, m}))
 	mux.Handle("/v1/weights/", weightshttp.Handler(m))
 	mux.HandleFunc("POST "+PathReclaim, m.serveReclaim)
 	mux.HandleFunc("GET "+PathCloud, m.serveCloud)
 }
 
+// slowCloud counts reads, and delays starts whether or not the caller still waits.
+type slowCloud struct {
+	*cloudmem.Cloud
+	market *market
+}
+
+// Offers implements cloud.API.
+func (s slowCloud) Offers(ctx context.Context) ([]cloud.Offer, error) {
+	s.market.reads.Add(1)
+	return s.Cloud.Offers(ctx)
+}
+
+// Start implements cloud.API.
+func (s slowCloud) Start(ctx context.Context, req cloud.StartRequest) (cloud.Instance, error) {
+	time.Sleep(time.Duration(s.market.file.OrderDelay))
+	return s.Cloud.Start(context.WithoutCancel(ctx), req)
+}
+
 // hosts returns the live and leaving instances as the host list shows them.
 func (m *market) hosts() []hosts.Host {
 	if m == nil || m.file.Address == "" {
@@ -103,8 +135,5 @@
 
 func (m *market) serveCloud(w http.ResponseWriter, r *http.Request) {
 	instances, _ := m.cloud.Instances(r.Context())
-	_ = json.NewEncoder(w).Encode(struct {
-		Started int `json:"started"`
-		Present int `json:"present"`
-	}{m.cloud.Started(), len(instances)})
+	_ = json.NewEncoder(w).Encode(CloudState{Started: m.cloud.Started(), Present: len(instances), Reads: m.reads.Load()})
 }
