Leave the time before the first token out of the gate's pace

Cause: at 500 one-token requests a second the path added 4.0 ms at the median and 16.7 ms at the 99th percentile: short answers are all first token, whose 33 ms the gate took for time between tokens, and it queued them. Ruled out: the engine (the same load sent straight does not show it). Change: a stream counts from the first sample that sees a token of it.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -65,8 +65,11 @@
 	gate     *Gate
 	progress Progress
 	granted  chan struct{}
-	base     int // tokens at the last sample
-	gone     bool
+	// begun is set by the first sample that sees a token: the time before the
+	// first token is not the time between tokens.
+	begun bool
+	base  int // tokens at the last sample
+	gone  bool
 }
 
 // NewGate returns a gate without streams.
@@ -111,10 +114,10 @@
 		return
 	}
 	s.gone = true
-	if _, ran := g.running[s]; ran {
+	if s.begun {
 		g.tokens += s.progress.Count() - s.base
-		delete(g.running, s)
 	}
+	delete(g.running, s)
 	g.grant()
 }
 
@@ -143,10 +146,14 @@
 	defer g.mu.Unlock()
 	tokens := g.tokens
 	g.tokens = 0
+	begun := 0
 	for s := range g.running {
 		count := s.progress.Count()
-		tokens += count - s.base
-		s.base = count
+		if s.begun {
+			begun++
+			tokens += count - s.base
+		}
+		s.begun, s.base = s.begun || count > s.base, count
 	}
 	elapsed := now.Sub(g.sampled)
 	first := g.sampled.IsZero()
@@ -158,7 +165,7 @@
 	if first || len(g.running) == 0 {
 		return
 	}
-	g.streamTime = memory*g.streamTime + elapsed.Seconds()*float64(len(g.running))
+	g.streamTime = memory*g.streamTime + elapsed.Seconds()*float64(begun)
 	g.streamTokens = memory*g.streamTokens + float64(tokens)
 	if g.streamTokens < 1 {
 		return
