--- a/cmd/experiment/path.go
+++ b/cmd/experiment/path.go
@@ -148,7 +148,7 @@
 	during, _ := readProcess(o.inner)
 	running.Wait()
 	after, _ := readProcess(o.inner)
-	tokens := float64(o.streams * o.tokens)
+	tokens := float64(max(1, o.streams-int(failed.Load())) * o.tokens)
 	fmt.Printf("streams %d of %d tokens, %d failed: %.2f us processor time a token, %.1f KiB heap and stack a stream\n",
 		o.streams, o.tokens, failed.Load(), (after.CPUSeconds-before.CPUSeconds)*1e6/tokens,
 		float64(during.HeapBytes+during.StackBytes-before.HeapBytes-before.StackBytes)/float64(o.streams)/1024)
