--- a/config/publish.go
+++ b/config/publish.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -223,9 +224,6 @@
 
 // pause waits before the next attempt, with jitter.
 func pause(ctx context.Context, attempt int) {
-	wait := min(minPublishBackoff<<attempt, maxPublishBackoff)
-	select {
-	case <-time.After(wait/2 + rand.N(wait/2)):
-	case <-ctx.Done():
-	}
+	ceiling := min(minPublishBackoff<<attempt, maxPublishBackoff)
+	wait.For(ctx, ceiling/2+rand.N(ceiling/2))
 }
--- a/config/watch.go
+++ b/config/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 	defer background.Wait()
 	for ctx.Err() == nil {
 		if !f.group().watches() {
-			sleep(ctx, roleInterval)
+			wait.For(ctx, roleInterval)
 			continue
 		}
 		f.watchInRole(ctx)
@@ -52,7 +53,7 @@
 		if f.Current() == nil && failures == 0 {
 			events.ConfigNone.Log(f.logger)
 		}
-		sleep(ctx, retryDelay(failures))
+		wait.For(ctx, retryDelay(failures))
 	}
 }
 
@@ -65,7 +66,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { f.watch(role) })
 	for role.Err() == nil && f.group().watches() {
-		sleep(role, roleInterval)
+		wait.For(role, roleInterval)
 	}
 	end()
 	background.Wait()
@@ -83,7 +84,7 @@
 		}
 		if err != nil {
 			f.failed(ctx, err)
-			sleep(ctx, retryDelay(failures))
+			wait.For(ctx, retryDelay(failures))
 			failures++
 		}
 	}
@@ -97,7 +98,7 @@
 		return 0, err
 	}
 	if len(changes) == 0 && time.Since(began) < minRetryDelay {
-		sleep(ctx, minRetryDelay)
+		wait.For(ctx, minRetryDelay)
 	}
 	f.answered()
 	for _, change := range changes {
@@ -112,13 +113,13 @@
 // whole interval, so that the checks of members that started together spread
 // evenly over it.
 func (f *Follower) check(ctx context.Context) {
-	wait := rand.N(checkInterval(f.group()))
-	for sleep(ctx, wait); ctx.Err() == nil; sleep(ctx, wait) {
+	delay := rand.N(checkInterval(f.group()))
+	for wait.For(ctx, delay); ctx.Err() == nil; wait.For(ctx, delay) {
 		if _, err := f.read(ctx, callCheck); err != nil {
 			f.failed(ctx, err)
 		}
 		interval := checkInterval(f.group())
-		wait = interval/2 + rand.N(interval)
+		delay = interval/2 + rand.N(interval)
 	}
 }
 
@@ -138,10 +139,3 @@
 		events.ConfigReadFailed.Log(f.logger, "error", err)
 	}
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	select {
-	case <-time.After(span):
-	case <-ctx.Done():
-	}
-}
--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -92,7 +93,7 @@
 		select {
 		case <-s.wake:
 			s.pushAll(ctx, &pushing)
-			pause(ctx, pushInterval)
+			wait.For(ctx, pushInterval)
 		case <-repair.C:
 			if s.repair(ctx) {
 				repair.Reset(repairInterval)
@@ -112,13 +113,6 @@
 	pushing.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // add queues a new item for the neighbours, but for the one that sent it.
 func (s *Spreader) add(item Item, from string) {
 	s.mu.Lock()
@@ -170,7 +164,7 @@
 			label = labelPushed
 			break
 		}
-		pause(ctx, pushInterval)
+		wait.For(ctx, pushInterval)
 		if ctx.Err() != nil {
 			break
 		}
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -81,7 +81,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return &Error{Path: path, Sent: !failedToDial(err), Cause: err}
+		return &Error{Path: path, Sent: !Unsent(err), Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	decoder := json.NewDecoder(io.LimitReader(res.Body, maxBodySize))
@@ -117,7 +117,9 @@
 	return req, err
 }
 
-func failedToDial(err error) bool {
+// Unsent says that a request failed before any byte of it was sent: there was
+// no connection.
+func Unsent(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
--- a/kv/budget.go
+++ b/kv/budget.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -35,11 +37,11 @@
 func (b *budget) take(ctx context.Context, p Priority) bool {
 	limit := time.Now().Add(maxBudgetWait)
 	for {
-		wait := b.tryTake(p)
-		if wait == 0 {
+		delay := b.tryTake(p)
+		if delay == 0 {
 			return true
 		}
-		if time.Now().Add(wait).After(limit) || !pause(ctx, wait) {
+		if time.Now().Add(delay).After(limit) || !wait.For(ctx, delay) {
 			return false
 		}
 	}
@@ -65,15 +67,3 @@
 	ceiling := min(backoffMax, backoffBase<<min(round, 10))
 	return time.Millisecond + rand.N(ceiling)
 }
-
-// pause waits; false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/kv/client.go
+++ b/kv/client.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // Counters of the client.
@@ -152,7 +153,7 @@
 		err := c.call(ctx, PurposeRead, op, key, do)
 		reason := ReasonOf(err)
 		retry := reason == ReasonUnknown || reason == ReasonRateLimited || reason == ReasonUnavailable
-		if !retry || attempt == readAttempts || errors.Is(err, errCircuit) || !pause(ctx, backoff(attempt)) {
+		if !retry || attempt == readAttempts || errors.Is(err, errCircuit) || !wait.For(ctx, backoff(attempt)) {
 			return err
 		}
 		Retries.Inc(string(reason))
--- a/kv/kvhttp/client.go
+++ b/kv/kvhttp/client.go
@@ -5,12 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"github.com/cardamompier/cardamompier/jsonhttp"
 	"github.com/cardamompier/cardamompier/kv"
 )
 
@@ -149,8 +147,7 @@
 }
 
 func reasonOfTransport(err error) kv.Reason {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if jsonhttp.Unsent(err) {
 		return kv.ReasonUnavailable
 	}
 	return kv.ReasonUnknown
--- a/kv/resolve.go
+++ b/kv/resolve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -102,7 +103,7 @@
 			result = decided
 			break
 		}
-		if !pause(ctx, backoff(round)) {
+		if !wait.For(ctx, backoff(round)) {
 			break
 		}
 	}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -12,6 +12,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // Terms counts the beginnings and ends of terms, by what happened.
@@ -72,7 +73,7 @@
 			h.hold(ctx, sent, lead)
 		}
 		interval := h.options.TTL / renewals
-		pause(ctx, interval/2+rand.N(interval))
+		wait.For(ctx, interval/2+rand.N(interval))
 	}
 }
 
@@ -202,13 +203,3 @@
 	defer cancel()
 	h.write(ctx, duty{Holder: h.host, Fence: h.seen.Fence, Released: true})
 }
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/membership/seeds.go
+++ b/membership/seeds.go
@@ -10,6 +10,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // SeedKey is where the list of seeds is stored.
@@ -69,7 +70,7 @@
 func (r *Registry) seedLoop(ctx context.Context) {
 	for ctx.Err() == nil && !r.joined.Load() {
 		if !r.join(ctx) {
-			sleep(ctx, joinRetryInterval)
+			wait.For(ctx, joinRetryInterval)
 			continue
 		}
 		r.mu.Lock()
@@ -81,14 +82,7 @@
 		if r.isKeeper() {
 			r.checkSeeds(ctx)
 		}
-		sleep(ctx, seedCheckInterval)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		wait.For(ctx, seedCheckInterval)
 	}
 }
 
--- a/order/committer.go
+++ b/order/committer.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // Commits counts the commits of partitions by their result.
@@ -165,7 +166,7 @@
 func (c *committer) run(ctx context.Context, batch []*pendingOperation) {
 	for range commitRounds {
 		failed := c.acquire(ctx)
-		if isLimited(failed) && pause(ctx, limitedPause/2+rand.N(limitedPause)) {
+		if isLimited(failed) && wait.For(ctx, limitedPause/2+rand.N(limitedPause)) {
 			Commits.Inc(commitLimited)
 			continue
 		}
@@ -302,7 +303,7 @@
 		Commits.Inc(commitDeposed)
 		c.known, c.deposed = false, time.Now()
 		fail(batch, Error{Reason: ReasonNotOwner, Cause: result.Cause})
-	case kv.ReasonOf(result.Cause) == kv.ReasonRateLimited && pause(ctx, limitedPause/2+rand.N(limitedPause)):
+	case kv.ReasonOf(result.Cause) == kv.ReasonRateLimited && wait.For(ctx, limitedPause/2+rand.N(limitedPause)):
 		Commits.Inc(commitLimited)
 		return false
 	case result.Outcome == kv.OutcomeUnknown:
--- a/order/direct.go
+++ b/order/direct.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // directPrefix is where the records of direct claims are stored.
@@ -73,7 +74,7 @@
 			return answer, nil
 		}
 		reason := kv.ReasonOf(result.Cause)
-		if reason == kv.ReasonRateLimited && pause(ctx, limitedPause/2+rand.N(limitedPause)) {
+		if reason == kv.ReasonRateLimited && wait.For(ctx, limitedPause/2+rand.N(limitedPause)) {
 			continue
 		}
 		if reason != kv.ReasonConflict {
--- a/order/partitioned.go
+++ b/order/partitioned.go
@@ -13,6 +13,7 @@
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // Routed counts operations by where they were committed.
@@ -193,7 +194,7 @@
 		}
 		uncertain = uncertain || failed.Reason == ReasonUnknown
 		again := failed.Reason == ReasonNotOwner || failed.Reason == ReasonUnknown
-		if !again || !pause(ctx, routePause/2+rand.N(routePause)) {
+		if !again || !wait.For(ctx, routePause/2+rand.N(routePause)) {
 			return verdict{}, finalFailure(failed, uncertain)
 		}
 		Routed.Inc(routedRetry)
@@ -257,15 +258,3 @@
 	}
 	return ReasonUnknown
 }
-
-// pause waits; false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/order/recorder.go
+++ b/order/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // Recorded counts outcomes by how they were recorded.
@@ -123,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, finishGiveUp)
 	defer cancel()
 	var err error
-	for pause(ctx, finishPause/2+rand.N(finishPause)) {
+	for wait.For(ctx, finishPause/2+rand.N(finishPause)) {
 		attempt, cancelAttempt := context.WithTimeout(ctx, finishAttempt)
 		err = r.finish(attempt, claim, state, outcome)
 		cancelAttempt()
--- a/upstream/enginehttp/client.go
+++ b/upstream/enginehttp/client.go
@@ -12,8 +12,7 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"github.com/cardamompier/cardamompier/jsonhttp"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
@@ -170,8 +169,7 @@
 }
 
 func reasonOfTransport(ctx context.Context, err error) upstream.Reason {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if jsonhttp.Unsent(err) {
 		return upstream.ReasonConnect
 	}
 	if ctx.Err() != nil {
--- a/upstream/plainhttp/client.go
+++ b/upstream/plainhttp/client.go
@@ -11,8 +11,7 @@
 	"net/url"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"github.com/cardamompier/cardamompier/jsonhttp"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
@@ -109,8 +108,7 @@
 }
 
 func reasonOfTransport(ctx context.Context, err error) upstream.Reason {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if jsonhttp.Unsent(err) {
 		return upstream.ReasonConnect
 	}
 	if ctx.Err() != nil {
