--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,13 +25,14 @@
 )
 
 func main() {
-	listen, hostFile, marketFile := "", "", ""
+	listen, hostFile, marketFile, listLag := "", "", "", time.Duration(0)
 	engine := enginesim.Options{ID: "engine", TokenTime: 5 * time.Millisecond}
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for outside systems, for tests.")
 	flaggy.String(&listen, "l", "listen", "IP number and port")
 	platformCommand := flaggy.NewSubcommand("platform")
 	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
+	platformCommand.Duration(&listLag, "", "list-lag", "how long a change of the host list stays unseen")
 	platformCommand.String(&marketFile, "", "market", "JSON file with the cloud's prices and the weight store")
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineFlags(engineCommand, &engine)
@@ -50,7 +51,9 @@
 	flaggy.Parse()
 	switch {
 	case platformCommand.Used:
-		serve(listen, newPlatform(hostFile, marketFile).Handler())
+		p := newPlatform(hostFile, marketFile)
+		p.ListLag = listLag
+		serve(listen, p.Handler())
 	case engineCommand.Used:
 		engine.Salt = enginesim.SaltOf(engine.ID)
 		engine.Crash = func() { os.Exit(exitCrashed) }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
@@ -23,29 +24,42 @@
 
 // Platform is the stand-in's state. Use New.
 type Platform struct {
-	Store  *kvmem.Store
+	Store *kvmem.Store
+	// ListLag is how long a change of the host list stays unseen. Zero shows
+	// it at once. It is set before the platform serves.
+	ListLag time.Duration
+
 	mu     sync.Mutex
-	list   []hosts.Host
-	market *market // nil for none
+	lists  []datedList // in order of time; the first may be shown
+	market *market     // nil for none
+}
+
+// datedList is a host list with the time when it was set.
+type datedList struct {
+	at   time.Time
+	list []hosts.Host
 }
 
 // New returns a platform with an empty store and the given hosts.
 func New(list []hosts.Host) *Platform {
-	return &Platform{Store: kvmem.New(), list: list}
+	return &Platform{Store: kvmem.New(), lists: []datedList{{list: list}}}
 }
 
-// SetHosts replaces the host list.
+// SetHosts replaces the host list; it is shown after ListLag.
 func (p *Platform) SetHosts(list []hosts.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list = list
+	p.lists = append(p.lists, datedList{at: time.Now(), list: list})
 }
 
-// Hosts returns the host list.
+// Hosts returns the host list as it is shown now.
 func (p *Platform) Hosts() []hosts.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append(append([]hosts.Host{}, p.list...), p.market.hosts()...)
+	for len(p.lists) > 1 && time.Since(p.lists[1].at) >= p.ListLag {
+		p.lists = p.lists[1:]
+	}
+	return append(append([]hosts.Host{}, p.lists[0].list...), p.market.hosts()...)
 }
 
 // Handler serves the platform's services and the test endpoints.
