--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,9 +31,7 @@
 	flaggy.SetDescription("Stand-ins for outside systems, for tests.")
 	flaggy.String(&listen, "l", "listen", "IP number and port")
 	platformCommand := flaggy.NewSubcommand("platform")
-	platformCommand.String(&hostFile, "", "hosts", "JSON file with the host list")
-	platformCommand.Duration(&listLag, "", "list-lag", "how long a change of the host list stays unseen")
-	platformCommand.String(&marketFile, "", "market", "JSON file with the cloud's prices and the weight store")
+	platformFlags(platformCommand, &hostFile, &marketFile, &listLag)
 	engineCommand := flaggy.NewSubcommand("engine")
 	engineFlags(engineCommand, &engine)
 	deskOptions := desk.Options{}
@@ -70,6 +68,12 @@
 	}
 }
 
+func platformFlags(c *flaggy.Subcommand, hostFile, marketFile *string, listLag *time.Duration) {
+	c.String(hostFile, "", "hosts", "JSON file with the host list")
+	c.Duration(listLag, "", "list-lag", "how long a change of the host list stays unseen")
+	c.String(marketFile, "", "market", "JSON file with the cloud's prices and the weight store")
+}
+
 func deskFlags(c *flaggy.Subcommand, o *desk.Options) {
 	c.Int(&o.DropAfterRun, "", "drop-after-run", "first orders that run and get no answer")
 	c.Duration(&o.Delay, "", "delay", "time that an order takes after it was counted")
