--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -11,8 +11,8 @@
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/hosts"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/upstream"
 	"github.com/cardamompier/cardamompier/upstream/enginehttp"
@@ -43,7 +43,7 @@
 // Generation is one accepted chat request.
 type Generation struct {
 	Service *config.Service
-	Log     *journal.Log
+	Log     *genlog.Log
 	// Begun is called when an attempt begins.
 	Begun func()
 }
@@ -64,7 +64,7 @@
 	defer r.endTrial()
 	failure := r.carryOut(ctx)
 	switch {
-	case g.Log.State() == journal.StateMoved:
+	case g.Log.State() == genlog.StateMoved:
 	case failure == nil:
 		g.Log.Finish()
 	case ctx.Err() != nil:
@@ -192,7 +192,7 @@
 }
 
 // reopen reads an attempt on from the engine that has it.
-func (r *run) reopen(ctx context.Context, host hosts.Host, a journal.Attempt) (upstream.TokenStream, error) {
+func (r *run) reopen(ctx context.Context, host hosts.Host, a genlog.Attempt) (upstream.TokenStream, error) {
 	for try := 0; ; try++ {
 		stream, err := r.dispatcher.engine(host).Resume(ctx, a.StreamID, r.Log.Count())
 		if err == nil || try == maxResumes || ctx.Err() != nil || upstream.ReasonOf(err) == upstream.ReasonNoStream {
@@ -256,7 +256,7 @@
 // until the answer ends, the attempt fails or is moved. The stream ends with
 // ctx, which cancel ends.
 func (r *run) follow(
-	ctx context.Context, cancel context.CancelFunc, host hosts.Host, a journal.Attempt, stream upstream.TokenStream,
+	ctx context.Context, cancel context.CancelFunc, host hosts.Host, a genlog.Attempt, stream upstream.TokenStream,
 ) error {
 	move := r.dispatcher.moves.add(r, host, a, cancel)
 	defer r.dispatcher.moves.remove(move)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/hosts"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/routing"
 	"github.com/cardamompier/cardamompier/upstream"
 )
@@ -44,7 +44,7 @@
 type moving struct {
 	run     *run
 	host    hosts.Host
-	attempt journal.Attempt
+	attempt genlog.Attempt
 	first   int // tokens in the log when the attempt began
 	begun   time.Time
 	cancel  context.CancelFunc
@@ -59,7 +59,7 @@
 	leaving map[string]time.Time // hosts that said so themselves
 }
 
-func (m *moves) add(r *run, host hosts.Host, a journal.Attempt, cancel context.CancelFunc) *moving {
+func (m *moves) add(r *run, host hosts.Host, a genlog.Attempt, cancel context.CancelFunc) *moving {
 	entry := &moving{run: r, host: host, attempt: a, first: r.Log.Count(), begun: time.Now(), cancel: cancel}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -10,7 +10,7 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/cardamompier/cardamompier/apierr"
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // Completion is a whole answer.
@@ -39,7 +39,7 @@
 
 // wholeAnswer waits for the end of a log and returns its text. A run that
 // moves to another host meanwhile is followed there.
-func (g *Gateway) wholeAnswer(ctx context.Context, log *journal.Log) (*huma.StreamResponse, error) {
+func (g *Gateway) wholeAnswer(ctx context.Context, log *genlog.Log) (*huma.StreamResponse, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -65,7 +65,7 @@
 	}}, nil
 }
 
-func (g *Gateway) collect(ctx context.Context, log *journal.Log) (string, int, *apierr.Error) {
+func (g *Gateway) collect(ctx context.Context, log *genlog.Log) (string, int, *apierr.Error) {
 	var text strings.Builder
 	for at := (position{}); ; {
 		chunk, err := log.Read(ctx, at.next)
@@ -79,11 +79,11 @@
 		at.next += chunk.Len()
 		at.branch = max(at.branch, chunk.Branch())
 		switch chunk.State {
-		case journal.StateDone:
+		case genlog.StateDone:
 			return text.String(), at.next, nil
-		case journal.StateFailed:
+		case genlog.StateFailed:
 			return "", 0, chunk.Failed
-		case journal.StateMoved:
+		case genlog.StateMoved:
 			next, found := g.Keeper.Find(ctx, log.RequestID)
 			if !found {
 				return "", 0, g.stillRunning()
@@ -106,7 +106,7 @@
 
 // streamAnswer sends a log from a position as server-sent events, each with
 // the index of its token as event id.
-func (g *Gateway) streamAnswer(log *journal.Log, at position) *huma.StreamResponse {
+func (g *Gateway) streamAnswer(log *genlog.Log, at position) *huma.StreamResponse {
 	return &huma.StreamResponse{Body: func(c huma.Context) {
 		c.SetHeader("Content-Type", "text/event-stream")
 		c.SetHeader("Cache-Control", "no-store")
@@ -124,7 +124,7 @@
 }
 
 // sendEvents sends a log's events until its end, the end of ctx or a failed send.
-func (g *Gateway) sendEvents(ctx context.Context, log *journal.Log, at position, send func([]byte) bool) {
+func (g *Gateway) sendEvents(ctx context.Context, log *genlog.Log, at position, send func([]byte) bool) {
 	writer := newEventWriter(log)
 	for {
 		if log.Behind(at.branch) {
@@ -134,19 +134,19 @@
 		if err != nil {
 			return
 		}
-		beyond := chunk.Len() == 0 && chunk.State == journal.StateDone && at.next > log.Count()+1
+		beyond := chunk.Len() == 0 && chunk.State == genlog.StateDone && at.next > log.Count()+1
 		if beyond || chunk.Branch() != at.branch && !log.Extends(at.branch, at.next) {
 			send(writer.failure(lostText()))
 			return
 		}
-		if chunk.State == journal.StateDone && chunk.Len() == 0 {
+		if chunk.State == genlog.StateDone && chunk.Len() == 0 {
 			at.next = log.Count()
 		}
 		events := writer.encode(chunk, at.next)
-		if chunk.State == journal.StateMoved {
+		if chunk.State == genlog.StateMoved {
 			events = writer.moved(g.addresses(""))
 		}
-		if !send(events) || chunk.State != journal.StateRunning {
+		if !send(events) || chunk.State != genlog.StateRunning {
 			return
 		}
 		at.next += chunk.Len()
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -15,7 +15,7 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/events"
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // Message is one message of a conversation.
@@ -70,7 +70,7 @@
 // recordOf returns the record of a request. Under an idempotency key its id
 // follows from the client account and the key, so that a repeat at any entry
 // host finds the first run.
-func recordOf(c call, in *chatInput) journal.Record {
+func recordOf(c call, in *chatInput) genlog.Record {
 	limit := c.service.MaxTokens
 	if in.Body.MaxTokens > 0 {
 		limit = min(limit, in.Body.MaxTokens)
@@ -80,7 +80,7 @@
 	if in.Key != "" {
 		id = "req-" + uuid.NewSHA1(keyNamespace, []byte(c.account.Name+"\x00"+in.Key)).String()
 	}
-	return journal.Record{
+	return genlog.Record{
 		RequestID: id, Account: c.account.Name, Service: c.service.Name, Prompt: prompt, MaxTokens: limit,
 		Digest:   xxhash.Sum64String(c.service.Name + "\x00" + strconv.Itoa(limit) + "\x00" + prompt),
 		Deadline: time.Now().Add(time.Duration(c.service.Deadline)),
@@ -91,7 +91,7 @@
 var keyNamespace = uuid.MustParse("6f1c8e0a-52f4-4d6a-9d0e-0a4b7a1f3c55")
 
 // RunGeneration carries an accepted request out until its log ends or moves.
-func (g *Gateway) RunGeneration(log *journal.Log) {
+func (g *Gateway) RunGeneration(log *genlog.Log) {
 	g.work.Add(1)
 	defer g.work.Done()
 	service := g.service(log.Service)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -7,17 +7,17 @@
 	"unicode/utf8"
 
 	"github.com/cardamompier/cardamompier/apierr"
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // eventWriter encodes the chunks of one answer. Its buffer is used again.
 type eventWriter struct {
-	log    *journal.Log
+	log    *genlog.Log
 	prefix []byte // the data of an event up to the token's text
 	buffer []byte
 }
 
-func newEventWriter(log *journal.Log) *eventWriter {
+func newEventWriter(log *genlog.Log) *eventWriter {
 	head, _ := json.Marshal(struct {
 		ID      string `json:"id"`
 		Object  string `json:"object"`
@@ -29,7 +29,7 @@
 }
 
 // encode returns the events of a chunk, whose first token has index from.
-func (e *eventWriter) encode(chunk journal.Chunk, from int) []byte {
+func (e *eventWriter) encode(chunk genlog.Chunk, from int) []byte {
 	e.buffer = e.buffer[:0]
 	for i := range chunk.Len() {
 		e.event(from+i, chunk.Branch())
@@ -38,10 +38,10 @@
 		e.buffer = append(e.buffer, "},\"finish_reason\":null}]}\n\n"...)
 	}
 	switch chunk.State {
-	case journal.StateDone:
+	case genlog.StateDone:
 		e.event(from+chunk.Len(), chunk.Branch())
 		e.buffer = append(e.buffer, "{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"...)
-	case journal.StateFailed:
+	case genlog.StateFailed:
 		e.named("error", apierr.BodyFor(chunk.Failed, e.log.RequestID))
 	}
 	return e.buffer
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"unicode/utf8"
 
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // BenchmarkRelayToken is one token through the journal and its event, with a
 // reader that waits for each token.
 func BenchmarkRelayToken(b *testing.B) {
-	log := journal.NewLog(journal.Record{RequestID: "req-6f1c8e0a-52f4-4d6a-9d0e-0a4b7a1f3c55", Service: "badge-wording"})
+	log := genlog.NewLog(genlog.Record{RequestID: "req-6f1c8e0a-52f4-4d6a-9d0e-0a4b7a1f3c55", Service: "badge-wording"})
 	number := log.BeginAttempt("e", "address", "stream")
 	read := make(chan int)
 	go func() {
@@ -20,7 +20,7 @@
 		writer, from := newEventWriter(log), 0
 		for {
 			chunk, err := log.Read(context.Background(), from)
-			if err != nil || len(writer.encode(chunk, from)) == 0 || chunk.State != journal.StateRunning {
+			if err != nil || len(writer.encode(chunk, from)) == 0 || chunk.State != genlog.StateRunning {
 				return
 			}
 			from += chunk.Len()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,8 +20,8 @@
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/order"
@@ -52,8 +52,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Ledger     order.Ledger
 	Quota      Quota
-	Journals   *journal.Store
-	Holder     *journal.Holder
+	Journals   *genlog.Store
+	Holder     *genlog.Holder
 	Peers      *inner.Client
 	InnerAPI   *inner.Server
 	Logger     hclog.Logger
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -7,7 +7,7 @@
 
 	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/apierr"
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // gates holds the gate of each pool.
@@ -50,7 +50,7 @@
 }
 
 // enter waits for a slot in the pool of an accepted request.
-func (g *Gateway) enter(ctx context.Context, pool string, log *journal.Log) (*admission.Slot, error) {
+func (g *Gateway) enter(ctx context.Context, pool string, log *genlog.Log) (*admission.Slot, error) {
 	weight := 0.0
 	if snapshot := g.Config.Current(); snapshot != nil {
 		if account, ok := snapshot.Accounts[log.Account]; ok {
--- a/journal/chunk.go
+++ b/genlog/chunk.go
@@ -1,4 +1,4 @@
-package journal
+package genlog
 
 import "github.com/cardamompier/cardamompier/apierr"
 
--- a/journal/log.go
+++ b/genlog/log.go
@@ -1,10 +1,10 @@
-// Package journal keeps the text of accepted requests while their callers may
+// Package genlog keeps the text of accepted requests while their callers may
 // still read it: each request has a log of tokens that any number of readers
 // follow from any offset, and a copy of it at a holder in another failure
 // domain.
 //
 // It leaves finding, taking over and carrying out requests to package reclaim.
-package journal
+package genlog
 
 import (
 	"context"
--- a/journal/log_test.go
+++ b/genlog/log_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package genlog_test
 
 import (
 	"context"
@@ -7,11 +7,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
-func newLog(tokens int) *journal.Log {
-	log := journal.NewLog(journal.Record{RequestID: "r"})
+func newLog(tokens int) *genlog.Log {
+	log := genlog.NewLog(genlog.Record{RequestID: "r"})
 	number := log.BeginAttempt("e", "address", "s")
 	for i := range tokens {
 		log.Append(number, i, "token ")
@@ -50,7 +50,7 @@
 		if visible() != 0 {
 			t.Fatal("shown before the holder knew the attempt")
 		}
-		log.Acknowledge(journal.Ack{Attempt: 1}, time.Now().Add(time.Second))
+		log.Acknowledge(genlog.Ack{Attempt: 1}, time.Now().Add(time.Second))
 		log.Append(1, 1, "b")
 		if visible() != 2 {
 			t.Fatal("not shown under the lease")
@@ -60,13 +60,13 @@
 		if visible() != 2 {
 			t.Fatal("shown after the lease")
 		}
-		log.Acknowledge(journal.Ack{Attempt: 1, Count: 3}, time.Now().Add(time.Second))
+		log.Acknowledge(genlog.Ack{Attempt: 1, Count: 3}, time.Now().Add(time.Second))
 		log.CopyFirst()
 		log.Append(1, 3, "d")
 		if visible() != 3 {
 			t.Fatal("shown before it was copied")
 		}
-		log.Acknowledge(journal.Ack{Attempt: 1, Count: 4}, time.Now().Add(time.Second))
+		log.Acknowledge(genlog.Ack{Attempt: 1, Count: 4}, time.Now().Add(time.Second))
 		if visible() != 4 {
 			t.Fatal("not shown after it was copied")
 		}
--- a/journal/placement_test.go
+++ b/genlog/placement_test.go
@@ -1,11 +1,11 @@
-package journal_test
+package genlog_test
 
 import (
 	"fmt"
 	"slices"
 	"testing"
 
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
@@ -22,11 +22,11 @@
 	for i := range requests {
 		id := fmt.Sprintf("req-%d", i)
 		owner := members[i%len(members)]
-		holder := journal.Holders(id, owner, members)[0]
+		holder := genlog.Holders(id, owner, members)[0]
 		if holder.FailureDomain == owner.FailureDomain || holder.Leaving {
 			t.Fatalf("%s is held by %+v for %+v", id, holder, owner)
 		}
-		place := slices.IndexFunc(journal.Rank(id, members), func(m membership.Member) bool { return m.ID == holder.ID })
+		place := slices.IndexFunc(genlog.Rank(id, members), func(m membership.Member) bool { return m.ID == holder.ID })
 		if place >= 32 {
 			t.Fatalf("%s is held by the member of rank %d", id, place)
 		}
--- a/journal/replication_test.go
+++ b/genlog/replication_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package genlog_test
 
 import (
 	"context"
@@ -10,15 +10,15 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 )
 
 // simOwner is a host that believes that it owns the request.
 type simOwner struct {
 	id      string
-	log     *journal.Log
+	log     *genlog.Log
 	number  uint64
-	acked   journal.Ack
+	acked   genlog.Ack
 	paused  bool
 	fenced  bool
 	left    bool
@@ -26,7 +26,7 @@
 }
 
 type sent struct {
-	progress journal.Progress
+	progress genlog.Progress
 	at       time.Time
 }
 
@@ -34,7 +34,7 @@
 // engine stream that can be resumed, and callers that reconnect.
 type replication struct {
 	t        *rapid.T
-	holder   *journal.Holder
+	holder   *genlog.Holder
 	owners   []*simOwner
 	engine   []string // tokens of the current engine stream
 	runs     int      // engine streams so far
@@ -55,12 +55,12 @@
 func token(run, index int) string { return fmt.Sprintf("%d.%d ", run, index) }
 
 func (r *replication) start() {
-	log := journal.NewLog(journal.Record{RequestID: "r", Deadline: time.Now().Add(time.Hour)})
+	log := genlog.NewLog(genlog.Record{RequestID: "r", Deadline: time.Now().Add(time.Hour)})
 	o := &simOwner{id: "o0", log: log}
 	r.owners = append(r.owners, o)
 	sentAt := time.Now()
-	o.acked = r.holder.Create(log.CopyFor(journal.Owner{ID: o.id}))
-	log.Copied(sentAt.Add(journal.LeaseTTL * 4 / 5))
+	o.acked = r.holder.Create(log.CopyFor(genlog.Owner{ID: o.id}))
+	log.Copied(sentAt.Add(genlog.LeaseTTL * 4 / 5))
 	r.begin(o)
 }
 
@@ -111,14 +111,14 @@
 	if o.paused {
 		return // the answer is lost
 	}
-	if ack.Status == journal.AckFenced {
+	if ack.Status == genlog.AckFenced {
 		o.fenced = true
 		o.log.Move()
 		return
 	}
-	if ack.Status == journal.AckOK {
+	if ack.Status == genlog.AckOK {
 		o.acked = ack
-		o.log.Acknowledge(ack, message.at.Add(journal.LeaseTTL*4/5))
+		o.log.Acknowledge(ack, message.at.Add(genlog.LeaseTTL*4/5))
 	}
 }
 
@@ -128,16 +128,16 @@
 	current, _ := r.holder.Get("r")
 	id := fmt.Sprintf("o%d", len(r.owners))
 	sentAt := time.Now()
-	c, status := r.holder.TakeOver("r", current.Epoch, journal.Owner{ID: id})
-	if status != journal.TakenOver {
+	c, status := r.holder.TakeOver("r", current.Epoch, genlog.Owner{ID: id})
+	if status != genlog.TakenOver {
 		return
 	}
-	log := journal.NewLogFromCopy(c)
+	log := genlog.NewLogFromCopy(c)
 	if !c.Released {
 		log.Suspect()
 	}
-	log.Copied(sentAt.Add(journal.LeaseTTL * 4 / 5))
-	o := &simOwner{id: id, log: log, acked: journal.Ack{Count: len(c.Ends), Attempt: c.Attempt.Number}, number: c.Attempt.Number}
+	log.Copied(sentAt.Add(genlog.LeaseTTL * 4 / 5))
+	o := &simOwner{id: id, log: log, acked: genlog.Ack{Count: len(c.Ends), Attempt: c.Attempt.Number}, number: c.Attempt.Number}
 	r.owners = append(r.owners, o)
 	if engineGone || c.Attempt.StreamID != fmt.Sprint(r.runs) {
 		if log.Suspected() && c.Attempt.Number > 0 {
@@ -188,7 +188,7 @@
 }
 
 func driveReplication(t *rapid.T) {
-	r := &replication{t: t, holder: journal.NewHolder(time.Hour), callers: []*simCaller{{}, {}, {}}}
+	r := &replication{t: t, holder: genlog.NewHolder(time.Hour), callers: []*simCaller{{}, {}, {}}}
 	r.start()
 	steps := rapid.IntRange(5, 80).Draw(t, "steps")
 	for range steps {
--- a/journal/seed_test.go
+++ b/genlog/seed_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package genlog_test
 
 import "flag"
 
--- a/journal/store.go
+++ b/genlog/store.go
@@ -1,4 +1,4 @@
-package journal
+package genlog
 
 import (
 	"sync"
--- a/provide.go
+++ b/provide.go
@@ -10,11 +10,11 @@
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/dispatch"
 	"github.com/cardamompier/cardamompier/gateway"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/gossip"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/hosts/hosthttp"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvhttp"
 	"github.com/cardamompier/cardamompier/membership"
@@ -75,8 +75,8 @@
 			Dispatcher: do.MustInvoke[*dispatch.Dispatcher](i),
 			Ledger:     do.MustInvoke[order.Ledger](i),
 			Quota:      do.MustInvoke[*quota.Quota](i),
-			Journals:   journal.NewStore(journalRetention),
-			Holder:     journal.NewHolder(journalRetention),
+			Journals:   genlog.NewStore(journalRetention),
+			Holder:     genlog.NewHolder(journalRetention),
 			Peers:      do.MustInvoke[*inner.Client](i),
 			InnerAPI:   do.MustInvoke[*inner.Server](i),
 			Logger:     logger.Named("gateway"),
--- a/quota/members.go
+++ b/quota/members.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamompier/cardamompier/journal"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
@@ -29,7 +29,7 @@
 // Granter implements Members.
 func (v *View) Granter(account string) (string, bool) {
 	v.refresh()
-	for _, m := range journal.Rank("quota/"+account, v.current().Members) {
+	for _, m := range genlog.Rank("quota/"+account, v.current().Members) {
 		if !m.Leaving {
 			return m.InnerAddress, m.ID == v.self
 		}
--- a/reclaim/claim.go
+++ b/reclaim/claim.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
@@ -19,7 +19,7 @@
 
 // joinOrClaim returns the log of the run in progress under the request's id,
 // or claims the id for a first run here and returns neither log nor refusal.
-func (k *Keeper) joinOrClaim(ctx context.Context, record journal.Record) (*journal.Log, *apierr.Error) {
+func (k *Keeper) joinOrClaim(ctx context.Context, record genlog.Record) (*genlog.Log, *apierr.Error) {
 	if log, ok := k.find(ctx, record.RequestID, firstLookups); ok {
 		return k.join(ctx, log, record)
 	}
@@ -40,7 +40,7 @@
 
 // join returns the run in progress or its answer. A run that failed for a
 // while is carried on from its text, here.
-func (k *Keeper) join(ctx context.Context, log *journal.Log, record journal.Record) (*journal.Log, *apierr.Error) {
+func (k *Keeper) join(ctx context.Context, log *genlog.Log, record genlog.Record) (*genlog.Log, *apierr.Error) {
 	if log.Digest != record.Digest {
 		return nil, conflict()
 	}
@@ -60,7 +60,7 @@
 }
 
 // claim asks the first member in the request's order that answers.
-func (k *Keeper) claim(ctx context.Context, record journal.Record) (journal.Owner, uint64) {
+func (k *Keeper) claim(ctx context.Context, record genlog.Record) (genlog.Owner, uint64) {
 	request := claimRequest{RequestID: record.RequestID, Digest: record.Digest, Owner: k.owner()}
 	for _, m := range k.claimants(record.RequestID) {
 		if m.ID == request.Owner.ID {
@@ -76,7 +76,7 @@
 
 func (k *Keeper) claimants(requestID string) []membership.Member {
 	var out []membership.Member
-	for _, m := range journal.Rank(requestID, k.Members.View().Members) {
+	for _, m := range genlog.Rank(requestID, k.Members.View().Members) {
 		if !m.Leaving && len(out) < maxPlaceTries {
 			out = append(out, m)
 		}
--- a/reclaim/copying.go
+++ b/reclaim/copying.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
 // copying is an owned request and what its holder has of it.
 type copying struct {
-	log *journal.Log
+	log *genlog.Log
 
 	mu       sync.Mutex
 	holder   membership.Member
-	acked    journal.Ack
+	acked    genlog.Ack
 	renewed  time.Time // when the last acknowledged message was sent
 	failed   bool      // the last call to the holder failed
 	placing  bool
@@ -29,17 +29,17 @@
 
 // appendRequest is the progress of all requests with one holder.
 type appendRequest struct {
-	OwnerID  string             `cbor:"1,keyasint"`
-	Progress []journal.Progress `cbor:"2,keyasint"`
+	OwnerID  string            `cbor:"1,keyasint"`
+	Progress []genlog.Progress `cbor:"2,keyasint"`
 }
 
 type appendAnswer struct {
-	Acks []journal.Ack `cbor:"1,keyasint"`
+	Acks []genlog.Ack `cbor:"1,keyasint"`
 	// Leaving says that the holder is leaving: its owners choose another.
 	Leaving bool `cbor:"2,keyasint"`
 }
 
-func (c *copying) placed(m membership.Member, ack journal.Ack) {
+func (c *copying) placed(m membership.Member, ack genlog.Ack) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder, c.acked, c.renewed, c.failed = m, ack, time.Now(), false
@@ -64,12 +64,12 @@
 }
 
 // next returns the progress to send now, if any.
-func (c *copying) next(now time.Time) (journal.Progress, bool) {
+func (c *copying) next(now time.Time) (genlog.Progress, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.log.ProgressFrom(c.acked.Count, c.acked.Attempt)
 	p.Released = c.released
-	due := now.Sub(c.renewed) >= renewInterval && p.State == journal.StateRunning
+	due := now.Sub(c.renewed) >= renewInterval && p.State == genlog.StateRunning
 	dirty := len(p.Sizes) > 0 || p.Attempt != nil || p.State != c.acked.State
 	return p, dirty || due || c.released && !c.acked.Released
 }
@@ -79,9 +79,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state := c.log.State(); state {
-	case journal.StateRunning:
+	case genlog.StateRunning:
 		return false
-	case journal.StateMoved:
+	case genlog.StateMoved:
 		return !c.released || c.acked.Released
 	default:
 		return c.acked.State == state
@@ -160,8 +160,8 @@
 	}
 }
 
-func (k *Keeper) acknowledge(entry *copying, address string, ack journal.Ack, sent time.Time, leaving bool) {
-	if ack.Status == journal.AckFenced {
+func (k *Keeper) acknowledge(entry *copying, address string, ack genlog.Ack, sent time.Time, leaving bool) {
+	if ack.Status == genlog.AckFenced {
 		k.fenced(entry.log)
 		return
 	}
@@ -170,19 +170,19 @@
 		entry.mu.Unlock()
 		return
 	}
-	entry.failed = ack.Status == journal.AckUnknown || leaving
-	if ack.Status == journal.AckOK {
+	entry.failed = ack.Status == genlog.AckUnknown || leaving
+	if ack.Status == genlog.AckOK {
 		entry.acked, entry.renewed = ack, sent
 		entry.noteReleased()
 	}
 	entry.mu.Unlock()
-	if ack.Status == journal.AckOK {
-		entry.log.Acknowledge(ack, sent.Add(journal.LeaseTTL-clockMargin))
+	if ack.Status == genlog.AckOK {
+		entry.log.Acknowledge(ack, sent.Add(genlog.LeaseTTL-clockMargin))
 	}
 }
 
 // fenced stops a request that has a newer owner.
-func (k *Keeper) fenced(log *journal.Log) {
+func (k *Keeper) fenced(log *genlog.Log) {
 	Copies.Inc(labelFenced)
 	events.RequestFenced.Log(k.Logger, "request", log.RequestID, "epoch", log.Epoch)
 	log.Move()
@@ -226,7 +226,7 @@
 		entry.mu.Unlock()
 	}()
 	candidates := []membership.Member{}
-	for _, m := range journal.Holders(entry.log.RequestID, k.Members.Self(), k.Members.View().Members) {
+	for _, m := range genlog.Holders(entry.log.RequestID, k.Members.Self(), k.Members.View().Members) {
 		if m.ID != old.ID {
 			candidates = append(candidates, m)
 		}
@@ -242,9 +242,9 @@
 }
 
 // drop tells a host that it is no longer the holder of an owned request.
-func (k *Keeper) drop(ctx context.Context, log *journal.Log, address string) {
-	p := journal.Progress{RequestID: log.RequestID, Epoch: log.Epoch, Dropped: true}
-	request := appendRequest{OwnerID: k.owner().ID, Progress: []journal.Progress{p}}
+func (k *Keeper) drop(ctx context.Context, log *genlog.Log, address string) {
+	p := genlog.Progress{RequestID: log.RequestID, Epoch: log.Epoch, Dropped: true}
+	request := appendRequest{OwnerID: k.owner().ID, Progress: []genlog.Progress{p}}
 	if address == k.owner().InnerAddress {
 		_, _ = k.serveAppend(ctx, request)
 		return
--- a/reclaim/find.go
+++ b/reclaim/find.go
@@ -6,14 +6,14 @@
 
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 )
 
 const (
 	// findTimeout bounds the search for a request whose owner may be gone: a
 	// lease must lapse before another host takes over.
-	findTimeout = 3 * journal.LeaseTTL
+	findTimeout = 3 * genlog.LeaseTTL
 	findPause   = 100 * time.Millisecond
 	// claimWait is how long a repeat waits for the first run to be accepted.
 	claimWait = time.Second
@@ -22,15 +22,15 @@
 // Find returns the log of a request that any entry host accepted: its own
 // here, or one that follows the owner's. It takes the request over when its
 // owner is gone.
-func (k *Keeper) Find(ctx context.Context, requestID string) (*journal.Log, bool) {
+func (k *Keeper) Find(ctx context.Context, requestID string) (*genlog.Log, bool) {
 	return k.find(ctx, requestID, maxLookups)
 }
 
 // find asks up to the given number of members in the request's order.
-func (k *Keeper) find(ctx context.Context, requestID string, lookups int) (*journal.Log, bool) {
+func (k *Keeper) find(ctx context.Context, requestID string, lookups int) (*genlog.Log, bool) {
 	local, ok := k.Logs.Get(requestID)
-	ok = ok && local.State() != journal.StateMoved
-	if ok && local.State() != journal.StateFailed {
+	ok = ok && local.State() != genlog.StateMoved
+	if ok && local.State() != genlog.StateFailed {
 		return local, true
 	}
 	if log, ok := k.mirror(requestID); ok {
@@ -50,14 +50,14 @@
 	if log, ok := k.mirrors[requestID]; ok {
 		return log, true
 	}
-	log := journal.NewLog(best.Record)
+	log := genlog.NewLog(best.Record)
 	log.Epoch = best.Epoch
 	k.mirrors[requestID] = log
 	go k.follow(log, best)
 	return log, true
 }
 
-func (k *Keeper) mirror(requestID string) (*journal.Log, bool) {
+func (k *Keeper) mirror(requestID string) (*genlog.Log, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	log, ok := k.mirrors[requestID]
@@ -70,7 +70,7 @@
 	self := k.Members.Self()
 	best := k.lookHere(requestID)
 	best.address = self.InnerAddress
-	ranked := journal.Rank(requestID, k.Members.View().Members)
+	ranked := genlog.Rank(requestID, k.Members.View().Members)
 	ranked = ranked[:min(lookups, len(ranked))]
 	answers := make(chan lookupAnswer, len(ranked))
 	for _, m := range ranked {
@@ -78,11 +78,11 @@
 	}
 	for range ranked {
 		best = better(best, <-answers)
-		if best.Owned && best.State != journal.StateFailed {
+		if best.Owned && best.State != genlog.StateFailed {
 			return best
 		}
 	}
-	if best.Known && best.State == journal.StateRunning && best.Owner.ID != self.ID {
+	if best.Known && best.State == genlog.StateRunning && best.Owner.ID != self.ID {
 		best = better(best, k.ask(ctx, best.Owner.InnerAddress, requestID))
 	}
 	return best
@@ -114,15 +114,15 @@
 
 // follow fills a mirror from the request's owner, wherever it is, until the
 // answer ends or the request is lost.
-func (k *Keeper) follow(mirror *journal.Log, from lookupAnswer) {
+func (k *Keeper) follow(mirror *genlog.Log, from lookupAnswer) {
 	ctx, cancel := context.WithDeadline(context.Background(), mirror.Deadline.Add(findTimeout))
 	defer cancel()
 	defer k.forget(mirror)
-	for lostAt := time.Now().Add(findTimeout); mirror.State() == journal.StateRunning; {
+	for lostAt := time.Now().Add(findTimeout); mirror.State() == genlog.StateRunning; {
 		if k.followOnce(ctx, mirror, from) {
 			lostAt = time.Now().Add(findTimeout)
 		}
-		if mirror.State() != journal.StateRunning {
+		if mirror.State() != genlog.StateRunning {
 			return
 		}
 		if time.Now().After(lostAt) || ctx.Err() != nil {
@@ -136,7 +136,7 @@
 	}
 }
 
-func (k *Keeper) forget(mirror *journal.Log) {
+func (k *Keeper) forget(mirror *genlog.Log) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.mirrors, mirror.RequestID)
@@ -144,47 +144,47 @@
 
 // followOnce reads from one place until that fails or ends. It says whether
 // there was something to read.
-func (k *Keeper) followOnce(ctx context.Context, mirror *journal.Log, from lookupAnswer) bool {
-	if log, ok := k.Logs.Get(mirror.RequestID); ok && log.State() != journal.StateMoved {
+func (k *Keeper) followOnce(ctx context.Context, mirror *genlog.Log, from lookupAnswer) bool {
+	if log, ok := k.Logs.Get(mirror.RequestID); ok && log.State() != genlog.StateMoved {
 		k.followLocal(ctx, mirror, log)
 		return true
 	}
 	if !from.Known {
 		return false
 	}
-	if !from.Owned && from.State == journal.StateRunning {
+	if !from.Owned && from.State == genlog.StateRunning {
 		k.takeOver(ctx, from, labelCaller)
 		return false
 	}
 	if from.address == k.Members.Self().InnerAddress {
 		c, ok := k.Holder.Get(mirror.RequestID)
 		if ok {
-			k.followLocal(ctx, mirror, journal.NewLogFromCopy(c))
+			k.followLocal(ctx, mirror, genlog.NewLogFromCopy(c))
 		}
 		return ok
 	}
 	for read := false; ; read = true {
-		var p journal.Progress
+		var p genlog.Progress
 		request := readRequest{RequestID: mirror.RequestID, Epoch: from.Epoch, From: mirror.Count()}
 		if k.call(ctx, from.address, inner.KindJournalRead, request, &p) != nil || !take(mirror, p) {
 			return read
 		}
-		if mirror.State() != journal.StateRunning {
+		if mirror.State() != genlog.StateRunning {
 			return true
 		}
 	}
 }
 
 // followLocal fills a mirror from a log in this process.
-func (k *Keeper) followLocal(ctx context.Context, mirror, log *journal.Log) {
-	for mirror.State() == journal.StateRunning {
+func (k *Keeper) followLocal(ctx context.Context, mirror, log *genlog.Log) {
+	for mirror.State() == genlog.StateRunning {
 		from := mirror.Count()
 		chunk, err := log.Read(ctx, from)
 		if err != nil {
 			return
 		}
-		p := journal.Progress{From: from, Text: chunk.Text(), State: chunk.State, Branches: log.Branches()}
-		p.Failed = journal.FailureOf(chunk.Failed)
+		p := genlog.Progress{From: from, Text: chunk.Text(), State: chunk.State, Branches: log.Branches()}
+		p.Failed = genlog.FailureOf(chunk.Failed)
 		for i := range chunk.Len() {
 			p.Sizes = append(p.Sizes, uint32(len(chunk.Token(i))))
 		}
@@ -196,7 +196,7 @@
 
 // take adds progress to a mirror; it returns false when the request moved or
 // its text does not continue the mirror's.
-func take(mirror *journal.Log, p journal.Progress) bool {
+func take(mirror *genlog.Log, p genlog.Progress) bool {
 	seen := uint64(0)
 	if branches := mirror.Branches(); len(branches) > 0 {
 		seen = branches[len(branches)-1].Epoch
@@ -217,11 +217,11 @@
 		offset += size
 	}
 	switch p.State {
-	case journal.StateDone:
+	case genlog.StateDone:
 		mirror.Finish()
-	case journal.StateFailed:
+	case genlog.StateFailed:
 		mirror.Fail(p.Failed.APIError())
-	case journal.StateMoved:
+	case genlog.StateMoved:
 		return false
 	}
 	return true
@@ -241,16 +241,16 @@
 	} else if k.call(ctx, from.address, inner.KindJournalTakeOver, request, &answer) != nil {
 		return
 	}
-	if answer.Status == journal.TakenOver {
+	if answer.Status == genlog.TakenOver {
 		k.adopt(ctx, answer.Copy, from.address, reason)
 	}
 }
 
 // adopt carries a request on from its copy.
-func (k *Keeper) adopt(ctx context.Context, c journal.Copy, source, reason string) {
+func (k *Keeper) adopt(ctx context.Context, c genlog.Copy, source, reason string) {
 	TakeOvers.Inc(reason)
 	events.RequestTakenOver.Log(k.Logger, "request", c.Record.RequestID, "epoch", c.Epoch, "tokens", len(c.Ends), "reason", reason)
-	log := journal.NewLogFromCopy(c)
+	log := genlog.NewLogFromCopy(c)
 	if !c.Released {
 		log.Suspect()
 	}
--- a/reclaim/handoff.go
+++ b/reclaim/handoff.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 )
 
 // Leave begins the host's planned stop: every token is copied before a caller
@@ -25,7 +25,7 @@
 	k.mu.Lock()
 	entries := make([]*copying, 0, len(k.copying))
 	for _, entry := range k.copying {
-		if entry.log.State() == journal.StateRunning {
+		if entry.log.State() == genlog.StateRunning {
 			entries = append(entries, entry)
 		}
 	}
@@ -64,7 +64,7 @@
 func (k *Keeper) AwaitCopiesMoved(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
 	defer ticker.Stop()
-	for patience := time.Now().Add(journal.LeaseTTL); time.Now().Before(patience); {
+	for patience := time.Now().Add(genlog.LeaseTTL); time.Now().Before(patience); {
 		if len(k.Holder.Growing()) == 0 {
 			return
 		}
@@ -76,7 +76,7 @@
 	}
 	self := k.Members.Self()
 	for _, c := range k.Holder.Growing() {
-		for _, m := range journal.Holders(c.Record.RequestID, self, k.Members.View().Members) {
+		for _, m := range genlog.Holders(c.Record.RequestID, self, k.Members.View().Members) {
 			if m.ID != c.Owner.ID && k.call(ctx, m.InnerAddress, inner.KindJournalCreate, c, nil) == nil {
 				break
 			}
--- a/reclaim/keeper.go
+++ b/reclaim/keeper.go
@@ -2,7 +2,7 @@
 // each request has one owner that carries it out, a holder in another failure
 // domain with a copy of it, and an epoch that grows when the owner changes.
 //
-// The log, the copy and their rules are package journal's; work at upstreams
+// The log, the copy and their rules are package genlog's; work at upstreams
 // is package dispatch's.
 package reclaim
 
@@ -15,8 +15,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
 )
@@ -47,11 +47,11 @@
 
 const (
 	flushInterval   = 5 * time.Millisecond
-	renewInterval   = journal.LeaseTTL / 4
+	renewInterval   = genlog.LeaseTTL / 4
 	replaceInterval = 100 * time.Millisecond
 	sweepInterval   = 250 * time.Millisecond
 	// clockMargin is the part of a lease that an owner leaves unused.
-	clockMargin = journal.LeaseTTL / 5
+	clockMargin = genlog.LeaseTTL / 5
 	callTimeout = 400 * time.Millisecond
 	// orphanGrace is added to a lease before a holder takes over unasked.
 	orphanGrace = time.Second
@@ -77,10 +77,10 @@
 type Parts struct {
 	Members Members
 	Client  *inner.Client
-	Logs    *journal.Store
-	Holder  *journal.Holder
+	Logs    *genlog.Store
+	Holder  *genlog.Holder
 	// Run carries a request out until its log ends or moves.
-	Run    func(log *journal.Log)
+	Run    func(log *genlog.Log)
 	Logger hclog.Logger
 }
 
@@ -93,7 +93,7 @@
 	mu      sync.Mutex
 	copying map[string]*copying // requests that are owned here
 	busy    map[string]bool     // holders with a call in flight, by address
-	mirrors map[string]*journal.Log
+	mirrors map[string]*genlog.Log
 	taking  map[string]bool // take-overs in progress
 }
 
@@ -102,7 +102,7 @@
 	k := &Keeper{
 		Parts: parts, kick: make(chan struct{}, 1),
 		copying: map[string]*copying{}, busy: map[string]bool{},
-		mirrors: map[string]*journal.Log{}, taking: map[string]bool{},
+		mirrors: map[string]*genlog.Log{}, taking: map[string]bool{},
 	}
 	k.register(server)
 	return k
@@ -138,14 +138,14 @@
 // Accept makes this host the owner of a new request: it returns once the
 // request is copied to a holder. A keyed request that another host runs
 // already is joined: the log follows that run.
-func (k *Keeper) Accept(ctx context.Context, record journal.Record, keyed bool) (*journal.Log, *apierr.Error) {
+func (k *Keeper) Accept(ctx context.Context, record genlog.Record, keyed bool) (*genlog.Log, *apierr.Error) {
 	if keyed {
 		log, refusal := k.joinOrClaim(ctx, record)
 		if log != nil || refusal != nil {
 			return log, refusal
 		}
 	}
-	log := journal.NewLog(record)
+	log := genlog.NewLog(record)
 	if refusal := k.place(ctx, log, true); refusal != nil {
 		if keyed {
 			k.withdraw(ctx, record.RequestID)
@@ -157,10 +157,10 @@
 
 // place copies a request to a holder. Where a copy is not required the
 // request goes on without one until a holder is found.
-func (k *Keeper) place(ctx context.Context, log *journal.Log, required bool) *apierr.Error {
+func (k *Keeper) place(ctx context.Context, log *genlog.Log, required bool) *apierr.Error {
 	entry := &copying{log: log}
 	view := k.awaitView(ctx)
-	candidates := journal.Holders(log.RequestID, k.Members.Self(), view.Members)
+	candidates := genlog.Holders(log.RequestID, k.Members.Self(), view.Members)
 	// A host that is alone goes on without copies, but not one that has not
 	// looked yet.
 	required = required && (len(candidates) > 0 || view.ReadAt.IsZero())
@@ -200,24 +200,24 @@
 		c := entry.log.CopyFor(k.owner())
 		c.Released = entry.isReleased()
 		CopyBytes.Add(labelCreate, int64(len(c.Text)+len(c.Record.Prompt)))
-		var ack journal.Ack
+		var ack genlog.Ack
 		if err := k.call(ctx, m.InnerAddress, inner.KindJournalCreate, c, &ack); err != nil {
 			continue
 		}
-		if ack.Status == journal.AckFenced {
+		if ack.Status == genlog.AckFenced {
 			k.fenced(entry.log)
 			return false
 		}
 		entry.placed(m, ack)
-		entry.log.Copied(sent.Add(journal.LeaseTTL - clockMargin))
-		entry.log.Acknowledge(ack, sent.Add(journal.LeaseTTL-clockMargin))
+		entry.log.Copied(sent.Add(genlog.LeaseTTL - clockMargin))
+		entry.log.Acknowledge(ack, sent.Add(genlog.LeaseTTL-clockMargin))
 		return true
 	}
 	return false
 }
 
 // start carries an owned request out apart from its callers.
-func (k *Keeper) start(log *journal.Log) *journal.Log {
+func (k *Keeper) start(log *genlog.Log) *genlog.Log {
 	kept, created := k.Logs.Create(log)
 	if !created {
 		return kept
@@ -233,9 +233,9 @@
 	return log
 }
 
-func (k *Keeper) owner() journal.Owner {
+func (k *Keeper) owner() genlog.Owner {
 	self := k.Members.Self()
-	return journal.Owner{ID: self.ID, InnerAddress: self.InnerAddress}
+	return genlog.Owner{ID: self.ID, InnerAddress: self.InnerAddress}
 }
 
 func (k *Keeper) call(ctx context.Context, address string, kind inner.Kind, req, resp any) error {
--- a/reclaim/serve.go
+++ b/reclaim/serve.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cardamompier/cardamompier/genlog"
 	"github.com/cardamompier/cardamompier/inner"
-	"github.com/cardamompier/cardamompier/journal"
 )
 
 // readWait is how long a read waits for a token before it answers empty.
@@ -20,25 +20,25 @@
 // lookupAnswer is what a host knows of a request.
 type lookupAnswer struct {
 	// Known says that the host owns the request or holds a copy of it.
-	Known   bool           `cbor:"1,keyasint"`
-	Owned   bool           `cbor:"2,keyasint"`
-	Epoch   uint64         `cbor:"3,keyasint"`
-	Owner   journal.Owner  `cbor:"4,keyasint"`
-	State   journal.State  `cbor:"5,keyasint"`
-	Record  journal.Record `cbor:"6,keyasint"`
-	Count   int            `cbor:"7,keyasint"`
-	address string         // that answered
+	Known   bool          `cbor:"1,keyasint"`
+	Owned   bool          `cbor:"2,keyasint"`
+	Epoch   uint64        `cbor:"3,keyasint"`
+	Owner   genlog.Owner  `cbor:"4,keyasint"`
+	State   genlog.State  `cbor:"5,keyasint"`
+	Record  genlog.Record `cbor:"6,keyasint"`
+	Count   int           `cbor:"7,keyasint"`
+	address string        // that answered
 }
 
 type takeOverRequest struct {
-	RequestID string        `cbor:"1,keyasint"`
-	Epoch     uint64        `cbor:"2,keyasint"`
-	Owner     journal.Owner `cbor:"3,keyasint"`
+	RequestID string       `cbor:"1,keyasint"`
+	Epoch     uint64       `cbor:"2,keyasint"`
+	Owner     genlog.Owner `cbor:"3,keyasint"`
 }
 
 type takeOverAnswer struct {
-	Status journal.TakeOverStatus `cbor:"1,keyasint"`
-	Copy   journal.Copy           `cbor:"2,keyasint"`
+	Status genlog.TakeOverStatus `cbor:"1,keyasint"`
+	Copy   genlog.Copy           `cbor:"2,keyasint"`
 }
 
 type readRequest struct {
@@ -48,20 +48,20 @@
 }
 
 type claimRequest struct {
-	RequestID string        `cbor:"1,keyasint"`
-	Digest    uint64        `cbor:"2,keyasint"`
-	Owner     journal.Owner `cbor:"3,keyasint"`
+	RequestID string       `cbor:"1,keyasint"`
+	Digest    uint64       `cbor:"2,keyasint"`
+	Owner     genlog.Owner `cbor:"3,keyasint"`
 }
 
 type claimAnswer struct {
-	First  journal.Owner `cbor:"1,keyasint"`
-	Digest uint64        `cbor:"2,keyasint"`
+	First  genlog.Owner `cbor:"1,keyasint"`
+	Digest uint64       `cbor:"2,keyasint"`
 }
 
 type nothing struct{}
 
 func (k *Keeper) register(s *inner.Server) {
-	inner.Register(s, inner.KindJournalCreate, func(_ context.Context, c journal.Copy) (journal.Ack, error) {
+	inner.Register(s, inner.KindJournalCreate, func(_ context.Context, c genlog.Copy) (genlog.Ack, error) {
 		return k.Holder.Create(c), nil
 	})
 	inner.Register(s, inner.KindJournalAppend, k.serveAppend)
@@ -84,12 +84,12 @@
 }
 
 func (k *Keeper) serveAppend(_ context.Context, r appendRequest) (appendAnswer, error) {
-	answer := appendAnswer{Acks: make([]journal.Ack, 0, len(r.Progress)), Leaving: k.leaving.Load()}
+	answer := appendAnswer{Acks: make([]genlog.Ack, 0, len(r.Progress)), Leaving: k.leaving.Load()}
 	for _, p := range r.Progress {
 		p.OwnerID = r.OwnerID
 		ack := k.Holder.Append(p)
 		answer.Acks = append(answer.Acks, ack)
-		if p.Released && ack.Status == journal.AckOK && !answer.Leaving {
+		if p.Released && ack.Status == genlog.AckOK && !answer.Leaving {
 			go k.adoptOrphan(context.Background(), p.RequestID, p.Epoch, labelReleased)
 		}
 	}
@@ -98,7 +98,7 @@
 
 // lookHere returns what this host itself knows of a request.
 func (k *Keeper) lookHere(requestID string) lookupAnswer {
-	if log, ok := k.Logs.Get(requestID); ok && log.State() != journal.StateMoved {
+	if log, ok := k.Logs.Get(requestID); ok && log.State() != genlog.StateMoved {
 		record := log.Record
 		record.Prompt = ""
 		return lookupAnswer{
@@ -116,23 +116,23 @@
 
 // serveRead answers with the tokens from an offset of an answer that is owned
 // here, or whose whole copy is held here.
-func (k *Keeper) serveRead(ctx context.Context, r readRequest) (journal.Progress, error) {
+func (k *Keeper) serveRead(ctx context.Context, r readRequest) (genlog.Progress, error) {
 	log, ok := k.Logs.Get(r.RequestID)
-	if !ok || log.State() == journal.StateMoved || log.Epoch < r.Epoch {
+	if !ok || log.State() == genlog.StateMoved || log.Epoch < r.Epoch {
 		c, held := k.Holder.Get(r.RequestID)
-		if !held || c.State == journal.StateRunning {
-			return journal.Progress{}, &inner.Failure{Code: codeNotHere}
+		if !held || c.State == genlog.StateRunning {
+			return genlog.Progress{}, &inner.Failure{Code: codeNotHere}
 		}
-		log = journal.NewLogFromCopy(c)
+		log = genlog.NewLogFromCopy(c)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
-	p := journal.Progress{RequestID: r.RequestID, Epoch: log.Epoch, From: r.From}
+	p := genlog.Progress{RequestID: r.RequestID, Epoch: log.Epoch, From: r.From}
 	chunk, err := log.Read(ctx, r.From)
 	if err != nil {
 		return p, nil
 	}
-	p.Text, p.State, p.Failed, p.Branches = chunk.Text(), chunk.State, journal.FailureOf(chunk.Failed), log.Branches()
+	p.Text, p.State, p.Failed, p.Branches = chunk.Text(), chunk.State, genlog.FailureOf(chunk.Failed), log.Branches()
 	for i := range chunk.Len() {
 		p.Sizes = append(p.Sizes, uint32(len(chunk.Token(i))))
 	}
