Forward requests by the platform's route table, thin path

Cause: the product could not speak to the users' new platform at all. Ruled out: passing requests through the chat gateway, which knows one body format and journals answers; net/http's client transport, which repeats requests by itself and takes a stray answer for the next one. Change: package forward (identify, admit, choose, send, relay), routes, replica, presence, upstream/connpool, usage, scaling; platform/ translates the wire. kv.Client, lease, inner, routing.Live and Policy, admission.Bucket, apierr and metrics are reused.

--- a/cmd/cardamompierd/main.go
+++ b/cmd/cardamompierd/main.go
@@ -31,7 +31,17 @@
 	flaggy.String(&path, "s", "settings", "the settings file, in JSON")
 	flaggy.Bool(&printSettings, "p", "print-settings", "print the settings with their defaults and exit")
 	flaggy.Duration(&drain, "d", "drain-timeout", "longest wait for requests in progress at a stop")
+	forward := flaggy.NewSubcommand("forward")
+	forward.Description = "An entry host that forwards requests by the platform's route table. Example: cardamompierd forward --settings forward.json"
+	forward.String(&path, "s", "settings", "the settings file, in JSON; default: the variable "+settingsVariable)
+	flaggy.AttachSubcommand(forward, 1)
 	flaggy.Parse()
+	if forward.Used {
+		if err := runForward(path); err != nil {
+			fail(exitFailed, err)
+		}
+		return
+	}
 	s, err := settings.Read(path)
 	if err != nil {
 		fail(exitSettings, err)
--- a/events/list.go
+++ b/events/list.go
@@ -4,10 +4,12 @@
 
 // Events of a process's life: 1000 to 1099.
 var (
-	ProcessStarted  = define(1000, "process started", hclog.Info, "The daemon listens on the addresses given.")
-	ProcessDraining = define(1001, "process draining", hclog.Info, "A stop was asked for; no new work is taken.")
-	ProcessStopped  = define(1002, "process stopped", hclog.Info, "All work in progress has ended.")
-	ListenerFailed  = define(1003, "listener failed", hclog.Error, "An address could not be served.")
+	ProcessStarted   = define(1000, "process started", hclog.Info, "The daemon listens on the addresses given.")
+	ProcessDraining  = define(1001, "process draining", hclog.Info, "A stop was asked for; no new work is taken.")
+	ProcessStopped   = define(1002, "process stopped", hclog.Info, "All work in progress has ended.")
+	SettingsReloaded = define(1004, "settings reloaded", hclog.Info, "The settings file was read again; what can change while running is in force.")
+	SettingsRefused  = define(1005, "settings refused", hclog.Error, "The changed settings file is faulty; the settings before stay.")
+	ListenerFailed   = define(1003, "listener failed", hclog.Error, "An address could not be served.")
 )
 
 // Events of a request: 1100 to 1199.
--- /dev/null
+++ b/events/replica.go
@@ -0,0 +1,10 @@
+package events
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of copies of the key-value service: 2000 to 2019.
+var (
+	ReplicaLost     = define(2000, "replica source lost", hclog.Warn, "The key-value service does not answer this host; the copy stays and peers are asked.")
+	ReplicaRegained = define(2001, "replica source regained", hclog.Info, "The key-value service answers this host again.")
+	ReplicaFromPeer = define(2002, "replica read from peer", hclog.Info, "A peer had a newer copy than this host, which cannot read the service itself.")
+)
--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/routing"
+)
+
+// poolState is what this host knows of one pool.
+type poolState struct {
+	current atomic.Pointer[poolView]
+	mu      sync.Mutex // held while a view is built
+}
+
+// poolView is a routing snapshot with the list that it was built from.
+type poolView struct {
+	source   *hosts.Snapshot
+	hosts    []hosts.Host
+	lives    map[string]*routing.Live
+	snapshot *routing.Snapshot
+}
+
+// target is a chosen upstream.
+type target struct {
+	hosts.Host
+	live   *routing.Live
+	reason routing.Reason
+	list   *hosts.Snapshot
+}
+
+func (f *Forwarder) pool(name string) *poolState {
+	if p, ok := f.pools.Load(name); ok {
+		return p.(*poolState)
+	}
+	p, _ := f.pools.LoadOrStore(name, &poolState{})
+	return p.(*poolState)
+}
+
+// view returns a view of the newest list.
+func (p *poolState) view(name string, list *hosts.Snapshot) *poolView {
+	if v := p.current.Load(); v != nil && v.source == list {
+		return v
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.current.Load()
+	if old != nil && old.source == list {
+		return old
+	}
+	v := &poolView{source: list, hosts: list.Pool(name), lives: map[string]*routing.Live{}}
+	upstreams := make([]routing.Upstream, 0, len(v.hosts))
+	for _, h := range v.hosts {
+		key := liveKey(h)
+		live := &routing.Live{}
+		if old != nil && old.lives[key] != nil {
+			live = old.lives[key]
+		}
+		v.lives[key] = live
+		upstreams = append(upstreams, routing.Upstream{
+			ID: h.ID, FailureDomain: h.FailureDomain, Leaving: h.State != hosts.StateLive, Slots: h.Slots, Live: live,
+		})
+	}
+	v.snapshot = &routing.Snapshot{Upstreams: upstreams}
+	p.current.Store(v)
+	return v
+}
+
+// liveKey tells one start of an upstream from the next.
+func liveKey(h hosts.Host) string { return h.ID + "@" + h.Address }
+
+// choose picks an upstream that was not tried.
+func (e *exchange) choose(now time.Time) (target, bool) {
+	list := e.f.Upstreams()
+	if list == nil {
+		return target{}, false
+	}
+	v := e.f.pool(e.pool).view(e.pool, list)
+	req := routing.Request{Tried: e.tried, Now: now, Blocks: sharedBlocks(e.meta.Prompt)}
+	var policy routing.Policy = routing.LeastBacklog{Domain: e.f.Domain}
+	if e.meta.PromptTokens > 0 {
+		policy = routing.Prefill{}
+	}
+	choice := policy.Pick(v.snapshot, &req, rand.Uint64())
+	if choice.Index < 0 {
+		return target{}, false
+	}
+	host := v.hosts[choice.Index]
+	return target{Host: host, live: v.lives[liveKey(host)], reason: choice.Reason, list: list}, true
+}
+
+// sharedBlocks returns the digest of the parts of a prompt that other requests
+// may share; none where there is only the request's own part.
+func sharedBlocks(prompt []PromptPart) []uint64 {
+	if len(prompt) < 2 {
+		return nil
+	}
+	const prime = 1099511628211 // of the FNV-1a hash
+	digest := uint64(14695981039346656037)
+	for _, part := range prompt[:len(prompt)-1] {
+		digest = (digest ^ part.Digest) * prime
+	}
+	return []uint64{digest}
+}
--- /dev/null
+++ b/forward/refuse.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/events"
+)
+
+// Labels of Requests.
+const (
+	outcomeServed  = "served"
+	outcomeRefused = "refused"
+	outcomeFailed  = "failed"
+	outcomeBroken  = "broken_off"
+	outcomeGone    = "caller_gone"
+)
+
+// problem is the body of a refusal.
+type problem struct {
+	Code   apierr.Code `json:"code"`
+	Ran    apierr.Ran  `json:"ran"`
+	Detail string      `json:"detail"`
+}
+
+// refuse answers the request from this host.
+func (e *exchange) refuse(refused *apierr.Error) {
+	if e.r.Context().Err() != nil {
+		e.gone()
+		return
+	}
+	Refused.Inc(string(refused.Code))
+	ran := refused.Ran
+	if ran == "" {
+		ran = apierr.NotRun
+	}
+	if ran == apierr.NotRun {
+		e.refund()
+		Requests.Inc(outcomeRefused)
+	} else {
+		Requests.Inc(outcomeFailed)
+	}
+	e.log(events.ForwardRefused, "code", string(refused.Code), "ran", string(ran), "detail", refused.Detail,
+		"retry_after_ms", refused.RetryAfter.Milliseconds(), "cause", refused.Cause)
+	header := e.w.Header()
+	if refused.RetryAfter > 0 {
+		e.f.Codec.SetRetryAfter(header, refused.RetryAfter)
+	}
+	if e.f.draining.Load() || refused.Code == apierr.CodeRequestTooLarge {
+		header.Set("Connection", "close")
+	}
+	header.Set("Content-Type", "application/json")
+	e.w.WriteHeader(statusOf(refused))
+	if err := json.NewEncoder(e.w).Encode(problem{Code: refused.Code, Ran: ran, Detail: refused.Detail}); err != nil {
+		Requests.Inc(outcomeGone)
+	}
+}
+
+// statusOf returns the status of a refusal; a request that may have run never
+// gets one that promises that it has not.
+func statusOf(refused *apierr.Error) int {
+	status := refused.Status()
+	if refused.Ran != apierr.RanUnknown {
+		return status
+	}
+	if status == http.StatusGatewayTimeout {
+		return status
+	}
+	return http.StatusBadGateway
+}
+
+// gone notes that the caller has left.
+func (e *exchange) gone() {
+	Requests.Inc(outcomeGone)
+	if e.sends == 0 {
+		e.refund()
+	}
+	e.log(events.ForwardGone, "sends", e.sends)
+}
+
+// log writes one line of a decision with what it was based on.
+func (e *exchange) log(event events.Event, fields ...any) {
+	all := append(make([]any, 0, len(fields)+20), "id", e.meta.RequestID, "ms", time.Since(e.arrived).Milliseconds())
+	if e.table != nil {
+		all = append(all, "table", e.table.Version)
+	}
+	if e.route != nil {
+		all = append(all, "route", e.route.Name, "pool", e.pool, "left_ms", time.Until(e.deadline).Milliseconds())
+	}
+	if e.account != nil {
+		all = append(all, "account", e.account.Name)
+	}
+	if list := e.f.Upstreams(); list != nil {
+		all = append(all, "list_age_ms", list.Age().Milliseconds())
+	}
+	event.Log(e.f.Logger, append(all, fields...)...)
+}
--- /dev/null
+++ b/forwarding.go
@@ -0,0 +1,319 @@
+package cardamompier
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/clock"
+	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/forward"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/platform"
+	"github.com/cardamompier/cardamompier/presence"
+	"github.com/cardamompier/cardamompier/replica"
+	"github.com/cardamompier/cardamompier/retry"
+	"github.com/cardamompier/cardamompier/routes"
+	"github.com/cardamompier/cardamompier/settings"
+	"github.com/cardamompier/cardamompier/usage"
+)
+
+const (
+	// tableWait and hostsWait bound one watch of the routes and of the
+	// upstreams: a watch that went silent is noticed within that time, which
+	// is short against the 2 s in which both must be in force.
+	tableWait = 1700 * time.Millisecond
+	// membersWait bounds one watch of the entry hosts, which may lag more.
+	membersWait = 3500 * time.Millisecond
+	// listInterval is how often hosts that may have vanished are looked at again.
+	listInterval = 250 * time.Millisecond
+	// storeBurst is how many calls on the store a host may make at once.
+	storeBurst = 60
+	// memoryShare of a process's memory is the collector's soft limit.
+	memoryShare = 0.7
+	// headerTimeout bounds how long a caller takes to send its headers.
+	headerTimeout = 5 * time.Second
+	// callerIdle is longer than any caller keeps an idle connection, so that
+	// it is the caller who closes it.
+	callerIdle = 90 * time.Second
+	// drainQuiet is how long no request must have come before a stopping host ends.
+	drainQuiet = 1500 * time.Millisecond
+	// drainLast is how long before the end of the grace new requests are refused,
+	// and drainEnd how long before it the host ends whatever is still running.
+	drainLast = 3 * time.Second
+	drainEnd  = 400 * time.Millisecond
+)
+
+// ForwardServer is one entry host that forwards requests by the platform's
+// route table. Use NewForwardServer.
+type ForwardServer struct {
+	settings settings.Forwarding
+	logger   hclog.Logger
+
+	store     kv.Store
+	clock     *clock.Clock
+	table     atomic.Pointer[routes.Table]
+	upstreams atomic.Pointer[hosts.Snapshot]
+
+	routes, runners, members *replica.Replica
+	presence                 *presence.Presence
+	forwarder                *forward.Forwarder
+	counter                  *usage.Counter
+	peers                    *inner.Client
+	innerServer              *inner.Server
+
+	mu      sync.Mutex // orders readings of the upstreams
+	listing hosts.Listing
+	reading hosts.Reading
+
+	stopping  atomic.Bool
+	lastCall  atomic.Int64 // unix ns of the newest request
+	listeners []served
+}
+
+// served is a listener with its server.
+type served struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// NewForwardServer provisions a server and opens its listeners. It returns
+// *settings.Error or *ListenError.
+func NewForwardServer(s settings.Forwarding, logger hclog.Logger) (*ForwardServer, error) {
+	if err := s.Validate("given"); err != nil {
+		return nil, err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	}
+	f := &ForwardServer{
+		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
+		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst}),
+	}
+	peers := &replica.InnerPeers{Client: f.peers, Addresses: f.peerAddresses}
+	f.routes = replica.New(f.store, platform.ConfigPrefix, tableWait, peers, logger.Named("routes"))
+	f.runners = replica.New(f.store, platform.RunnersPrefix, tableWait, peers, logger.Named("upstreams"))
+	f.members = replica.New(f.store, presence.Prefix, membersWait, peers, logger.Named("members"))
+	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
+	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
+	f.counter = usage.NewCounter(f.store, s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, logger.Named("usage"))
+	f.forwarder = forward.New(forward.Parts{
+		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
+		Hosts: func() int { return f.presence.View().Recent }, Started: f.counter.Started, Tolerated: s.LimitExcess,
+		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
+		Logger:  logger.Named("forward"),
+	})
+	f.routes.Subscribe(f.readTable)
+	f.runners.Subscribe(f.readUpstreams)
+	return f, f.listen()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (f *ForwardServer) self() membership.Member {
+	return membership.Member{
+		ID: f.settings.HostID, Address: f.settings.Listen, InnerAddress: f.settings.InnerListen,
+		FailureDomain: f.settings.FailureDomain, Region: f.settings.Region,
+	}
+}
+
+// peerAddresses are the other hosts, or the seeds while none are known.
+func (f *ForwardServer) peerAddresses() []string {
+	others := f.presence.Others()
+	if len(others) > 0 {
+		return others
+	}
+	var seeds []string
+	for _, seed := range f.settings.Seeds {
+		if seed != f.settings.InnerListen {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+// listen opens the listeners.
+func (f *ForwardServer) listen() error {
+	edge := (&platform.Edge{Ready: f.ready, Addresses: f.addresses}).Handler()
+	internal := http.NewServeMux()
+	internal.Handle(inner.Path, f.innerServer)
+	metrics := http.NewServeMux()
+	metrics.Handle("/debug/vars", expvar.Handler())
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{f.settings.Listen, http.HandlerFunc(f.forward)},
+		{f.settings.ReadyListen, edge},
+		{f.settings.DirectoryListen, edge},
+		{f.settings.InnerListen, internal},
+		{f.settings.MetricsListen, metrics},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			f.close()
+			return &ListenError{Address: l.address, Cause: err}
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: f.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+		f.listeners = append(f.listeners, served{server: server, listener: listener})
+	}
+	return nil
+}
+
+func (f *ForwardServer) close() {
+	for _, s := range f.listeners {
+		_ = s.server.Close()
+		_ = s.listener.Close()
+	}
+}
+
+// forward serves one request of a caller.
+func (f *ForwardServer) forward(w http.ResponseWriter, r *http.Request) {
+	f.lastCall.Store(time.Now().UnixNano())
+	f.forwarder.ServeHTTP(w, r)
+}
+
+func (f *ForwardServer) ready() bool { return !f.stopping.Load() && f.forwarder.Known() }
+
+// addresses returns where callers connect: every host that takes requests.
+func (f *ForwardServer) addresses(_, _ string) ([]string, time.Duration) {
+	var out []string
+	for _, m := range f.presence.View().Hosts {
+		if !m.Leaving && (m.ID != f.settings.HostID || f.ready()) {
+			out = append(out, m.Address)
+		}
+	}
+	return out, seconds(f.settings.AddressSeconds)
+}
+
+// readTable puts a newer route table in force.
+func (f *ForwardServer) readTable(view *replica.View) {
+	entry, ok := view.Entries[platform.ConfigKey]
+	if !ok {
+		return
+	}
+	table, err := platform.DecodeTable(entry.Value)
+	if err != nil {
+		events.ForwardUnread.Log(f.logger, "revision", uint64(entry.Version), "error", err)
+		return
+	}
+	if known := f.table.Load(); known != nil && table.Version <= known.Version {
+		return
+	}
+	f.table.Store(table)
+	f.forwarder.Prepare(table)
+	events.ForwardTable.Log(f.logger, "table", table.Version, "revision", uint64(entry.Version))
+}
+
+// readUpstreams takes a new reading of the upstreams.
+func (f *ForwardServer) readUpstreams(view *replica.View) {
+	list := make([]hosts.Host, 0, len(view.Entries))
+	for key, entry := range view.Entries {
+		host, err := platform.DecodeRunner(key, entry.Value)
+		if err != nil {
+			events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", err)
+			continue
+		}
+		list = append(list, host)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = hosts.Reading{Hosts: list, ReadAt: view.ReadAt, OutageEnded: view.OutageEnded}
+	f.list(time.Now())
+	events.ForwardHosts.Log(f.logger, "upstreams", len(list), "revision", uint64(view.Revision))
+}
+
+// list installs the snapshot after the newest reading.
+func (f *ForwardServer) list(now time.Time) { f.upstreams.Store(f.listing.Next(f.reading, now)) }
+
+// relist drops hosts that were kept for a while after an outage.
+func (f *ForwardServer) relist(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	provisional := false
+	for {
+		select {
+		case now := <-ticker.C:
+			f.mu.Lock()
+			was := provisional
+			provisional = f.reading.Provisional(now)
+			if was || provisional {
+				f.list(now)
+			}
+			f.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Run serves until ctx ends, then drains within the grace of the settings.
+func (f *ForwardServer) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){
+		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run,
+	} {
+		parts.Go(func() { run(background) })
+	}
+	duties, endDuties := context.WithCancel(background)
+	defer endDuties()
+	if f.settings.Duties != "" {
+		for _, run := range f.duties() {
+			parts.Go(func() { run(duties) })
+		}
+	}
+	for _, s := range f.listeners {
+		parts.Go(func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				events.ListenerFailed.Log(f.logger, "address", s.listener.Addr().String(), "error", err)
+			}
+		})
+	}
+	events.ProcessStarted.Log(f.logger, "host", f.settings.HostID, "listen", f.settings.Listen, "metrics", f.settings.MetricsListen)
+	<-ctx.Done()
+	stopped := time.Now()
+	f.stopping.Store(true)
+	f.forwarder.Drain()
+	f.presence.Leave()
+	endDuties()
+	events.ProcessDraining.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active())
+	f.drain(stopped)
+	f.close()
+	stop()
+	parts.Wait()
+	f.peers.Close()
+	f.innerServer.Close()
+	events.ProcessStopped.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active())
+	return nil
+}
+
+// drain answers callers that still have this host's address until they have
+// gone, and at most until the end of the grace.
+func (f *ForwardServer) drain(stopped time.Time) {
+	grace := seconds(f.settings.GraceSeconds)
+	last, end := stopped.Add(grace-drainLast), stopped.Add(grace-drainEnd)
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if now.After(last) {
+			f.forwarder.Refuse()
+		}
+		quiet := now.Sub(time.Unix(0, max(f.lastCall.Load(), stopped.UnixNano()))) > drainQuiet
+		if now.After(end) || (quiet && f.forwarder.Active() == 0) {
+			return
+		}
+	}
+}
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -28,6 +28,11 @@
 	Class       string `json:"class,omitempty"`
 	Reclaimable bool   `json:"reclaimable,omitempty"`
 	State       State  `json:"state"`
+	// Slots is how many requests the host works on at once; zero when unknown.
+	Slots int `json:"slots,omitempty"`
+	// StartedMS is the Unix millisecond at which the host's process started: a
+	// host that starts again under its id is another host. Zero when unknown.
+	StartedMS int64 `json:"started_ms,omitempty"`
 	// ChecksFence says whether the engine refuses orders with an old fencing number.
 	ChecksFence bool `json:"checks_fence,omitempty"`
 }
--- a/inner/message.go
+++ b/inner/message.go
@@ -37,6 +37,8 @@
 	KindOrderRelease Kind = 203
 	// KindQuotaGrant: package quota, 300 to 399.
 	KindQuotaGrant Kind = 300
+	// KindReplicaRead: package replica, 500 to 599.
+	KindReplicaRead Kind = 500
 	// KindProvisionRate: package provision, 400 to 499.
 	KindProvisionRate Kind = 400
 )
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -30,6 +30,8 @@
 	// Probed says that an entry host before this one, in order of their ids,
 	// marked it too and finds out when it recovers.
 	Probed bool
+	// Slots is how many requests the upstream works on at once; zero when unknown.
+	Slots int
 	// Live holds this host's own measurements. It is the only part of a
 	// snapshot that changes, by atomics.
 	Live *Live
--- /dev/null
+++ b/scaling/scaling.go
@@ -0,0 +1,141 @@
+// Package scaling orders the upstreams of pools while this host holds the
+// duty. What to order is decided by package planner.
+package scaling
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/cloud"
+	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/lease"
+	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/planner"
+	"github.com/cardamompier/cardamompier/routes"
+	"github.com/cardamompier/cardamompier/wait"
+)
+
+const (
+	// interval is how often the plan is made: a reclaim is announced 2 s ahead.
+	interval = time.Second
+	// repeatInterval is how often an unchanged order is sent again: an order
+	// does not replace what was taken away while none were to be had.
+	repeatInterval = 4 * time.Second
+	// refusedSpan is how long a refused order keeps a domain's kind out of the plan.
+	refusedSpan = 3 * time.Second
+	// callTimeout bounds one order.
+	callTimeout = time.Second
+)
+
+// Orders counts orders by outcome.
+var Orders = metrics.New("scaling_orders_total", "Orders for upstreams, by outcome.")
+
+const labelDone = "done"
+
+// Scaler orders upstreams.
+type Scaler struct {
+	Cloud     cloud.Scaler
+	Table     func() *routes.Table
+	Upstreams func() *hosts.Snapshot
+	// Domains are the failure domains in order.
+	Domains []string
+	// Wanted returns how many upstreams of a pool carry its load.
+	Wanted func(pool *routes.Pool) int
+	Logger hclog.Logger
+
+	sent    map[subject]order
+	refused map[subject]time.Time
+}
+
+// subject is one kind of upstream of a pool in a domain.
+type subject struct {
+	pool, domain string
+	reclaimable  bool
+}
+
+// order is the last one that was accepted.
+type order struct {
+	count int
+	at    time.Time
+}
+
+// Run orders until ctx ends, which is the end of the term.
+func (s *Scaler) Run(ctx context.Context, term *lease.Term) {
+	s.sent, s.refused = map[subject]order{}, map[subject]time.Time{}
+	for ctx.Err() == nil {
+		table, list := s.Table(), s.Upstreams()
+		if table != nil && list != nil {
+			for _, pool := range table.Pools {
+				if pool.Scaling != nil {
+					s.plan(ctx, term, pool, list)
+				}
+			}
+		}
+		wait.For(ctx, interval)
+	}
+}
+
+func (s *Scaler) plan(ctx context.Context, term *lease.Term, pool *routes.Pool, list *hosts.Snapshot) {
+	now := time.Now()
+	input := planner.UpstreamPool{
+		Min: pool.Scaling.Min, Max: pool.Scaling.Max, Wanted: s.Wanted(pool), ReclaimablePrice: pool.Scaling.ReclaimablePrice,
+	}
+	for _, name := range s.Domains {
+		price, there := pool.Scaling.DomainPrices[name]
+		if len(pool.Scaling.DomainPrices) > 0 && !there {
+			continue
+		}
+		d := planner.UpstreamDomain{
+			Name: name, Price: price,
+			ReclaimableRefused: now.Sub(s.refused[subject{pool.Name, name, true}]) < refusedSpan,
+			SteadyRefused:      now.Sub(s.refused[subject{pool.Name, name, false}]) < refusedSpan,
+		}
+		for _, h := range list.Pool(pool.Name) {
+			switch {
+			case h.FailureDomain != name || h.State != hosts.StateLive:
+			case h.Reclaimable:
+				d.Reclaimable++
+			default:
+				d.Steady++
+			}
+		}
+		input.Domains = append(input.Domains, d)
+	}
+	for _, o := range planner.PlanUpstreams(input) {
+		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Reclaimable, Reclaimable: true})
+		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Steady})
+	}
+}
+
+// order sends an order that is new or was sent long ago.
+func (s *Scaler) order(ctx context.Context, term *lease.Term, o cloud.ScaleOrder) {
+	key := subject{o.Pool, o.FailureDomain, o.Reclaimable}
+	last, known := s.sent[key]
+	if known && last.count == o.Count && time.Since(last.at) < repeatInterval || !term.Valid() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.Cloud.Scale(call, term.Fence, o)
+	fields := []any{
+		"pool", o.Pool, "domain", o.FailureDomain, "count", o.Count, "reclaimable", o.Reclaimable,
+		"before", last.count, "fence", term.Fence,
+	}
+	if err != nil {
+		Orders.Inc(string(cloud.ReasonOf(err)))
+		if cloud.ReasonOf(err) == cloud.ReasonRefused {
+			s.refused[key] = time.Now()
+			s.sent[key] = order{count: -1, at: time.Now()}
+		}
+		events.ScaleRefused.Log(s.Logger, append(fields, "error", err)...)
+		return
+	}
+	Orders.Inc(labelDone)
+	if !known || last.count != o.Count {
+		events.ScaleOrdered.Log(s.Logger, fields...)
+	}
+	s.sent[key] = order{count: o.Count, at: time.Now()}
+}
