Share the load of all hosts; order upstreams by demand

Change: package loadshare (one message a host and interval to a center), routing.Prefill chooses by unread tokens of all hosts with a part of the pool for short prompts, planner.PlanUpstreams keeps cheap reclaimable upstreams and orders steady ones only for a measured need.

--- a/duties.go
+++ b/duties.go
@@ -7,7 +7,6 @@
 
 	"github.com/cardamompier/cardamompier/lease"
 	"github.com/cardamompier/cardamompier/platform"
-	"github.com/cardamompier/cardamompier/routes"
 	"github.com/cardamompier/cardamompier/scaling"
 	"github.com/cardamompier/cardamompier/usage"
 )
@@ -25,7 +24,7 @@
 		Store: f.store, Sink: api, Window: seconds(f.settings.UsageWindowSeconds), Now: f.clock.Now, Logger: f.logger.Named("usage"),
 	}
 	scaler := &scaling.Scaler{
-		Cloud: api, Table: f.table.Load, Upstreams: f.upstreams.Load, Wanted: wantedUpstreams,
+		Cloud: api, Table: f.table.Load, Upstreams: f.upstreams.Load, Demand: f.forwarder.Demand,
 		Domains: slices.Sorted(maps.Keys(f.settings.FailureDomains)), Logger: f.logger.Named("scaling"),
 	}
 	campaign := func(name string, run func(context.Context, *lease.Term)) func(context.Context) {
@@ -35,9 +34,3 @@
 	}
 	return []func(context.Context){campaign(dutyUsage, reporter.Run), campaign(dutyScaling, scaler.Run)}
 }
-
-// wantedUpstreams is half of what a pool may have.
-func wantedUpstreams(pool *routes.Pool) int {
-	domains := max(1, len(pool.Scaling.DomainPrices))
-	return domains * max(pool.Scaling.Min, pool.Scaling.Max/2)
-}
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -14,6 +14,9 @@
 	e.pool = drawTarget(e.route)
 	now := time.Now()
 	e.f.windows.Request(e.pool, now)
+	if e.meta.PromptTokens > 0 {
+		e.f.pool(e.pool).mix.Add(e.meta.PromptTokens, e.meta.PromptTokens-int(reread*float64(e.meta.sharedTokens())))
+	}
 	if e.account == nil {
 		return nil
 	}
@@ -69,6 +72,9 @@
 	return route.Targets[len(route.Targets)-1].Pool
 }
 
+// reread is the part of shared prompts that is not taken to be read again.
+const reread = 0.7
+
 // spreadShare is the part of a wait by which returns are spread, so that
 // callers that were refused together do not come back together.
 const spreadShare = 0.5
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/routing"
 )
 
@@ -14,6 +15,8 @@
 type poolState struct {
 	current atomic.Pointer[poolView]
 	mu      sync.Mutex // held while a view is built
+	mix     routing.Mix
+	demand  meter
 }
 
 // poolView is a routing snapshot with the list that it was built from.
@@ -64,7 +67,7 @@
 			ID: h.ID, FailureDomain: h.FailureDomain, Leaving: h.State != hosts.StateLive, Slots: h.Slots, Live: live,
 		})
 	}
-	v.snapshot = &routing.Snapshot{Upstreams: upstreams}
+	v.snapshot = routing.NewSnapshot(upstreams, routing.NewLayout(upstreams), 0)
 	p.current.Store(v)
 	return v
 }
@@ -80,11 +83,7 @@
 	}
 	v := e.f.pool(e.pool).view(e.pool, list)
 	req := routing.Request{Tried: e.tried, Now: now, Blocks: sharedBlocks(e.meta.Prompt)}
-	var policy routing.Policy = routing.LeastBacklog{Domain: e.f.Domain}
-	if e.meta.PromptTokens > 0 {
-		policy = routing.Prefill{}
-	}
-	choice := policy.Pick(v.snapshot, &req, rand.Uint64())
+	choice := e.policy().Pick(v.snapshot, &req, rand.Uint64())
 	if choice.Index < 0 {
 		return target{}, false
 	}
@@ -92,6 +91,69 @@
 	return target{Host: host, live: v.lives[liveKey(host)], reason: choice.Reason, list: list}, true
 }
 
+// policy returns how an upstream is chosen for the request.
+func (e *exchange) policy() routing.Policy {
+	if e.meta.PromptTokens == 0 {
+		return routing.LeastBacklog{Domain: e.f.Domain}
+	}
+	return routing.Prefill{
+		Tokens: e.meta.PromptTokens, Shared: e.meta.sharedTokens(), ShortShare: e.f.pool(e.pool).mix.ShortShare(),
+	}
+}
+
+// sharedTokens is the size of the parts that other requests may share.
+func (m *Metadata) sharedTokens() int {
+	if len(m.Prompt) < 2 {
+		return 0
+	}
+	return max(0, m.PromptTokens-m.Prompt[len(m.Prompt)-1].Tokens)
+}
+
+// Loads returns what this host has sent to each upstream.
+func (f *Forwarder) Loads() []loadshare.Load {
+	var out []loadshare.Load
+	f.eachLive(func(h hosts.Host, live *routing.Live) {
+		if l := (loadshare.Load{Upstream: loadshare.Key(h.ID), Unread: live.Unread(), InFlight: int64(live.InFlight())}); l.Unread != 0 || l.InFlight != 0 {
+			out = append(out, l)
+		}
+	})
+	now := time.Now()
+	f.pools.Range(func(name, value any) bool {
+		if rate := int64(value.(*poolState).demand.rate(now)); rate > 0 {
+			out = append(out, loadshare.Load{Upstream: demandKey(name.(string)), Unread: rate})
+		}
+		return true
+	})
+	return out
+}
+
+// SetOthers takes what the other hosts have sent to each upstream.
+func (f *Forwarder) SetOthers(loads []loadshare.Load) {
+	byKey := make(map[uint32]loadshare.Load, len(loads))
+	for _, l := range loads {
+		byKey[l.Upstream] = l
+	}
+	f.eachLive(func(h hosts.Host, live *routing.Live) {
+		l := byKey[loadshare.Key(h.ID)]
+		live.SetOthers(l.Unread, l.InFlight)
+	})
+	f.pools.Range(func(name, value any) bool {
+		value.(*poolState).demand.others.Store(byKey[demandKey(name.(string))].Unread)
+		return true
+	})
+}
+
+func (f *Forwarder) eachLive(visit func(hosts.Host, *routing.Live)) {
+	f.pools.Range(func(_, value any) bool {
+		if v := value.(*poolState).current.Load(); v != nil {
+			for _, h := range v.hosts {
+				visit(h, v.lives[liveKey(h)])
+			}
+		}
+		return true
+	})
+}
+
 // sharedBlocks returns the digest of the parts of a prompt that other requests
 // may share; none where there is only the request's own part.
 func sharedBlocks(prompt []PromptPart) []uint64 {
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -16,6 +17,7 @@
 	// the stream may be put together from several upstreams.
 	dedupe       bool
 	lastID       int64
+	lastAt       time.Time // when the last event was passed on
 	callerFailed bool
 }
 
@@ -83,6 +85,11 @@
 	if len(out) == 0 {
 		return nil
 	}
+	now := time.Now()
+	if !p.lastAt.IsZero() {
+		p.e.pause = max(p.e.pause, now.Sub(p.lastAt))
+	}
+	p.lastAt = now
 	first()
 	if _, err := p.e.w.Write(out); err != nil {
 		p.callerFailed = true
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -53,8 +53,7 @@
 	shares   admission.Shares
 	windows  *retry.Windows
 	pools    sync.Map // name to *poolState
-	draining atomic.Bool
-	refusing atomic.Bool
+	draining atomic.Pointer[draining]
 	active   atomic.Int64
 }
 
@@ -96,12 +95,22 @@
 	f.shares.Prepare(names, time.Now())
 }
 
+// draining says until when a stopping host takes requests.
+type draining struct{ freely, end time.Time }
+
 // Drain makes each answer from now on ask its caller to close the connection.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
+// Until freely every request is taken; after that only those that are surely
+// over by end, when the host stops.
+func (f *Forwarder) Drain(freely, end time.Time) {
+	f.draining.Store(&draining{freely: freely, end: end})
+}
 
-// Refuse makes the forwarder refuse new requests, which could not be answered
-// before the host ends.
-func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+// closing says whether a request is to be refused because the host may stop
+// before the request's deadline.
+func (f *Forwarder) closing(arrived, deadline time.Time) bool {
+	d := f.draining.Load()
+	return d != nil && arrived.After(d.freely) && deadline.After(d.end)
+}
 
 // Active is the number of requests in progress.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -33,9 +33,11 @@
 	sends    int     // attempts that reached an upstream
 	runs     int     // attempts that may have run
 	tried    []string
-	answered bool // a part of the answer was passed on
-	counted  bool // Started was called
-	granted  bool // the next repeated attempt was taken from the budget
+	answered bool          // a part of the answer was passed on
+	counted  bool          // Started was called
+	firstAt  time.Time     // when the first byte of the answer was passed on
+	pause    time.Duration // the longest between two events
+	granted  bool          // the next repeated attempt was taken from the budget
 }
 
 const (
@@ -64,9 +66,6 @@
 	if e.table == nil {
 		return apierr.New(apierr.CodeNotReady, "no routes are known yet").WithRetryAfter(unknownRetry)
 	}
-	if e.f.refusing.Load() {
-		return apierr.New(apierr.CodeDraining, "this host is stopping").WithRetryAfter(drainRetry)
-	}
 	meta, err := e.f.Codec.Decode(e.r.Header)
 	if err != nil {
 		refused := apierr.New(apierr.CodeInvalidRequest, "a header cannot be read")
@@ -91,6 +90,9 @@
 		left = min(left, meta.TimeLeft)
 	}
 	e.deadline = e.arrived.Add(left)
+	if e.f.closing(e.arrived, e.deadline) {
+		return apierr.New(apierr.CodeDraining, "this host is stopping").WithRetryAfter(drainRetry)
+	}
 	return nil
 }
 
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -48,7 +48,7 @@
 	if refused.RetryAfter > 0 {
 		e.f.Codec.SetRetryAfter(header, refused.RetryAfter)
 	}
-	if e.f.draining.Load() || refused.Code == apierr.CodeRequestTooLarge {
+	if e.f.draining.Load() != nil || refused.Code == apierr.CodeRequestTooLarge {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "application/json")
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -73,7 +73,7 @@
 	}
 	e.w.WriteHeader(a.StatusCode)
 	e.answered = true
-	FirstByte.Observe(time.Since(e.arrived))
+	e.first()
 	if _, err := e.w.Write(body); err != nil {
 		a.Close(!long)
 		e.gone()
@@ -108,7 +108,7 @@
 		e.answered = true
 		e.head(a)
 		e.w.WriteHeader(a.StatusCode)
-		FirstByte.Observe(time.Since(e.arrived))
+		e.first()
 	}
 	status := a.StatusCode
 	for {
@@ -190,7 +190,7 @@
 			header[name] = nil // net/http would add one of its own
 		}
 	}
-	if e.f.draining.Load() {
+	if e.f.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
 }
@@ -204,12 +204,18 @@
 	e.f.Started(e.account.Name)
 }
 
+// first notes that the answer begins.
+func (e *exchange) first() {
+	e.firstAt = time.Now()
+	FirstByte.Observe(e.firstAt.Sub(e.arrived))
+}
+
 // finish notes that the answer was passed on whole.
 func (e *exchange) finish(t target, status int) {
 	Requests.Inc(outcomeServed)
 	Whole.Observe(time.Since(e.arrived))
 	e.log(events.ForwardFinished, "upstream", t.ID, "domain", t.FailureDomain, "chosen_by", string(t.reason),
-		"status", status, "sends", e.sends)
+		"status", status, "sends", e.sends, "first_ms", e.firstAt.Sub(e.arrived).Milliseconds(), "pause_ms", e.pause.Milliseconds())
 }
 
 // breakOff ends an answer of which a part was passed on, so that it does not
--- a/forward/send.go
+++ b/forward/send.go
@@ -56,6 +56,9 @@
 	// absentRetry is when to come again where there is no upstream: about the
 	// time in which a new one is listed.
 	absentRetry = time.Second
+	// idleBacklog is the backlog up to which an upstream reads a prompt at about
+	// its full speed, in tokens.
+	idleBacklog = 1500
 	// cachedPart is the part of a shared prompt that an upstream has to read
 	// although it was chosen for having it.
 	cachedPart = 0.15
@@ -187,6 +190,9 @@
 // attempt sends the request to one upstream and passes its answer on.
 func (e *exchange) attempt(t target, resumeAfter string) (outcome, error) {
 	unread := e.unread(t)
+	idle := t.live.Backlog() < idleBacklog && t.reason != routing.ReasonAffinity
+	sent := time.Now()
+	e.f.pool(e.pool).demand.add(unread, sent)
 	t.live.Begin()
 	t.live.BeginPrefill(unread)
 	read := false
@@ -196,6 +202,12 @@
 			t.live.EndPrefill(unread)
 		}
 	}
+	began := func() {
+		if !read && idle {
+			e.f.pool(e.pool).demand.read(unread, time.Since(sent))
+		}
+		endPrefill()
+	}
 	defer func() {
 		endPrefill()
 		t.live.End()
@@ -216,7 +228,7 @@
 		return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
 	}
 	e.runs++
-	return e.relay(t, answer, verdict, endPrefill)
+	return e.relay(t, answer, verdict, began)
 }
 
 // unanswered classifies an exchange without an answer.
--- a/forwarding.go
+++ b/forwarding.go
@@ -19,6 +19,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/presence"
@@ -49,10 +50,12 @@
 	callerIdle = 90 * time.Second
 	// drainQuiet is how long no request must have come before a stopping host ends.
 	drainQuiet = 1500 * time.Millisecond
-	// drainLast is how long before the end of the grace new requests are refused,
-	// and drainEnd how long before it the host ends whatever is still running.
-	drainLast = 3 * time.Second
-	drainEnd  = 400 * time.Millisecond
+	// drainFreely is how long after a stop every request is taken: callers
+	// keep an address that long.
+	drainFreely = 2500 * time.Millisecond
+	// drainEnd is how long before the end of the grace the host ends whatever
+	// is still running.
+	drainEnd = 400 * time.Millisecond
 )
 
 // ForwardServer is one entry host that forwards requests by the platform's
@@ -70,6 +73,7 @@
 	presence                 *presence.Presence
 	forwarder                *forward.Forwarder
 	counter                  *usage.Counter
+	sharer                   *loadshare.Sharer
 	peers                    *inner.Client
 	innerServer              *inner.Server
 
@@ -114,6 +118,8 @@
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
 		Logger:  logger.Named("forward"),
 	})
+	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, func() []membership.Member { return f.presence.View().Hosts },
+		f.forwarder.Loads, f.forwarder.SetOthers)
 	f.routes.Subscribe(f.readTable)
 	f.runners.Subscribe(f.readUpstreams)
 	return f, f.listen()
@@ -264,7 +270,7 @@
 	defer stop()
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run,
+		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run, f.sharer.Run,
 	} {
 		parts.Go(func() { run(background) })
 	}
@@ -286,11 +292,12 @@
 	<-ctx.Done()
 	stopped := time.Now()
 	f.stopping.Store(true)
-	f.forwarder.Drain()
+	end := stopped.Add(seconds(f.settings.GraceSeconds) - drainEnd)
+	f.forwarder.Drain(stopped.Add(drainFreely), end)
 	f.presence.Leave()
 	endDuties()
 	events.ProcessDraining.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active())
-	f.drain(stopped)
+	f.drain(stopped, end)
 	f.close()
 	stop()
 	parts.Wait()
@@ -302,15 +309,10 @@
 
 // drain answers callers that still have this host's address until they have
 // gone, and at most until the end of the grace.
-func (f *ForwardServer) drain(stopped time.Time) {
-	grace := seconds(f.settings.GraceSeconds)
-	last, end := stopped.Add(grace-drainLast), stopped.Add(grace-drainEnd)
+func (f *ForwardServer) drain(stopped, end time.Time) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for now := range ticker.C {
-		if now.After(last) {
-			f.forwarder.Refuse()
-		}
 		quiet := now.Sub(time.Unix(0, max(f.lastCall.Load(), stopped.UnixNano()))) > drainQuiet
 		if now.After(end) || (quiet && f.forwarder.Active() == 0) {
 			return
--- a/inner/message.go
+++ b/inner/message.go
@@ -39,6 +39,8 @@
 	KindQuotaGrant Kind = 300
 	// KindReplicaRead: package replica, 500 to 599.
 	KindReplicaRead Kind = 500
+	// KindLoadDigest: package loadshare, 600 to 699.
+	KindLoadDigest Kind = 600
 	// KindProvisionRate: package provision, 400 to 499.
 	KindProvisionRate Kind = 400
 )
--- a/planner/upstreams.go
+++ b/planner/upstreams.go
@@ -2,9 +2,60 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
+const (
+	// readUse is the part of an upstream's reading speed that is planned for:
+	// above it prompts wait for each other longer than they take to read.
+	readUse = 0.4
+	// slotUse is the part of an upstream's slots that is planned for.
+	slotUse = 0.5
+	// pileBound is how far above the need by tokens the requests in progress
+	// may raise it.
+	pileBound = 1.3
+	// spareShare is the surplus of reclaimable upstreams, so that the loss of one
+	// failure domain in four leaves enough.
+	spareShare = 1.4
+	// ampleShare of what may be ordered in a failure domain is kept there in
+	// reclaimable upstreams whatever the load: they cost little, and the load
+	// grows faster than new ones start.
+	ampleShare = 0.5
+	// askShare of what may be ordered in a failure domain is asked for again
+	// where no reclaimable upstreams are to be had; steady ones take the rest.
+	askShare = 0.3
+	// leastUpstreams is kept whatever the load, for the loss of one.
+	leastUpstreams = 2
+)
+
+// Demand is the load of a pool.
+type Demand struct {
+	// TokensPerSecond are prompt tokens that have to be read.
+	TokensPerSecond float64
+	// InFlight are requests without a whole answer.
+	InFlight float64
+	// ReadPerSecond is the tokens that one upstream reads a second; zero when unknown.
+	ReadPerSecond float64
+	// Slots is how many requests an upstream works on at once; zero when unknown.
+	Slots int
+}
+
+// Needed returns how many upstreams carry a demand.
+func Needed(d Demand) int {
+	needed := 0.0
+	if d.ReadPerSecond > 0 {
+		needed = d.TokensPerSecond / (d.ReadPerSecond * readUse)
+	}
+	if d.Slots > 0 {
+		// Requests pile up where there are too few upstreams: their number says
+		// that more are needed, not how many.
+		running := d.InFlight / (float64(d.Slots) * slotUse)
+		needed = max(needed, min(running, pileBound*needed+leastUpstreams))
+	}
+	return max(leastUpstreams, int(math.Ceil(needed)))
+}
+
 // UpstreamDomain is what is known of a pool in one failure domain.
 type UpstreamDomain struct {
 	Name string
@@ -12,8 +63,7 @@
 	Price float64
 	// Reclaimable and Steady are the upstreams that take work.
 	Reclaimable, Steady int
-	// ReclaimableRefused and SteadyRefused say that the last order for more was
-	// refused and none are to be had for now.
+	// ReclaimableRefused and SteadyRefused say that no more can be had for now.
 	ReclaimableRefused, SteadyRefused bool
 }
 
@@ -22,90 +72,59 @@
 	Domains []UpstreamDomain
 	// Min and Max bound the upstreams of both kinds in each failure domain.
 	Min, Max int
-	// Wanted is how many upstreams carry the load.
-	Wanted int
-	// ReclaimablePrice is the price of a reclaimable upstream relative to another.
+	// Needed is how many upstreams carry the load.
+	Needed int
+	// ReclaimablePrice is the price of a reclaimable upstream relative to
+	// another; zero where there are none.
 	ReclaimablePrice float64
 }
 
 // UpstreamOrder is the wanted number in one failure domain.
 type UpstreamOrder struct {
-	Domain      string
-	Reclaimable int
-	Steady      int
+	Domain              string
+	Reclaimable, Steady int
 }
 
 // PlanUpstreams spreads reclaimable upstreams evenly over the failure domains,
-// since all of a domain are taken away together, and makes up for domains that
-// have none to give: first by reclaimable ones elsewhere, then by steady ones
-// where they are cheapest. Steady upstreams beyond that are given up only as
-// reclaimable ones take their place.
+// since all of a domain are taken away together, with a surplus. Steady ones are
+// ordered, where they are cheapest, only for what the reclaimable ones that are
+// there do not carry; those that are there already are kept first.
 func PlanUpstreams(p UpstreamPool) []UpstreamOrder {
-	if len(p.Domains) == 0 {
-		return nil
-	}
 	orders := make([]UpstreamOrder, len(p.Domains))
-	each := (p.Wanted + len(p.Domains) - 1) / len(p.Domains)
-	missing := 0
-	for i, d := range p.Domains {
-		orders[i].Domain = d.Name
-		orders[i].Reclaimable = min(max(each, p.Min), p.Max)
-		if p.ReclaimablePrice <= 0 || p.ReclaimablePrice >= 1 {
-			orders[i].Reclaimable, orders[i].Steady = 0, orders[i].Reclaimable
-			continue
-		}
-		missing += max(0, orders[i].Reclaimable-d.Reclaimable)
+	if len(orders) == 0 {
+		return orders
 	}
+	each := int(math.Ceil(spareShare * float64(p.Needed) / float64(len(p.Domains))))
+	each = min(max(each, p.Min, int(ampleShare*float64(p.Max))), p.Max)
 	if p.ReclaimablePrice <= 0 || p.ReclaimablePrice >= 1 {
-		return orders
+		each = 0
+	}
+	missing := p.Needed
+	for i, d := range p.Domains {
+		orders[i] = UpstreamOrder{Domain: d.Name, Reclaimable: each, Steady: max(0, p.Min-each)}
+		if d.ReclaimableRefused { // room for steady ones, and for asking again
+			orders[i].Reclaimable = min(each, max(d.Reclaimable, int(askShare*float64(p.Max))))
+		}
+		missing -= min(d.Reclaimable, each) + orders[i].Steady
 	}
 	cheapest := make([]int, len(p.Domains))
 	for i := range cheapest {
 		cheapest[i] = i
 	}
 	slices.SortStableFunc(cheapest, func(a, b int) int { return cmp.Compare(p.Domains[a].Price, p.Domains[b].Price) })
-	missing -= extraReclaimable(p, orders, cheapest)
-	// Steady upstreams that are there already stay while they are needed; more
-	// are ordered for what no reclaimable one can be had.
-	for _, keepOnly := range []bool{true, false} {
+	for _, kept := range []bool{true, false} {
 		for _, i := range cheapest {
-			d := p.Domains[i]
-			room := p.Max - max(d.Reclaimable, 0) - orders[i].Steady
-			if keepOnly {
-				room = min(room, d.Steady)
-			} else if d.SteadyRefused || !anyRefused(p) {
+			d, o := p.Domains[i], &orders[i]
+			room := p.Max - o.Reclaimable - o.Steady
+			if kept {
+				room = min(room, d.Steady-o.Steady)
+			} else if d.SteadyRefused {
 				continue
 			}
 			take := max(0, min(room, missing))
-			orders[i].Steady += take
+			o.Steady += take
 			missing -= take
 		}
 	}
 	return orders
 }
-
-// extraReclaimable orders more in domains that still have some to give and
-// returns how many.
-func extraReclaimable(p UpstreamPool, orders []UpstreamOrder, cheapest []int) int {
-	lost := 0
-	for i, d := range p.Domains {
-		if d.ReclaimableRefused {
-			lost += max(0, orders[i].Reclaimable-d.Reclaimable)
-		}
-	}
-	extra := 0
-	for _, i := range cheapest {
-		if lost == 0 || p.Domains[i].ReclaimableRefused {
-			continue
-		}
-		take := min(lost, p.Max-orders[i].Reclaimable)
-		orders[i].Reclaimable += take
-		lost -= take
-		extra += max(0, min(take, p.Domains[i].Reclaimable-(orders[i].Reclaimable-take)))
-	}
-	return extra
-}
-
-func anyRefused(p UpstreamPool) bool {
-	return slices.ContainsFunc(p.Domains, func(d UpstreamDomain) bool { return d.ReclaimableRefused })
-}
--- a/routing/live.go
+++ b/routing/live.go
@@ -59,10 +59,12 @@
 
 // Live is one upstream as this host measures it. The zero value is ready.
 type Live struct {
-	inFlight  atomic.Int64
-	waiting   atomic.Int64 // prompt tokens not yet read
-	slowUntil atomic.Int64 // unix ns
-	failures  atomic.Int64 // in a row
+	inFlight atomic.Int64
+	waiting  atomic.Int64 // prompt tokens not yet read
+	// What the other hosts have there, as they said last.
+	othersWaiting, othersInFlight atomic.Int64
+	slowUntil                     atomic.Int64 // unix ns
+	failures                      atomic.Int64 // in a row
 	// Gap is the time between two tokens of a stream.
 	Gap Span
 }
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -1,83 +1,128 @@
 package routing
 
 import (
+	"math"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// freeWaiting is the number of unread prompt tokens up to which an upstream
-	// keeps the prompts that it has cached; an engine reads about 50 tokens a
-	// millisecond, so that they delay the next first token by a quarter of a second.
-	freeWaiting = 12000
-	// freeShare of an upstream's slots is the number of this host's requests
-	// there up to which affinity goes before load.
-	freeShare = 0.5
-	// queuedCost is what a running request counts as in unread tokens: it slows
-	// each step a little.
-	queuedCost = 300
+	// runningCost is what a running request counts as, in unread tokens: it
+	// slows each step of the engine a little.
+	runningCost = 250
+	// fullCost is added where all slots are taken: a request waits for one.
+	fullCost = 40000
+	// firstCached and secondCached are the parts of a shared prompt that the
+	// first and second upstream in the prompt's order are taken to have cached.
+	firstCached, secondCached = 0.9, 0.4
+	// crossCost is added where a short prompt would run among long ones or the
+	// other way round: reading a long prompt makes the running answers pause.
+	crossCost = 6000
+	// ShortPrompt is the size up to which a prompt is short, in tokens; an
+	// engine reads it in one step or two.
+	ShortPrompt = 4000
+	// failedCost is added for upstreams that failed lately.
+	failedCost = 1 << 40
 )
 
-// Prefill keeps prompts that begin alike on the same upstream while it has few
-// unread tokens, and otherwise takes the one that will have read them first.
-type Prefill struct{}
+// Prefill takes the upstream that will have read the prompt first, by the
+// unread tokens of all hosts there and the part of the prompt that it has
+// cached. Short prompts have a part of the pool for themselves while there is
+// room in it.
+type Prefill struct {
+	// Tokens of the prompt, and those of the part that other requests share.
+	Tokens, Shared int
+	// ShortShare is the share of short prompts in all prompt tokens, 0 to 1.
+	ShortShare float64
+}
 
 // Pick implements Policy.
-func (Prefill) Pick(s *Snapshot, r *Request, _ uint64) Choice {
-	best, preferred := -1, -1
-	var least int64
-	var highest uint64
+func (p Prefill) Pick(s *Snapshot, r *Request, _ uint64) Choice {
+	first, second := p.cachedAt(s, r)
+	short := shortCount(len(s.Upstreams), p.ShortShare)
+	best, reason := -1, ReasonNone
+	least := int64(math.MaxInt64)
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		if !allowed(u, r) || u.Slow(r.Now) {
+		if !allowed(u, r) {
 			continue
 		}
-		if load := u.Live.backlog(); best < 0 || load < least {
-			best, least = i, load
+		cost := u.Live.Backlog() + int64(p.Tokens)
+		switch i {
+		case first:
+			cost -= int64(firstCached * float64(p.Shared))
+		case second:
+			cost -= int64(secondCached * float64(p.Shared))
 		}
-		if len(r.Blocks) == 0 || !u.roomy() {
-			continue
+		if u.Slots > 0 && u.Live.InFlight()+u.Live.Others() >= u.Slots {
+			cost += fullCost
+		}
+		if s.layout != nil && (s.layout.rank[i] < short) != (p.Tokens <= ShortPrompt) {
+			cost += crossCost
 		}
-		if weight := rendezvous(r.Blocks[0], u.ID); preferred < 0 || weight > highest {
-			preferred, highest = i, weight
+		if u.Slow(r.Now) {
+			cost += failedCost
+		}
+		if cost < least {
+			best, least = i, cost
 		}
 	}
 	switch {
-	case preferred >= 0:
-		return Choice{Index: preferred, Reason: ReasonAffinity}
-	case best >= 0:
-		return Choice{Index: best, Reason: ReasonLoad}
+	case best < 0:
+		return noChoice
+	case least >= failedCost:
+		reason = ReasonLastResort
+	case best == first:
+		reason = ReasonAffinity
+	default:
+		reason = ReasonLoad
 	}
-	return lastResort(s, r)
+	return Choice{Index: best, Reason: reason}
 }
 
-// lastResort returns the upstream with the least work among those that failed
-// lately.
-func lastResort(s *Snapshot, r *Request) Choice {
-	best := -1
+// cachedAt returns the first two upstreams in the order of the request's shared
+// prompt, of the part of the pool that its prompt belongs to; -1 for none.
+func (p Prefill) cachedAt(s *Snapshot, r *Request) (first, second int) {
+	first, second = -1, -1
+	if len(r.Blocks) == 0 || p.Shared == 0 {
+		return first, second
+	}
+	short := shortCount(len(s.Upstreams), p.ShortShare)
+	var high, next uint64
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		if allowed(u, r) && (best < 0 || u.Live.backlog() < s.Upstreams[best].Live.backlog()) {
-			best = i
+		if !allowed(u, r) || u.Slow(r.Now) {
+			continue
+		}
+		if s.layout != nil && (s.layout.rank[i] < short) != (p.Tokens <= ShortPrompt) {
+			continue
+		}
+		switch weight := rendezvous(r.Blocks[0], u.ID); {
+		case first < 0 || weight > high:
+			second, next = first, high
+			first, high = i, weight
+		case second < 0 || weight > next:
+			second, next = i, weight
 		}
 	}
-	if best < 0 {
-		return noChoice
-	}
-	return Choice{Index: best, Reason: ReasonLastResort}
+	return first, second
 }
 
-// roomy says whether the upstream can take a request without making it wait.
-func (u *Upstream) roomy() bool {
-	if u.Slots > 0 && float64(u.load()) >= freeShare*float64(u.Slots) {
-		return false
+// shortCount returns how many upstreams of a pool are for short prompts.
+func shortCount(upstreams int, share float64) int {
+	if upstreams < 3 || share <= 0 {
+		return 0
 	}
-	return u.Live.waiting.Load() < freeWaiting
+	return min(max(1, int(math.Round(share*float64(upstreams)))), upstreams-1)
 }
 
-// backlog is the work that was sent to the upstream and is not done, in tokens.
-func (l *Live) backlog() int64 { return l.waiting.Load() + queuedCost*l.inFlight.Load() }
+// Backlog is the work that all hosts have sent to the upstream and that is not
+// done, in prompt tokens.
+func (l *Live) Backlog() int64 {
+	return l.waiting.Load() + l.othersWaiting.Load() + runningCost*(l.inFlight.Load()+l.othersInFlight.Load())
+}
 
 // BeginPrefill counts prompt tokens that the upstream has to read.
 func (l *Live) BeginPrefill(tokens int) { l.waiting.Add(int64(tokens)) }
@@ -85,14 +130,26 @@
 // EndPrefill counts them as read, or as not to be read any more.
 func (l *Live) EndPrefill(tokens int) { l.waiting.Add(-int64(tokens)) }
 
+// Unread are this host's prompt tokens that the upstream has not yet read.
+func (l *Live) Unread() int64 { return l.waiting.Load() }
+
+// SetOthers notes what the other hosts have sent to the upstream.
+func (l *Live) SetOthers(unread, inFlight int64) {
+	l.othersWaiting.Store(unread)
+	l.othersInFlight.Store(inFlight)
+}
+
+// Others is the number of the other hosts' requests there.
+func (l *Live) Others() int { return int(l.othersInFlight.Load()) }
+
 // rendezvous returns the weight of an upstream for a key: each host computes
 // the same, and a change of the upstreams moves only the keys of those changed.
 func rendezvous(key uint64, id string) uint64 {
 	return xxhash.Sum64String(strconv.FormatUint(key, 16) + "/" + id)
 }
 
-// LeastBacklog takes the upstream with the least work that did not fail lately,
-// in the request's own failure domain where that one is as good.
+// LeastBacklog takes the upstream with the fewest requests of all hosts, that
+// of the sender's failure domain among equals.
 type LeastBacklog struct {
 	// Domain is the failure domain of the host that sends.
 	Domain string
@@ -100,24 +157,38 @@
 
 // Pick implements Policy.
 func (p LeastBacklog) Pick(s *Snapshot, r *Request, random uint64) Choice {
-	best, near := -1, false
-	if len(s.Upstreams) == 0 {
-		return noChoice
+	order := make([]int, len(s.Upstreams))
+	for i := range order {
+		order[i] = i
 	}
-	start := pick(&random, len(s.Upstreams))
-	for step := range s.Upstreams {
-		i := (start + step) % len(s.Upstreams)
+	start := 0
+	if len(order) > 0 {
+		start = pick(&random, len(order))
+	}
+	order = slices.Concat(order[start:], order[:start])
+	best := -1
+	least := int64(math.MaxInt64)
+	for _, i := range order {
 		u := &s.Upstreams[i]
-		if !allowed(u, r) || u.Slow(r.Now) {
+		if !allowed(u, r) {
 			continue
 		}
-		local := u.FailureDomain == p.Domain
-		if best < 0 || u.load() < s.Upstreams[best].load() || (u.load() == s.Upstreams[best].load() && local && !near) {
-			best, near = i, local
+		cost := 2 * int64(u.Live.InFlight()+u.Live.Others())
+		if u.FailureDomain != p.Domain {
+			cost++
+		}
+		if u.Slow(r.Now) {
+			cost += failedCost
+		}
+		if cost < least {
+			best, least = i, cost
 		}
 	}
-	if best >= 0 {
-		return Choice{Index: best, Reason: ReasonLoad}
+	switch {
+	case best < 0:
+		return noChoice
+	case least >= failedCost:
+		return Choice{Index: best, Reason: ReasonLastResort}
 	}
-	return lastResort(s, r)
+	return Choice{Index: best, Reason: ReasonLoad}
 }
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -20,10 +20,12 @@
 
 const (
 	// interval is how often the plan is made: a reclaim is announced 2 s ahead.
-	interval = time.Second
-	// repeatInterval is how often an unchanged order is sent again: an order
-	// does not replace what was taken away while none were to be had.
-	repeatInterval = 4 * time.Second
+	interval = 250 * time.Millisecond
+	// repeatInterval is how often an unchanged order is sent again while fewer
+	// are there: an order does not replace what was taken away while none were
+	// to be had. confirmInterval is how often it is while as many are there.
+	repeatInterval  = 2 * time.Second
+	confirmInterval = 10 * time.Second
 	// refusedSpan is how long a refused order keeps a domain's kind out of the plan.
 	refusedSpan = 3 * time.Second
 	// callTimeout bounds one order.
@@ -42,8 +44,8 @@
 	Upstreams func() *hosts.Snapshot
 	// Domains are the failure domains in order.
 	Domains []string
-	// Wanted returns how many upstreams of a pool carry its load.
-	Wanted func(pool *routes.Pool) int
+	// Demand returns the load of a pool.
+	Demand func(pool string) planner.Demand
 	Logger hclog.Logger
 
 	sent    map[subject]order
@@ -56,10 +58,11 @@
 	reclaimable  bool
 }
 
-// order is the last one that was accepted.
+// order is the last one that was answered.
 type order struct {
-	count int
-	at    time.Time
+	count   int
+	at      time.Time
+	refused bool
 }
 
 // Run orders until ctx ends, which is the end of the term.
@@ -80,8 +83,9 @@
 
 func (s *Scaler) plan(ctx context.Context, term *lease.Term, pool *routes.Pool, list *hosts.Snapshot) {
 	now := time.Now()
+	demand := s.Demand(pool.Name)
 	input := planner.UpstreamPool{
-		Min: pool.Scaling.Min, Max: pool.Scaling.Max, Wanted: s.Wanted(pool), ReclaimablePrice: pool.Scaling.ReclaimablePrice,
+		Min: pool.Scaling.Min, Max: pool.Scaling.Max, Needed: planner.Needed(demand), ReclaimablePrice: pool.Scaling.ReclaimablePrice,
 	}
 	for _, name := range s.Domains {
 		price, there := pool.Scaling.DomainPrices[name]
@@ -104,17 +108,23 @@
 		}
 		input.Domains = append(input.Domains, d)
 	}
-	for _, o := range planner.PlanUpstreams(input) {
-		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Reclaimable, Reclaimable: true})
-		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Steady})
+	for i, o := range planner.PlanUpstreams(input) {
+		d := input.Domains[i]
+		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Reclaimable, Reclaimable: true}, d.Reclaimable, demand)
+		s.order(ctx, term, cloud.ScaleOrder{Pool: pool.Name, FailureDomain: o.Domain, Count: o.Steady}, d.Steady, demand)
 	}
 }
 
-// order sends an order that is new or was sent long ago.
-func (s *Scaler) order(ctx context.Context, term *lease.Term, o cloud.ScaleOrder) {
+// order sends an order that is new, or that was sent a while ago; there is the
+// number of upstreams that take work, demand is what the plan was made for.
+func (s *Scaler) order(ctx context.Context, term *lease.Term, o cloud.ScaleOrder, there int, demand planner.Demand) {
 	key := subject{o.Pool, o.FailureDomain, o.Reclaimable}
 	last, known := s.sent[key]
-	if known && last.count == o.Count && time.Since(last.at) < repeatInterval || !term.Valid() {
+	again := confirmInterval
+	if last.refused || there < o.Count {
+		again = repeatInterval
+	}
+	if known && last.count == o.Count && time.Since(last.at) < again || !term.Valid() {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -122,13 +132,14 @@
 	err := s.Cloud.Scale(call, term.Fence, o)
 	fields := []any{
 		"pool", o.Pool, "domain", o.FailureDomain, "count", o.Count, "reclaimable", o.Reclaimable,
-		"before", last.count, "fence", term.Fence,
+		"before", last.count, "there", there, "needed", planner.Needed(demand),
+		"tokens_per_s", int(demand.TokensPerSecond), "read_per_s", int(demand.ReadPerSecond), "in_flight", demand.InFlight, "fence", term.Fence,
 	}
 	if err != nil {
 		Orders.Inc(string(cloud.ReasonOf(err)))
 		if cloud.ReasonOf(err) == cloud.ReasonRefused {
 			s.refused[key] = time.Now()
-			s.sent[key] = order{count: -1, at: time.Now()}
+			s.sent[key] = order{count: o.Count, at: time.Now(), refused: true}
 		}
 		events.ScaleRefused.Log(s.Logger, append(fields, "error", err)...)
 		return
