Read the store on three hosts for all; tell usage to collectors

Ruled out: longer watches (a silent one would be noticed too late); serializable reads, which may be seconds old. Change: replicas follow one of three hosts by deltas and go to the store only where none of those has a fresh copy; usage goes to two collectors, which are the only candidates for the duties, held under one lease.

--- a/forwarding.go
+++ b/forwarding.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/events"
@@ -37,6 +38,14 @@
 	tableWait = 1700 * time.Millisecond
 	// membersWait bounds one watch of the entry hosts, which may lag more.
 	membersWait = 3500 * time.Millisecond
+	// watcherRole is the key by which the hosts are chosen that read the store
+	// for the others; minWatchers bear the loss of two, and hostsPerWatcher bounds
+	// the questions that one answers.
+	watcherRole     = "watchers"
+	minWatchers     = 3
+	hostsPerWatcher = 40
+	// probeInterval is how often a store that does not answer is tried.
+	probeInterval = 500 * time.Millisecond
 	// listInterval is how often hosts that may have vanished are looked at again.
 	listInterval = 250 * time.Millisecond
 	// storeBurst is how many calls on the store a host may make at once.
@@ -103,22 +112,22 @@
 	}
 	f := &ForwardServer{
 		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
-		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst}),
+		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
 	}
-	peers := &replica.InnerPeers{Client: f.peers, Addresses: f.peerAddresses}
+	peers := &replica.InnerPeers{Client: f.peers, Watchers: f.watchers}
 	f.routes = replica.New(f.store, platform.ConfigPrefix, tableWait, peers, logger.Named("routes"))
 	f.runners = replica.New(f.store, platform.RunnersPrefix, tableWait, peers, logger.Named("upstreams"))
 	f.members = replica.New(f.store, presence.Prefix, membersWait, peers, logger.Named("members"))
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
-	f.counter = usage.NewCounter(f.store, s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, logger.Named("usage"))
+	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.forwarder = forward.New(forward.Parts{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
 		Hosts: func() int { return f.presence.View().Recent }, Started: f.counter.Started, Tolerated: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
 		Logger:  logger.Named("forward"),
 	})
-	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, func() []membership.Member { return f.presence.View().Hosts },
+	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
 		f.forwarder.Loads, f.forwarder.SetOthers)
 	f.routes.Subscribe(f.readTable)
 	f.runners.Subscribe(f.readUpstreams)
@@ -134,19 +143,24 @@
 	}
 }
 
-// peerAddresses are the other hosts, or the seeds while none are known.
-func (f *ForwardServer) peerAddresses() []string {
-	others := f.presence.Others()
-	if len(others) > 0 {
-		return others
-	}
-	var seeds []string
-	for _, seed := range f.settings.Seeds {
-		if seed != f.settings.InnerListen {
-			seeds = append(seeds, seed)
+// hosts returns the entry hosts as far as they are known.
+func (f *ForwardServer) hosts() *membership.View { return &f.presence.View().View }
+
+// watchers returns whether this host reads the store for the others, and the
+// inner addresses of the hosts that do; the seeds while no others are known.
+func (f *ForwardServer) watchers() (self bool, addresses []string) {
+	view := f.hosts()
+	for _, m := range view.Chosen(watcherRole, max(minWatchers, len(view.Members)/hostsPerWatcher)) {
+		if m.ID == f.settings.HostID {
+			self = true
+		} else {
+			addresses = append(addresses, m.InnerAddress)
 		}
 	}
-	return seeds
+	if len(addresses) == 0 {
+		addresses = lo.Without(f.settings.Seeds, f.settings.InnerListen)
+	}
+	return self, addresses
 }
 
 // listen opens the listeners.
@@ -195,7 +209,7 @@
 // addresses returns where callers connect: every host that takes requests.
 func (f *ForwardServer) addresses(_, _ string) ([]string, time.Duration) {
 	var out []string
-	for _, m := range f.presence.View().Hosts {
+	for _, m := range f.presence.View().Members {
 		if !m.Leaving && (m.ID != f.settings.HostID || f.ready()) {
 			out = append(out, m.Address)
 		}
@@ -277,9 +291,8 @@
 	duties, endDuties := context.WithCancel(background)
 	defer endDuties()
 	if f.settings.Duties != "" {
-		for _, run := range f.duties() {
-			parts.Go(func() { run(duties) })
-		}
+		run := f.duties()
+		parts.Go(func() { run(duties) })
 	}
 	for _, s := range f.listeners {
 		parts.Go(func() {
--- a/inner/message.go
+++ b/inner/message.go
@@ -41,6 +41,8 @@
 	KindReplicaRead Kind = 500
 	// KindLoadDigest: package loadshare, 600 to 699.
 	KindLoadDigest Kind = 600
+	// KindUsageCounts: package usage, 700 to 799.
+	KindUsageCounts Kind = 700
 	// KindProvisionRate: package provision, 400 to 499.
 	KindProvisionRate Kind = 400
 )
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -25,7 +25,9 @@
 type Options struct {
 	// TTL is the length of a lease. Default 6 s.
 	TTL time.Duration
-	// Candidate says whether this host should take a free duty. Default always.
+	// Candidate says whether this host should watch the duty and take it when
+	// it is free; it is asked before each call, and a holder that is none any
+	// more gives the duty up. Default always.
 	Candidate func() bool
 }
 
@@ -69,7 +71,7 @@
 	ctx = kv.WithPurpose(ctx, purpose)
 	for ctx.Err() == nil {
 		sent := time.Now()
-		if h.observe(ctx) && h.options.Candidate() && h.take(ctx) {
+		if h.options.Candidate() && h.observe(ctx) && h.take(ctx) {
 			h.hold(ctx, sent, lead)
 		}
 		interval := h.options.TTL / renewals
@@ -172,6 +174,9 @@
 			return ReasonLapsed
 		case <-ticker.C:
 		}
+		if !h.options.Candidate() {
+			return ReasonStopped
+		}
 		sent := time.Now()
 		switch outcome := h.write(ctx, duty{Holder: h.host, Fence: term.Fence}); {
 		case outcome == kv.OutcomeWon && !term.extend(h.end(sent)):
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +27,8 @@
 	intervalPerHost = 4 * time.Millisecond
 	// callTimeout bounds one exchange.
 	callTimeout = 200 * time.Millisecond
+	// role is the key by which the center is chosen.
+	role = "loadshare"
 	// centers is how many hosts are tried in a row.
 	centers = 3
 )
@@ -71,7 +72,7 @@
 type Sharer struct {
 	self   string
 	client *inner.Client
-	hosts  func() []membership.Member
+	hosts  func() *membership.View
 	own    func() []Load
 	apply  func(others []Load)
 	center center
@@ -79,7 +80,7 @@
 
 // New returns a sharer of the host self and registers its message. own returns
 // this host's load; apply takes that of the others, nil where it is unknown.
-func New(self string, client *inner.Client, server *inner.Server, hosts func() []membership.Member,
+func New(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View,
 	own func() []Load, apply func([]Load),
 ) *Sharer {
 	s := &Sharer{self: self, client: client, hosts: hosts, own: own, apply: apply}
@@ -93,11 +94,11 @@
 func (s *Sharer) Run(ctx context.Context) {
 	var last time.Time
 	for {
-		members := s.hosts()
-		if !wait.For(ctx, max(minInterval, time.Duration(len(members))*intervalPerHost)) {
+		view := s.hosts()
+		if !wait.For(ctx, max(minInterval, time.Duration(len(view.Members))*intervalPerHost)) {
 			return
 		}
-		others, ok := s.exchange(ctx, members)
+		others, ok := s.exchange(ctx, view)
 		now := time.Now()
 		switch {
 		case ok:
@@ -110,9 +111,9 @@
 	}
 }
 
-func (s *Sharer) exchange(ctx context.Context, members []membership.Member) ([]Load, bool) {
+func (s *Sharer) exchange(ctx context.Context, view *membership.View) ([]Load, bool) {
 	d := digest{Host: s.self, Loads: s.own()}
-	for _, m := range rank(members) {
+	for _, m := range view.Chosen(role, centers) {
 		if m.ID == s.self {
 			Exchanges.Inc(labelSelf)
 			return s.center.exchange(s.self, d.Loads, time.Now()), true
@@ -129,16 +130,3 @@
 	}
 	return nil, false
 }
-
-// rank returns the hosts that may be the center, the first choice first.
-func rank(members []membership.Member) []membership.Member {
-	weight := func(m membership.Member) uint64 { return xxhash.Sum64String("load/" + m.ID) }
-	usable := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Leaving })
-	slices.SortFunc(usable, func(a, b membership.Member) int {
-		if weight(a) > weight(b) {
-			return -1
-		}
-		return 1
-	})
-	return usable[:min(len(usable), centers)]
-}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -28,9 +28,9 @@
 
 const (
 	// leaseTTL is how long a host that was killed stays listed.
-	leaseTTL = 3 * time.Second
+	leaseTTL = 4500 * time.Millisecond
 	// renewInterval leaves two more tries before the lease ends.
-	renewInterval = time.Second
+	renewInterval = 1500 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = 700 * time.Millisecond
 	// returnSpan is how long after an outage of the service missing records
@@ -48,7 +48,7 @@
 
 // View is an immutable view of the entry hosts in order of their ids.
 type View struct {
-	Hosts []membership.Member
+	membership.View
 	// Recent is the largest number of hosts in the last spans; shares of
 	// limits are divided by it while hosts come and go.
 	Recent int
@@ -77,7 +77,7 @@
 // New returns a presence that follows the replica of Prefix.
 func New(store kv.Store, self membership.Member, hosts *replica.Replica, logger hclog.Logger) *Presence {
 	p := &Presence{store: store, self: self, logger: logger}
-	p.view.Store(&View{Hosts: []membership.Member{self}, Recent: 1})
+	p.view.Store(&View{View: membership.View{Members: []membership.Member{self}}, Recent: 1})
 	hosts.Subscribe(p.update)
 	return p
 }
@@ -88,17 +88,6 @@
 // Leave marks the own record, so that callers are not sent here any more.
 func (p *Presence) Leave() { p.leaving.Store(true) }
 
-// Others returns the inner addresses of the other hosts.
-func (p *Presence) Others() []string {
-	var out []string
-	for _, m := range p.View().Hosts {
-		if m.ID != p.self.ID {
-			out = append(out, m.InnerAddress)
-		}
-	}
-	return out
-}
-
 // update builds a view from the records. Records that vanished around an
 // outage of the service are kept until their hosts had time to return.
 func (p *Presence) update(v *replica.View) {
@@ -113,7 +102,7 @@
 		known[m.ID] = m
 	}
 	if !v.OutageEnded.IsZero() && now.Sub(v.OutageEnded) < returnSpan {
-		for _, m := range p.View().Hosts {
+		for _, m := range p.View().Members {
 			if _, ok := known[m.ID]; !ok {
 				known[m.ID] = m
 			}
@@ -136,7 +125,7 @@
 		p.counts = slices.Delete(p.counts, 0, drop)
 	}
 	events.MembersChanged.Log(p.logger, "hosts", len(hosts), "revision", uint64(v.Revision))
-	p.view.Store(&View{Hosts: hosts, Recent: max(recent, 1)})
+	p.view.Store(&View{View: membership.View{Members: hosts}, Recent: max(recent, 1)})
 }
 
 // maxCounts bounds the remembered counts.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,12 +33,16 @@
 	labelWatch = "watch"
 	labelPeer  = "peer"
 	labelAsk   = "peer_unreachable"
+	labelStale = "peer_stale"
 
 	// retryDelay is the mean pause after a failed read of the service; it is
 	// short against the 2 s in which a new configuration must be in force.
 	retryDelay = 250 * time.Millisecond
 	// readTimeout bounds one list: the service answers in some ms.
 	readTimeout = time.Second
+	// staleAge is the age of a peer's copy from which another is asked: a watch
+	// confirms it at least every two seconds.
+	staleAge = 2500 * time.Millisecond
 	// outageSpan is how long reads must fail before their end counts as the
 	// end of an outage; one failed call is not one.
 	outageSpan = time.Second
@@ -50,15 +56,45 @@
 	// ReadAt is when the service last confirmed the copy; zero for one that
 	// was learned from a peer only.
 	ReadAt time.Time
+	// Deleted are the latest deletions, in order; every one after Complete is
+	// among them.
+	Deleted  []Deletion
+	Complete kv.Version
 	// OutageEnded is when the service last answered again after an outage, on
 	// this host's clock; zero for never.
 	OutageEnded time.Time
 }
 
+// Deletion is a key that was removed.
+type Deletion struct {
+	Key      string     `cbor:"1,keyasint"`
+	Revision kv.Version `cbor:"2,keyasint"`
+}
+
+// maxDeletions bounds the deletions that a view remembers.
+const maxDeletions = 512
+
 // Peers asks other hosts for their copies.
 type Peers interface {
-	// Newer returns the copy of some peer if its revision is above after.
-	Newer(ctx context.Context, prefix string, after kv.Version) (map[string]kv.Entry, kv.Version, error)
+	// Watches says whether this host is one of those that read the service for
+	// the others.
+	Watches() bool
+	// Newer returns what has changed after a revision at one of the hosts that
+	// read the service, and waits for a change for up to the given time.
+	Newer(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (*Change, error)
+}
+
+// Change is what a peer knows beyond a revision.
+type Change struct {
+	Revision kv.Version `cbor:"1,keyasint"`
+	// AgeMS is how long ago the service confirmed the peer's copy.
+	AgeMS int64 `cbor:"2,keyasint"`
+	// OutageAgoMS is how long ago an outage ended; zero for none.
+	OutageAgoMS int64 `cbor:"6,keyasint,omitempty"`
+	// Full says that Entries are the whole copy.
+	Full    bool       `cbor:"3,keyasint,omitempty"`
+	Entries []kv.Entry `cbor:"4,keyasint,omitempty"`
+	Deleted []Deletion `cbor:"5,keyasint,omitempty"`
 }
 
 // Replica follows one prefix. Use New.
@@ -70,7 +106,8 @@
 	logger hclog.Logger
 
 	current atomic.Pointer[View]
-	mu      sync.Mutex // orders updates and their notifications
+	changed atomic.Pointer[chan struct{}] // closed when the entries change
+	mu      sync.Mutex                    // orders updates and their notifications
 	notify  []func(*View)
 
 	failing     time.Time // since when reads fail; zero when they do not
@@ -80,7 +117,10 @@
 // New returns a replica without a view. A watch waits for the given time;
 // peers may be nil.
 func New(store kv.Store, prefix string, wait time.Duration, peers Peers, logger hclog.Logger) *Replica {
-	return &Replica{store: store, prefix: prefix, wait: wait, peers: peers, logger: logger}
+	r := &Replica{store: store, prefix: prefix, wait: wait, peers: peers, logger: logger}
+	changed := make(chan struct{})
+	r.changed.Store(&changed)
+	return r
 }
 
 // Current returns the newest view; nil before the first.
@@ -90,16 +130,23 @@
 // before Run.
 func (r *Replica) Subscribe(notify func(*View)) { r.notify = append(r.notify, notify) }
 
-// Run follows the prefix until ctx ends.
+// Run follows the prefix until ctx ends: by the service itself until the first
+// view and while this host reads it for the others, and by those otherwise.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if r.peers != nil && !r.peers.Watches() && r.current.Load() != nil && r.followPeer(ctx) {
+			continue
+		}
 		err := r.list(ctx)
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && (r.peers == nil || r.peers.Watches()) {
 			err = r.watch(ctx)
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		if kv.ReasonOf(err) != kv.ReasonNotFound {
 			r.failed(err)
 		}
@@ -163,7 +210,10 @@
 	}
 	Updates.Inc(source)
 	view := &View{Entries: entries, Revision: revision, ReadAt: readAt, OutageEnded: r.outageEnded}
+	view.remember(r.current.Load())
 	r.current.Store(view)
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
 	for _, notify := range r.notify {
 		notify(view)
 	}
@@ -174,7 +224,49 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.current.Load()
-	r.current.Store(&View{Entries: old.Entries, Revision: max(revision, old.Revision), ReadAt: readAt, OutageEnded: r.outageEnded})
+	next := *old
+	next.Revision, next.ReadAt, next.OutageEnded = max(revision, old.Revision), readAt, r.outageEnded
+	r.current.Store(&next)
+}
+
+// remember adds what was removed since the view before.
+func (v *View) remember(old *View) {
+	if old == nil {
+		v.Complete = v.Revision
+		return
+	}
+	v.Complete = old.Complete
+	v.Deleted = slices.Clone(old.Deleted)
+	for key := range old.Entries {
+		if _, there := v.Entries[key]; !there {
+			v.Deleted = append(v.Deleted, Deletion{Key: key, Revision: v.Revision})
+		}
+	}
+	if drop := len(v.Deleted) - maxDeletions; drop > 0 {
+		v.Complete = v.Deleted[drop-1].Revision
+		v.Deleted = slices.Delete(v.Deleted, 0, drop)
+	}
+}
+
+// since returns what the view has beyond a revision.
+func (v *View) since(after kv.Version, now time.Time) *Change {
+	change := &Change{Revision: v.Revision, AgeMS: now.Sub(v.ReadAt).Milliseconds(), Full: after < v.Complete}
+	if !v.OutageEnded.IsZero() {
+		change.OutageAgoMS = max(1, now.Sub(v.OutageEnded).Milliseconds())
+	}
+	for _, e := range v.Entries {
+		if change.Full || e.Version > after {
+			change.Entries = append(change.Entries, e)
+		}
+	}
+	if !change.Full {
+		for _, d := range v.Deleted {
+			if d.Revision > after {
+				change.Deleted = append(change.Deleted, d)
+			}
+		}
+	}
+	return change
 }
 
 // failed notes a failed read; the first of a row is logged.
@@ -208,7 +300,7 @@
 	events.ReplicaRegained.Log(r.logger, "prefix", r.prefix, "after_ms", span.Milliseconds())
 }
 
-// askPeers takes over a newer copy of a peer.
+// askPeers takes over a newer copy of a peer while the service does not answer.
 func (r *Replica) askPeers(ctx context.Context) {
 	if r.peers == nil {
 		return
@@ -217,14 +309,61 @@
 	if view := r.current.Load(); view != nil {
 		after = view.Revision
 	}
-	entries, revision, err := r.peers.Newer(ctx, r.prefix, after)
+	change, err := r.peers.Newer(ctx, r.prefix, after, 0)
 	if err != nil {
 		Failures.Inc(labelAsk)
 		return
 	}
-	if revision <= after {
+	if change == nil || change.Revision <= after {
 		return
 	}
-	events.ReplicaFromPeer.Log(r.logger, "prefix", r.prefix, "revision", uint64(revision), "known", uint64(after))
-	r.install(entries, revision, time.Time{}, labelPeer)
+	events.ReplicaFromPeer.Log(r.logger, "prefix", r.prefix, "revision", uint64(change.Revision), "known", uint64(after))
+	r.apply(change, time.Now())
+}
+
+// followPeer follows the copy of a host that reads the service, once; false
+// where none of them has a fresh one.
+func (r *Replica) followPeer(ctx context.Context) bool {
+	view := r.current.Load()
+	asked := time.Now()
+	change, err := r.peers.Newer(ctx, r.prefix, view.Revision, r.wait)
+	if err != nil {
+		Failures.Inc(labelAsk)
+		return false
+	}
+	if change == nil || time.Duration(change.AgeMS)*time.Millisecond > staleAge {
+		Failures.Inc(labelStale)
+		return false
+	}
+	r.answered()
+	if change.Revision > view.Revision && (change.Full || len(change.Entries)+len(change.Deleted) > 0) {
+		r.apply(change, asked)
+		return true
+	}
+	r.confirm(change.Revision, asked.Add(-time.Duration(change.AgeMS)*time.Millisecond))
+	return true
+}
+
+// apply installs what a peer knows.
+func (r *Replica) apply(change *Change, asked time.Time) {
+	if change.OutageAgoMS > 0 {
+		r.mu.Lock()
+		if ended := asked.Add(-time.Duration(change.OutageAgoMS) * time.Millisecond); ended.After(r.outageEnded) {
+			r.outageEnded = ended
+		}
+		r.mu.Unlock()
+	}
+	entries := map[string]kv.Entry{}
+	if view := r.current.Load(); view != nil && !change.Full {
+		maps.Copy(entries, view.Entries)
+	}
+	for _, d := range change.Deleted {
+		if entries[d.Key].Version <= d.Revision {
+			delete(entries, d.Key)
+		}
+	}
+	for _, e := range change.Entries {
+		entries[e.Key] = e
+	}
+	r.install(entries, change.Revision, asked.Add(-time.Duration(change.AgeMS)*time.Millisecond), labelPeer)
 }
--- a/usage/report.go
+++ b/usage/report.go
@@ -17,15 +17,20 @@
 
 const (
 	// settleDelay is how long after a window's end its counts are added up: two
-	// flushes of each host.
-	settleDelay = 2*flushInterval + time.Second
+	// messages of each host.
+	settleDelay   = 2*tellInterval + callTimeout
+	settledPrefix = "usage/settled/"
+	// settledTTL is how long a sum stays: longer than any holder repeats it.
+	settledTTL = 2 * time.Minute
 	// reportInterval is how often the holder looks for windows that are due.
 	reportInterval = time.Second
 )
 
 // Reporter reports windows while it holds the duty.
 type Reporter struct {
-	Store  kv.Store
+	Store kv.Store
+	// Counts are those that this host has collected.
+	Counts *Counter
 	Sink   cloud.UsageSink
 	Window time.Duration
 	// Now returns true time.
@@ -77,19 +82,15 @@
 	} else if kv.ReasonOf(err) != kv.ReasonNotFound {
 		return nil, err
 	}
-	entries, _, err := r.Store.List(ctx, countsPrefix+name+"/")
-	if err != nil {
-		return nil, err
-	}
-	counts, err := sum(entries)
-	if err != nil || len(counts) == 0 {
-		return nil, err
+	counts := r.Counts.sum(window)
+	if len(counts) == 0 {
+		return nil, nil
 	}
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return nil, &RecordError{Key: settledPrefix + name, Cause: err}
 	}
-	leaseID, err := r.Store.Grant(ctx, recordTTL)
+	leaseID, err := r.Store.Grant(ctx, settledTTL)
 	if err != nil {
 		return nil, err
 	}
@@ -111,3 +112,15 @@
 	}
 	return counts, nil
 }
+
+// RecordError is a settled sum that cannot be read.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *RecordError) Error() string { return "usage record " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Cause }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -2,80 +2,91 @@
 // account and window of true time, and reports each window once with one set
 // of counts.
 //
-// Every host keeps its counts in the key-value service. The holder of the duty
-// adds them up, settles the sum there before it is sent, and so a successor
-// repeats it exactly.
+// Every host tells its counts to a few collectors. The one that holds the duty
+// adds them up and settles the sum in the key-value service before it is sent,
+// so that a successor repeats it exactly.
 package usage
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
 
-	"github.com/cardamompier/cardamompier/events"
-	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
-	countsPrefix  = "usage/counts/"
-	settledPrefix = "usage/settled/"
-
-	// flushInterval is how much of its counts a host loses when it is killed.
-	flushInterval = 1500 * time.Millisecond
-	// recordTTL is how long counts and sums stay: many windows longer than a
-	// report may be late.
-	recordTTL = 2 * time.Minute
-	// leaseUse is how long a lease of recordTTL takes new records.
-	leaseUse = 30 * time.Second
+	// tellInterval is how much of its counts a host loses when it is killed.
+	tellInterval = time.Second
 	// callTimeout bounds one call.
 	callTimeout = time.Second
-	// keptWindows is how many past windows a host counts and a holder reports.
+	// keptWindows is how many past windows are kept: twice as long as a report
+	// may be late.
 	keptWindows = 4
+	// Role is the key by which the collectors are chosen, and Collectors their number.
+	Role       = "duties"
+	Collectors = 2
 )
 
-// Records counts writes and reports of usage, by step and outcome.
+// Records counts steps of usage reports by outcome.
 var Records = metrics.New("usage_records_total", "Steps of usage reports, by outcome.")
 
 const (
-	labelFlushed     = "flushed"
-	labelFlushFailed = "flush_failed"
-	labelReported    = "reported"
-	labelFailed      = "report_failed"
+	labelTold       = "told"
+	labelTellFailed = "tell_failed"
+	labelReported   = "reported"
+	labelFailed     = "report_failed"
 )
 
-// Counter counts on this host. Use NewCounter.
-type Counter struct {
-	store  kv.Store
-	self   string
-	window time.Duration
-	now    func() time.Time
-	logger hclog.Logger
-
-	mu      sync.Mutex
-	windows map[int64]*counts
+// windows are counts by window and account.
+type windows map[int64]map[string]int64
+
+// forget drops the windows before the oldest that is kept.
+func (w windows) forget(oldest int64) {
+	maps.DeleteFunc(w, func(n int64, _ map[string]int64) bool { return n < oldest })
+}
+
+// told is a host's message: all that it counted in the windows kept.
+type told struct {
+	// Process names the host and its process: counts of another process add up.
+	Process string  `cbor:"1,keyasint"`
+	Windows windows `cbor:"2,keyasint"`
 }
 
-// counts are one window's.
-type counts struct {
-	byAccount map[string]int64
+// Counter counts on this host, and collects the counts of others. Use NewCounter.
+type Counter struct {
+	self    string
+	process string
+	window  time.Duration
+	now     func() time.Time
+	client  *inner.Client
+	hosts   func() *membership.View
+
+	mu        sync.Mutex
+	own       windows
 	changed   bool
-	version   kv.Version
+	collected map[string]windows // by process
 }
 
-// NewCounter returns a counter for windows of the given length; now returns
-// true time.
-func NewCounter(store kv.Store, host string, window time.Duration, now func() time.Time, logger hclog.Logger) *Counter {
-	return &Counter{
-		store: store, self: host + "-" + uuid.NewString()[:8], window: window, now: now, logger: logger,
-		windows: map[int64]*counts{},
+// NewCounter returns a counter for windows of the given length and registers
+// its message; now returns true time.
+func NewCounter(host string, window time.Duration, now func() time.Time, client *inner.Client, server *inner.Server, hosts func() *membership.View) *Counter {
+	c := &Counter{
+		self: host, process: host + "/" + uuid.NewString(), window: window, now: now, client: client, hosts: hosts,
+		own: windows{}, collected: map[string]windows{},
 	}
+	inner.Register(server, inner.KindUsageCounts, func(_ context.Context, t told) (struct{}, error) {
+		c.collect(t)
+		return struct{}{}, nil
+	})
+	return c
 }
 
 // number returns the window of a time.
@@ -86,133 +97,89 @@
 	n := number(c.now(), c.window)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.windows[n]
-	if w == nil {
-		w = &counts{byAccount: map[string]int64{}}
-		c.windows[n] = w
+	if c.own[n] == nil {
+		c.own[n] = map[string]int64{}
 	}
-	w.byAccount[account]++
-	w.changed = true
+	c.own[n][account]++
+	c.changed = true
 }
 
-// Run keeps the counts in the store until ctx ends, and then once more.
-func (c *Counter) Run(ctx context.Context) {
-	var lease kv.LeaseID
-	var grantedAt time.Time
-	for last := false; !last; {
-		last = !wait.For(ctx, flushInterval)
-		flushCtx := context.WithoutCancel(ctx)
-		if !c.pending() {
-			continue
-		}
-		if lease == 0 || time.Since(grantedAt) > leaseUse {
-			call, cancel := context.WithTimeout(flushCtx, callTimeout)
-			id, err := c.store.Grant(call, recordTTL)
-			cancel()
-			if err != nil {
-				c.failed("grant", err)
-				continue
-			}
-			lease, grantedAt = id, time.Now()
-		}
-		c.flush(flushCtx, lease)
-	}
-}
-
-// pending says whether counts changed; it forgets windows long past.
-func (c *Counter) pending() bool {
+// collect takes a process's counts in place of those that it told before.
+func (c *Counter) collect(t told) {
 	oldest := number(c.now(), c.window) - keptWindows
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := false
-	for n, w := range c.windows {
-		if n < oldest {
-			delete(c.windows, n)
-			continue
+	c.collected[t.Process] = t.Windows
+	for process, w := range c.collected {
+		if w.forget(oldest); len(w) == 0 {
+			delete(c.collected, process)
 		}
-		changed = changed || w.changed
 	}
-	return changed
 }
 
-func (c *Counter) flush(ctx context.Context, lease kv.LeaseID) {
-	type pendingWrite struct {
-		window int64
-		value  []byte
-		expect kv.Version
-	}
-	var writes []pendingWrite
+// sum adds up what all processes counted in a window.
+func (c *Counter) sum(window int64) map[string]int64 {
+	total := map[string]int64{}
 	c.mu.Lock()
-	for n, w := range c.windows {
-		if !w.changed {
-			continue
-		}
-		value, err := json.Marshal(w.byAccount)
-		if err != nil {
-			c.mu.Unlock()
-			c.failed("encode", err)
-			return
+	defer c.mu.Unlock()
+	for _, w := range c.collected {
+		for account, n := range w[window] {
+			total[account] += n
 		}
-		w.changed = false
-		writes = append(writes, pendingWrite{window: n, value: value, expect: w.version})
 	}
-	c.mu.Unlock()
-	for _, w := range writes {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		key := countsPrefix + strconv.FormatInt(w.window, 10) + "/" + c.self
-		version, err := c.store.CompareAndSwap(call, kv.Write{Key: key, Value: w.value, Expect: w.expect, Lease: lease})
-		if kv.ReasonOf(err) == kv.ReasonConflict { // an earlier write landed without its answer
-			var entry kv.Entry
-			if entry, err = c.store.Get(call, key); err == nil {
-				version, err = c.store.CompareAndSwap(call, kv.Write{Key: key, Value: w.value, Expect: entry.Version, Lease: lease})
-			}
+	return total
+}
+
+// Run tells the counts to the collectors until ctx ends, and then once more.
+// Where they have changed, the collectors need not know what was told to others.
+func (c *Counter) Run(ctx context.Context) {
+	var before []string
+	for last := false; !last; {
+		last = !wait.For(ctx, tellInterval)
+		collectors := c.hosts().Chosen(Role, Collectors)
+		now := make([]string, 0, len(collectors))
+		for _, m := range collectors {
+			now = append(now, m.ID)
 		}
-		cancel()
-		c.mu.Lock()
-		if window := c.windows[w.window]; window != nil {
-			if err == nil {
-				window.version = version
-			} else {
-				window.changed = true
-			}
+		t, changed := c.take()
+		if !changed && slices.Equal(before, now) {
+			continue
 		}
-		c.mu.Unlock()
-		if err != nil {
-			c.failed("flush", err)
-			return
+		before = now
+		for _, m := range collectors {
+			c.tell(context.WithoutCancel(ctx), m, t)
 		}
-		Records.Inc(labelFlushed)
 	}
 }
 
-func (c *Counter) failed(step string, err error) {
-	Records.Inc(labelFlushFailed)
-	events.UsageFailed.Log(c.logger, "step", step, "error", err)
-}
-
-// sum adds up the counts of the hosts for one window.
-func sum(entries []kv.Entry) (map[string]int64, error) {
-	total := map[string]int64{}
-	for _, e := range entries {
-		var part map[string]int64
-		if err := json.Unmarshal(e.Value, &part); err != nil {
-			return nil, &RecordError{Key: e.Key, Cause: err}
-		}
-		for account, n := range part {
-			total[account] += n
-		}
+// take copies the counts to be told.
+func (c *Counter) take() (told, bool) {
+	oldest := number(c.now(), c.window) - keptWindows
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own.forget(oldest)
+	t := told{Process: c.process, Windows: windows{}}
+	for n, counts := range c.own {
+		t.Windows[n] = maps.Clone(counts)
 	}
-	return total, nil
+	changed := c.changed
+	c.changed = false
+	return t, changed
 }
 
-// RecordError is a record that cannot be read.
-type RecordError struct {
-	Key   string
-	Cause error
+func (c *Counter) tell(ctx context.Context, m membership.Member, t told) {
+	if m.ID == c.self {
+		c.collect(told{Process: t.Process, Windows: maps.Clone(t.Windows)})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.client.Call(ctx, m.InnerAddress, inner.KindUsageCounts, t, nil); err != nil {
+		Records.Inc(labelTellFailed)
+		c.mu.Lock()
+		c.changed = true // told again with the next ones
+		c.mu.Unlock()
+		return
+	}
+	Records.Inc(labelTold)
 }
-
-// Error implements error.
-func (e *RecordError) Error() string { return "usage record " + e.Key + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *RecordError) Unwrap() error { return e.Cause }
