Keep a copy at the revision of its last change; notice stale peers sooner

In the trace four of seven hosts, two of them watchers, missed the change for 3.5 s although none of their calls failed; an empty watch had moved their revision past it. A follower also believed a copy of up to 2.5 s, longer than the 2 s of the rule. Change: an empty watch confirms the copy and leaves its revision; followers ask again after 0.9 s and go to the store when the copy is older than a watch lasts.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -40,9 +40,9 @@
 	retryDelay = 250 * time.Millisecond
 	// readTimeout bounds one list: the service answers in some ms.
 	readTimeout = time.Second
-	// staleAge is the age of a peer's copy from which another is asked: a watch
-	// confirms it at least every two seconds.
-	staleAge = 2500 * time.Millisecond
+	// peerWait bounds one question to a peer, so that one that is cut off is
+	// noticed before its copy is too old.
+	peerWait = 900 * time.Millisecond
 	// outageSpan is how long reads must fail before their end counts as the
 	// end of an outage; one failed call is not one.
 	outageSpan = time.Second
@@ -173,7 +173,6 @@
 }
 
 func (r *Replica) watch(ctx context.Context) error {
-	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, r.wait)
 	defer cancel()
 	view := r.current.Load()
@@ -183,7 +182,9 @@
 	}
 	r.answered()
 	if len(changes) == 0 {
-		r.confirm(max(reached, view.Revision), began)
+		// The revision stays that of the last change: a change that the service
+		// reports late is then still among those after it.
+		r.confirm(view.Revision, time.Now())
 		return nil
 	}
 	byKey := make(map[string]kv.Entry, len(view.Entries)+len(changes))
@@ -197,7 +198,7 @@
 			byKey[change.Key] = change.Entry
 		}
 	}
-	r.install(byKey, max(reached, view.Revision), began, labelWatch)
+	r.install(byKey, max(reached, view.Revision), time.Now(), labelWatch)
 	return nil
 }
 
@@ -322,16 +323,16 @@
 }
 
 // followPeer follows the copy of a host that reads the service, once; false
-// where none of them has a fresh one.
+// where that one is older than a watch lasts.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	view := r.current.Load()
 	asked := time.Now()
-	change, err := r.peers.Newer(ctx, r.prefix, view.Revision, r.wait)
+	change, err := r.peers.Newer(ctx, r.prefix, view.Revision, min(r.wait, peerWait))
 	if err != nil {
 		Failures.Inc(labelAsk)
 		return false
 	}
-	if change == nil || time.Duration(change.AgeMS)*time.Millisecond > staleAge {
+	if change == nil || time.Duration(change.AgeMS)*time.Millisecond > r.wait {
 		Failures.Inc(labelStale)
 		return false
 	}
