Keep each account's limit at an owner

Ruled out: shares by demand, which overshoot while views differ; the granters of package quota, whose credit counts requests and charges tokens after the fact.

--- a/admission/share.go
+++ b/admission/share.go
@@ -7,11 +7,14 @@
 
 const (
 	// shareRate is the share of an account's rate that all hosts together give
-	// out; the rest of the tolerance covers hosts that join meanwhile.
-	shareRate = 1.05
+	// out; the rest of the tolerance covers a change of the owner.
+	shareRate = 1.02
 	// shareSlack is the part of the tolerated excess that is given out as burst;
-	// the other half covers requests that go into debt.
-	shareSlack = 0.5
+	// the rest covers requests that go into debt and a change of the owner.
+	shareSlack = 0.3
+	// firstPart of the burst is there when an account is first met: its limit may
+	// have been given out by another host until now.
+	firstPart = 0.25
 	// debtAbove is the part of a host's burst that must be there for a request
 	// larger than it, which leaves a debt.
 	debtAbove = 0.5
@@ -25,10 +28,9 @@
 	Slack float64
 }
 
-// Shares divides each account's limit evenly between the hosts, without any
-// message between them. A host's share is empty at its start, so that a host
-// that was restarted does not give the same share out twice. The zero value is
-// ready; concurrent use is safe.
+// Shares gives out the limits of client accounts, or an even part of them
+// where several hosts do so without any message between them. The zero value
+// is ready; concurrent use is safe.
 type Shares struct {
 	mu      sync.Mutex
 	buckets map[string]*Bucket
@@ -44,7 +46,7 @@
 	burst := (a.Burst + a.Slack*shareSlack) / float64(hosts)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.bucket(account, now)
+	b := s.bucket(account, burst*firstPart, now)
 	b.Fill(rate, burst, now)
 	need := min(cost, burst*debtAbove)
 	if b.tokens < need {
@@ -55,28 +57,21 @@
 }
 
 // Refund gives back what a request took that did not run.
-func (s *Shares) Refund(account string, cost float64, now time.Time) {
+func (s *Shares) Refund(account string, cost float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bucket(account, now).Charge(-cost)
-}
-
-// Prepare begins to fill the shares of accounts before their first request.
-func (s *Shares) Prepare(accounts []string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, account := range accounts {
-		s.bucket(account, now)
+	if b := s.buckets[account]; b != nil {
+		b.Charge(-cost)
 	}
 }
 
-func (s *Shares) bucket(account string, now time.Time) *Bucket {
+func (s *Shares) bucket(account string, first float64, now time.Time) *Bucket {
 	if s.buckets == nil {
 		s.buckets = map[string]*Bucket{}
 	}
 	b := s.buckets[account]
 	if b == nil {
-		b = &Bucket{at: now}
+		b = &Bucket{at: now, tokens: first}
 		s.buckets[account] = b
 	}
 	return b
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -25,7 +25,7 @@
 	if e.account.Tokens {
 		allowance.Slack = e.f.Tolerated
 	}
-	wait, ok := e.f.shares.Take(e.account.Name, allowance, e.f.Hosts(), e.cost, now)
+	wait, ok := e.f.Limits.Take(e.ctx, e.account.Name, allowance, e.cost)
 	if !ok {
 		e.cost = 0
 		return apierr.New(apierr.CodeRateLimited, "the client account is over its limit").WithRetryAfter(spread(wait))
@@ -36,7 +36,7 @@
 // refund gives the cost back of a request that did not run.
 func (e *exchange) refund() {
 	if e.cost > 0 {
-		e.f.shares.Refund(e.account.Name, e.cost, time.Now())
+		e.f.Limits.Refund(e.account.Name, e.cost)
 		e.cost = 0
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -36,6 +36,8 @@
 	Table func() *routes.Table
 	// Upstreams returns the newest list of upstreams; nil when none is known.
 	Upstreams func() *hosts.Snapshot
+	// Limits keeps the limits of client accounts.
+	Limits Limits
 	// Hosts returns the number of entry hosts that share the limits.
 	Hosts func() int
 	// Started is called for each request that an upstream began to run.
@@ -46,11 +48,18 @@
 	Logger    hclog.Logger
 }
 
+// Limits keeps the limits of client accounts over all entry hosts.
+type Limits interface {
+	// Take spends cost of an account's limit, or returns when to try again.
+	Take(ctx context.Context, account string, limit admission.Allowance, cost float64) (wait time.Duration, ok bool)
+	// Refund gives back what a request took that did not run.
+	Refund(account string, cost float64)
+}
+
 // Forwarder is an http.Handler. Use New.
 type Forwarder struct {
 	Parts
 	conns    connpool.Pool
-	shares   admission.Shares
 	windows  *retry.Windows
 	pools    sync.Map // name to *poolState
 	draining atomic.Pointer[draining]
@@ -86,15 +95,6 @@
 	}
 }
 
-// Prepare begins to fill the accounts' shares.
-func (f *Forwarder) Prepare(table *routes.Table) {
-	names := make([]string, 0, len(table.Accounts))
-	for name := range table.Accounts {
-		names = append(names, name)
-	}
-	f.shares.Prepare(names, time.Now())
-}
-
 // draining says until when a stopping host takes requests.
 type draining struct{ freely, end time.Time }
 
--- a/forwarding.go
+++ b/forwarding.go
@@ -24,6 +24,7 @@
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/presence"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/replica"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
@@ -123,7 +124,7 @@
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.forwarder = forward.New(forward.Parts{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
-		Hosts: func() int { return f.presence.View().Recent }, Started: f.counter.Started, Tolerated: s.LimitExcess,
+		Limits: quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount), Hosts: f.hostCount, Started: f.counter.Started, Tolerated: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
 		Logger:  logger.Named("forward"),
 	})
@@ -146,6 +147,9 @@
 // hosts returns the entry hosts as far as they are known.
 func (f *ForwardServer) hosts() *membership.View { return &f.presence.View().View }
 
+// hostCount is the largest number of entry hosts in the last spans of the limits.
+func (f *ForwardServer) hostCount() int { return f.presence.View().Recent }
+
 // watchers returns whether this host reads the store for the others, and the
 // inner addresses of the hosts that do; the seeds while no others are known.
 func (f *ForwardServer) watchers() (self bool, addresses []string) {
@@ -232,7 +236,6 @@
 		return
 	}
 	f.table.Store(table)
-	f.forwarder.Prepare(table)
 	events.ForwardTable.Log(f.logger, "table", table.Version, "revision", uint64(entry.Version))
 }
 
--- a/inner/message.go
+++ b/inner/message.go
@@ -37,6 +37,8 @@
 	KindOrderRelease Kind = 203
 	// KindQuotaGrant: package quota, 300 to 399.
 	KindQuotaGrant Kind = 300
+	// KindQuotaTake takes from an account's limit at its owner.
+	KindQuotaTake Kind = 301
 	// KindReplicaRead: package replica, 500 to 599.
 	KindReplicaRead Kind = 500
 	// KindLoadDigest: package loadshare, 600 to 699.
