--- a/planner/seed_test.go
+++ b/planner/seed_test.go
@@ -1,4 +1,4 @@
-package planner_test
+package planner
 
 import "flag"
 
--- a/planner/upstreams.go
+++ b/planner/upstreams.go
@@ -101,10 +101,11 @@
 	}
 	missing := p.Needed
 	for i, d := range p.Domains {
-		orders[i] = UpstreamOrder{Domain: d.Name, Reclaimable: each, Steady: max(0, p.Min-each)}
+		reclaimable := each
 		if d.ReclaimableRefused { // room for steady ones, and for asking again
-			orders[i].Reclaimable = min(each, max(d.Reclaimable, int(askShare*float64(p.Max))))
+			reclaimable = min(each, max(d.Reclaimable, int(askShare*float64(p.Max))))
 		}
+		orders[i] = UpstreamOrder{Domain: d.Name, Reclaimable: reclaimable, Steady: max(0, p.Min-reclaimable)}
 		missing -= min(d.Reclaimable, each) + orders[i].Steady
 	}
 	cheapest := make([]int, len(p.Domains))
--- /dev/null
+++ b/planner/upstreams_test.go
@@ -0,0 +1,99 @@
+package planner
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func domains(reclaimable ...int) []UpstreamDomain {
+	prices := []float64{1, 0.8, 1.25, 0.9}
+	var out []UpstreamDomain
+	for i, n := range reclaimable {
+		out = append(out, UpstreamDomain{Name: string(rune('a' + i)), Price: prices[i%len(prices)], Reclaimable: n})
+	}
+	return out
+}
+
+func totals(orders []UpstreamOrder) (reclaimable, steady int) {
+	for _, o := range orders {
+		reclaimable += o.Reclaimable
+		steady += o.Steady
+	}
+	return reclaimable, steady
+}
+
+// Calm load: reclaimable upstreams only, evenly spread.
+func TestPlanCalm(t *testing.T) {
+	orders := PlanUpstreams(UpstreamPool{Domains: domains(3, 3, 3, 3), Min: 1, Max: 6, Needed: 6, ReclaimablePrice: 0.15})
+	if reclaimable, steady := totals(orders); reclaimable != 12 || steady != 0 {
+		t.Errorf("%+v", orders)
+	}
+}
+
+// One failure domain of four is taken away and none are to be had: the others
+// carry the load, and nothing dear is ordered.
+func TestPlanReclaimedDomainWithRoomElsewhere(t *testing.T) {
+	d := domains(3, 3, 3, 0)
+	d[3].ReclaimableRefused = true
+	orders := PlanUpstreams(UpstreamPool{Domains: d, Min: 1, Max: 6, Needed: 8, ReclaimablePrice: 0.15})
+	if _, steady := totals(orders); steady != 0 {
+		t.Errorf("steady upstreams without need: %+v", orders)
+	}
+}
+
+// All failure domains are taken away one after the other under a burst: steady
+// upstreams make up for all that is missing, though the bound of each domain
+// counts both kinds.
+func TestPlanEveryDomainReclaimedUnderABurst(t *testing.T) {
+	d := domains(0, 0, 0, 0)
+	for i := range d {
+		d[i].ReclaimableRefused = true
+	}
+	p := UpstreamPool{Domains: d, Min: 1, Max: 10, Needed: 24, ReclaimablePrice: 0.22}
+	orders := PlanUpstreams(p)
+	if _, steady := totals(orders); steady < p.Needed {
+		t.Errorf("%d steady upstreams of %d needed: %+v", steady, p.Needed, orders)
+	}
+	if orders[1].Steady < orders[2].Steady {
+		t.Errorf("fewer where they are cheapest: %+v", orders)
+	}
+}
+
+// Orders keep to the bounds of each failure domain, whatever is there.
+func TestPlanKeepsTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := UpstreamPool{
+			Min: rapid.IntRange(0, 2).Draw(t, "min"), Max: rapid.IntRange(2, 30).Draw(t, "max"),
+			Needed: rapid.IntRange(0, 200).Draw(t, "needed"), ReclaimablePrice: rapid.SampledFrom([]float64{0, 0.15, 1}).Draw(t, "price"),
+		}
+		for i := range rapid.IntRange(0, 5).Draw(t, "domains") {
+			p.Domains = append(p.Domains, UpstreamDomain{
+				Name: string(rune('a' + i)), Reclaimable: rapid.IntRange(0, 40).Draw(t, "r"), Steady: rapid.IntRange(0, 40).Draw(t, "s"),
+				ReclaimableRefused: rapid.Bool().Draw(t, "rr"), SteadyRefused: rapid.Bool().Draw(t, "sr"),
+			})
+		}
+		for _, o := range PlanUpstreams(p) {
+			if o.Reclaimable < 0 || o.Steady < 0 || o.Reclaimable+o.Steady > p.Max || o.Reclaimable+o.Steady < p.Min {
+				t.Fatalf("%+v for %+v", o, p)
+			}
+		}
+	})
+}
+
+// Requests that pile up where upstreams are missing raise the need, but within
+// bounds: their number grows with the time that the shortage lasts.
+func TestNeededUnderAPileUp(t *testing.T) {
+	calm := Demand{TokensPerSecond: 150_000, ReadPerSecond: 40_000, InFlight: 50, Slots: 64}
+	piled := calm
+	piled.InFlight = 2000
+	if n := Needed(calm); n != 10 {
+		t.Errorf("calm: %d", n)
+	}
+	if n := Needed(piled); n <= Needed(calm) || n > 2*Needed(calm) {
+		t.Errorf("piled up: %d", n)
+	}
+	if n := Needed(Demand{}); n != leastUpstreams {
+		t.Errorf("no load: %d", n)
+	}
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,163 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/kv"
+)
+
+// scriptedStore answers lists and watches from a script.
+type scriptedStore struct {
+	kv.Store
+	list  func() ([]kv.Entry, kv.Version, error)
+	watch func(ctx context.Context, after kv.Version) ([]kv.Event, kv.Version, error)
+}
+
+func (s *scriptedStore) List(context.Context, string) ([]kv.Entry, kv.Version, error) { return s.list() }
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after kv.Version) ([]kv.Event, kv.Version, error) {
+	return s.watch(ctx, after)
+}
+
+func entry(key string, version kv.Version) kv.Entry {
+	return kv.Entry{Key: key, Value: []byte(key), Version: version}
+}
+
+const watchSpan = 1700 * time.Millisecond
+
+// run follows until the returned function is called.
+func run(t *testing.T, r *Replica) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// A watch that ends empty with a revision beyond a change that it did not
+// report: the next watch still begins before that change. This was an upstream
+// that left and got requests for two more seconds.
+func TestChangeBehindAnEmptyWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		empty := true
+		store := &scriptedStore{
+			list: func() ([]kv.Entry, kv.Version, error) { return []kv.Entry{entry("p/a", 5)}, 5, nil },
+			watch: func(ctx context.Context, after kv.Version) ([]kv.Event, kv.Version, error) {
+				time.Sleep(time.Second)
+				if empty {
+					empty = false
+					return nil, 9, nil // the change at 8 is reported late
+				}
+				if after < 8 {
+					return []kv.Event{{Entry: kv.Entry{Key: "p/a", Version: 8}, Deleted: true}}, 9, nil
+				}
+				<-ctx.Done()
+				return nil, 0, &kv.Error{Reason: kv.ReasonUnknown}
+			},
+		}
+		r := New(store, "p/", watchSpan, nil, hclog.NewNullLogger())
+		defer run(t, r)()
+		time.Sleep(2500 * time.Millisecond)
+		if view := r.Current(); len(view.Entries) != 0 {
+			t.Errorf("the deleted key is still there at revision %d", view.Revision)
+		}
+	})
+}
+
+// fakePeers answers from another replica's view.
+type fakePeers struct {
+	watches bool
+	newer   func(after kv.Version, wait time.Duration) (*Change, error)
+}
+
+func (p *fakePeers) Watches() bool { return p.watches }
+
+func (p *fakePeers) Newer(_ context.Context, _ string, after kv.Version, wait time.Duration) (*Change, error) {
+	return p.newer(after, wait)
+}
+
+// A follower leaves a peer whose copy is older than a watch lasts and reads the
+// service itself.
+func TestFollowerOfAPeerThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		store := &scriptedStore{list: func() ([]kv.Entry, kv.Version, error) {
+			if time.Since(began) < time.Second {
+				return []kv.Entry{entry("p/a", 5)}, 5, nil
+			}
+			return nil, 9, nil
+		}}
+		peers := &fakePeers{newer: func(_ kv.Version, wait time.Duration) (*Change, error) {
+			time.Sleep(wait)
+			return &Change{Revision: 5, AgeMS: time.Since(began).Milliseconds()}, nil
+		}}
+		r := New(store, "p/", watchSpan, peers, hclog.NewNullLogger())
+		defer run(t, r)()
+		time.Sleep(3 * time.Second)
+		if view := r.Current(); len(view.Entries) != 0 {
+			t.Errorf("still the peer's copy of revision %d", view.Revision)
+		}
+	})
+}
+
+// While the service turns this host away, it takes a newer copy from a peer.
+func TestHostThatTheServiceTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{list: func() ([]kv.Entry, kv.Version, error) {
+			return nil, 0, &kv.Error{Reason: kv.ReasonUnavailable}
+		}}
+		peers := &fakePeers{watches: true, newer: func(after kv.Version, _ time.Duration) (*Change, error) {
+			if after >= 7 {
+				return &Change{Revision: 7}, nil
+			}
+			return &Change{Revision: 7, Full: true, Entries: []kv.Entry{entry("p/a", 7)}}, nil
+		}}
+		r := New(store, "p/", watchSpan, peers, hclog.NewNullLogger())
+		defer run(t, r)()
+		time.Sleep(time.Second)
+		if view := r.Current(); view == nil || view.Revision != 7 || len(view.Entries) != 1 {
+			t.Errorf("no copy of the peer: %+v", view)
+		}
+	})
+}
+
+// What a view has beyond a revision brings a follower to the same view.
+func TestChangesSinceARevision(t *testing.T) {
+	r := New(nil, "p/", watchSpan, nil, hclog.NewNullLogger())
+	install := func(revision kv.Version, entries ...kv.Entry) {
+		byKey := map[string]kv.Entry{}
+		for _, e := range entries {
+			byKey[e.Key] = e
+		}
+		r.install(byKey, revision, time.Now(), labelList)
+	}
+	install(5, entry("p/a", 3), entry("p/b", 4))
+	install(7, entry("p/a", 3), entry("p/c", 7))
+	change := r.Current().since(5, time.Now())
+	if change.Full || len(change.Entries) != 1 || len(change.Deleted) != 1 || change.Deleted[0].Key != "p/b" {
+		t.Errorf("since 5: %+v", change)
+	}
+	if change := r.Current().since(2, time.Now()); !change.Full || len(change.Entries) != 2 {
+		t.Errorf("before the first view: %+v", change)
+	}
+	follower := New(nil, "p/", watchSpan, nil, hclog.NewNullLogger())
+	follower.install(map[string]kv.Entry{"p/a": entry("p/a", 3), "p/b": entry("p/b", 4)}, 5, time.Now(), labelList)
+	follower.apply(change, time.Now())
+	if view := follower.Current(); len(view.Entries) != 2 || view.Entries["p/c"].Version != 7 {
+		t.Errorf("the follower has %+v", view.Entries)
+	}
+	follower.install(nil, 6, time.Now(), labelList)
+	if follower.Current().Revision != 7 {
+		t.Error("an older view replaced a newer one")
+	}
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,53 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// In no span of a window all hosts together repeat more than the bound allows,
+// whatever the order of requests and failures.
+func TestWindowsKeepTheBoundOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 3
+		bound := Bound{Ratio: 0.2, Slack: 9, Window: 10 * time.Second}
+		windows := make([]*Windows, hosts)
+		for i := range windows {
+			windows[i] = NewWindows(bound)
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var seen []event
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			w := windows[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request("p", now)
+				seen = append(seen, event{at: now})
+			} else if w.Allow("p", hosts, now) {
+				seen = append(seen, event{at: now, repeat: true})
+			}
+		}
+		for i, last := range seen {
+			requests, repeats := 0, 0
+			for _, e := range seen[:i+1] {
+				if last.at.Sub(e.at) >= bound.Window {
+					continue
+				}
+				if e.repeat {
+					repeats++
+				} else {
+					requests++
+				}
+			}
+			if limit := bound.Ratio*float64(requests) + bound.Slack; float64(repeats) > limit {
+				t.Fatalf("%d repeats for %d requests, %.1f allowed", repeats, requests, limit)
+			}
+		}
+	})
+}
