--- a/admission/share.go
+++ b/admission/share.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// Keep forgets the accounts that are not to be kept: when one is met again, it
+// begins with a first part of its burst.
+func (s *Shares) Keep(kept func(account string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for account := range s.buckets {
+		if !kept(account) {
+			delete(s.buckets, account)
+		}
+	}
+}
+
 func (s *Shares) bucket(account string, first float64, now time.Time) *Bucket {
 	if s.buckets == nil {
 		s.buckets = map[string]*Bucket{}
--- a/admission/share_test.go
+++ b/admission/share_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// A host that owned an account before and owns it again begins with a first part
+// of the burst, not with what has filled up meanwhile while another gave it out.
+func TestOwnerThatReturns(t *testing.T) {
+	var s Shares
+	limit := Allowance{Rate: 1000, Burst: 1000}
+	now := time.Unix(0, 0)
+	s.Take("a", limit, 1, 1, now)
+	s.Keep(func(string) bool { return false })
+	now = now.Add(time.Minute)
+	taken := 0
+	for range 100 {
+		if _, ok := s.Take("a", limit, 1, 10, now); ok {
+			taken += 10
+		}
+	}
+	if taken > firstPart*1000 {
+		t.Errorf("%d taken at once", taken)
+	}
+}
+
 func TestNoLimit(t *testing.T) {
 	var s Shares
 	if _, ok := s.Take("a", Allowance{}, 1, 1e12, time.Unix(0, 0)); !ok {
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -15,7 +15,7 @@
 	now := time.Now()
 	e.f.windows.Request(e.pool, now)
 	if e.meta.PromptTokens > 0 {
-		e.f.pool(e.pool).mix.Add(e.meta.PromptTokens, e.meta.PromptTokens-int(reread*float64(e.meta.sharedTokens())))
+		e.f.pool(e.pool).mix.Add(e.meta.PromptTokens, e.meta.PromptTokens-int(reread*float64(e.meta.sharedTokens())), e.meta.MaxOutputTokens)
 	}
 	if e.account == nil {
 		return nil
@@ -25,7 +25,8 @@
 	if e.account.Tokens {
 		allowance.Slack = e.f.Tolerated
 	}
-	wait, ok := e.f.Limits.Take(e.ctx, e.account.Name, allowance, e.cost)
+	wait, by, ok := e.f.Limits.Take(e.ctx, e.account.Name, allowance, e.cost)
+	e.limitBy = by
 	if !ok {
 		e.cost = 0
 		return apierr.New(apierr.CodeRateLimited, "the client account is over its limit").WithRetryAfter(spread(wait))
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -17,6 +17,7 @@
 	mu      sync.Mutex // held while a view is built
 	mix     routing.Mix
 	demand  meter
+	memory  routing.Memory
 }
 
 // poolView is a routing snapshot with the list that it was built from.
@@ -83,22 +84,28 @@
 	}
 	v := e.f.pool(e.pool).view(e.pool, list)
 	req := routing.Request{Tried: e.tried, Now: now, Blocks: sharedBlocks(e.meta.Prompt)}
-	choice := e.policy().Pick(v.snapshot, &req, rand.Uint64())
+	choice := e.policy(req.Blocks, now).Pick(v.snapshot, &req, rand.Uint64())
 	if choice.Index < 0 {
 		return target{}, false
 	}
 	host := v.hosts[choice.Index]
+	if len(req.Blocks) > 0 {
+		e.f.pool(e.pool).memory.Sent(req.Blocks[0], host.ID, now)
+	}
 	return target{Host: host, live: v.lives[liveKey(host)], reason: choice.Reason, list: list}, true
 }
 
 // policy returns how an upstream is chosen for the request.
-func (e *exchange) policy() routing.Policy {
+func (e *exchange) policy(blocks []uint64, now time.Time) routing.Policy {
 	if e.meta.PromptTokens == 0 {
 		return routing.LeastBacklog{Domain: e.f.Domain}
 	}
-	return routing.Prefill{
-		Tokens: e.meta.PromptTokens, Shared: e.meta.sharedTokens(), ShortShare: e.f.pool(e.pool).mix.ShortShare(),
+	p := e.f.pool(e.pool)
+	policy := routing.Prefill{Tokens: e.meta.PromptTokens, Shared: e.meta.sharedTokens(), ShortShare: p.mix.ShortShare()}
+	if len(blocks) > 0 {
+		policy.Cached = func(id string) bool { return p.memory.Has(blocks[0], id, now) }
 	}
+	return policy
 }
 
 // sharedTokens is the size of the parts that other requests may share.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -50,8 +50,9 @@
 
 // Limits keeps the limits of client accounts over all entry hosts.
 type Limits interface {
-	// Take spends cost of an account's limit, or returns when to try again.
-	Take(ctx context.Context, account string, limit admission.Allowance, cost float64) (wait time.Duration, ok bool)
+	// Take spends cost of an account's limit, or returns when to try again. by
+	// says who decided.
+	Take(ctx context.Context, account string, limit admission.Allowance, cost float64) (wait time.Duration, by string, ok bool)
 	// Refund gives back what a request took that did not run.
 	Refund(account string, cost float64)
 }
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -29,7 +29,8 @@
 	pool     string
 	body     []byte
 
-	cost     float64 // taken from the account's share
+	cost     float64 // taken from the account's limit
+	limitBy  string  // who decided on that
 	sends    int     // attempts that reached an upstream
 	runs     int     // attempts that may have run
 	tried    []string
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -90,7 +90,7 @@
 		all = append(all, "route", e.route.Name, "pool", e.pool, "left_ms", time.Until(e.deadline).Milliseconds())
 	}
 	if e.account != nil {
-		all = append(all, "account", e.account.Name)
+		all = append(all, "account", e.account.Name, "cost", e.cost, "limit_by", e.limitBy)
 	}
 	if list := e.f.Upstreams(); list != nil {
 		all = append(all, "list_age_ms", list.Age().Milliseconds())
--- a/forwarding.go
+++ b/forwarding.go
@@ -82,6 +82,7 @@
 	routes, runners, members *replica.Replica
 	presence                 *presence.Presence
 	forwarder                *forward.Forwarder
+	limits                   *quota.Owners
 	counter                  *usage.Counter
 	sharer                   *loadshare.Sharer
 	peers                    *inner.Client
@@ -122,9 +123,10 @@
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
+	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount)
 	f.forwarder = forward.New(forward.Parts{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
-		Limits: quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount), Hosts: f.hostCount, Started: f.counter.Started, Tolerated: s.LimitExcess,
+		Limits: f.limits, Hosts: f.hostCount, Started: f.counter.Started, Tolerated: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
 		Logger:  logger.Named("forward"),
 	})
@@ -287,7 +289,7 @@
 	defer stop()
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run, f.sharer.Run,
+		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run, f.sharer.Run, f.limits.Run,
 	} {
 		parts.Go(func() { run(background) })
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -18,7 +18,9 @@
 	watch func(ctx context.Context, after kv.Version) ([]kv.Event, kv.Version, error)
 }
 
-func (s *scriptedStore) List(context.Context, string) ([]kv.Entry, kv.Version, error) { return s.list() }
+func (s *scriptedStore) List(context.Context, string) ([]kv.Entry, kv.Version, error) {
+	return s.list()
+}
 
 func (s *scriptedStore) Watch(ctx context.Context, _ string, after kv.Version) ([]kv.Event, kv.Version, error) {
 	return s.watch(ctx, after)
--- a/routing/mix.go
+++ b/routing/mix.go
@@ -6,6 +6,10 @@
 // requests count.
 const mixWeight = 1.0 / 200
 
+// outputCost is what a token of an answer counts as, in tokens read: it is made
+// in a step of its own, together with those of other answers.
+const outputCost = 4
+
 // shortFloor is the least share that is kept for short prompts while there are
 // any, beyond their tokens: their answers are long.
 const shortFloor = 0.1
@@ -16,9 +20,10 @@
 	short, long atomic.Uint64 // smoothed tokens a request, in thousandths
 }
 
-// Add counts a request's prompt, and the tokens of it that have to be read.
-func (m *Mix) Add(prompt, unread int) {
-	short, long := 0.0, float64(unread)
+// Add counts a request's prompt, the tokens of it that have to be read, and the
+// tokens of its answer.
+func (m *Mix) Add(prompt, unread, output int) {
+	short, long := 0.0, float64(unread)+outputCost*float64(output)
 	if prompt <= ShortPrompt {
 		short, long = long, 0
 	}
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -17,6 +17,9 @@
 	// firstCached and secondCached are the parts of a shared prompt that the
 	// first and second upstream in the prompt's order are taken to have cached.
 	firstCached, secondCached = 0.9, 0.4
+	// rereadCost is what a shared token that is read again costs beyond its own
+	// reading: it takes the time of all others that wait, and room in the cache.
+	rereadCost = 0.7
 	// crossCost is added where a short prompt would run among long ones or the
 	// other way round: reading a long prompt makes the running answers pause.
 	crossCost = 6000
@@ -36,6 +39,9 @@
 	Tokens, Shared int
 	// ShortShare is the share of short prompts in all prompt tokens, 0 to 1.
 	ShortShare float64
+	// Cached says whether this host has sent the shared prompt to an upstream a
+	// short while ago; nil where it does not know.
+	Cached func(id string) bool
 }
 
 // Pick implements Policy.
@@ -49,13 +55,15 @@
 		if !allowed(u, r) {
 			continue
 		}
-		cost := u.Live.Backlog() + int64(p.Tokens)
-		switch i {
-		case first:
-			cost -= int64(firstCached * float64(p.Shared))
-		case second:
-			cost -= int64(secondCached * float64(p.Shared))
+		cached := 0.0
+		switch {
+		case i == first || p.Cached != nil && p.Cached(u.ID):
+			cached = firstCached
+		case i == second:
+			cached = secondCached
 		}
+		reread := (1 - cached) * float64(p.Shared)
+		cost := u.Live.Backlog() + int64(p.Tokens-p.Shared) + int64((1+rereadCost)*reread)
 		if u.Slots > 0 && u.Live.InFlight()+u.Live.Others() >= u.Slots {
 			cost += fullCost
 		}
@@ -74,7 +82,7 @@
 		return noChoice
 	case least >= failedCost:
 		reason = ReasonLastResort
-	case best == first:
+	case best == first || p.Cached != nil && p.Cached(s.Upstreams[best].ID):
 		reason = ReasonAffinity
 	default:
 		reason = ReasonLoad
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -28,6 +28,9 @@
 	confirmInterval = 10 * time.Second
 	// refusedSpan is how long a refused order keeps a domain's kind out of the plan.
 	refusedSpan = 3 * time.Second
+	// needSpan is how long a need is kept up: an upstream that is given up loses
+	// its cache, and one that is ordered again takes seconds to start.
+	needSpan = 8 * time.Second
 	// callTimeout bounds one order.
 	callTimeout = time.Second
 )
@@ -48,6 +51,7 @@
 	Demand func(pool string) planner.Demand
 	Logger hclog.Logger
 
+	needs   map[string][]need // by pool
 	sent    map[subject]order
 	refused map[subject]time.Time
 }
@@ -67,7 +71,7 @@
 
 // Run orders until ctx ends, which is the end of the term.
 func (s *Scaler) Run(ctx context.Context, term *lease.Term) {
-	s.sent, s.refused = map[subject]order{}, map[subject]time.Time{}
+	s.needs, s.sent, s.refused = map[string][]need{}, map[subject]order{}, map[subject]time.Time{}
 	for ctx.Err() == nil {
 		table, list := s.Table(), s.Upstreams()
 		if table != nil && list != nil {
@@ -85,7 +89,7 @@
 	now := time.Now()
 	demand := s.Demand(pool.Name)
 	input := planner.UpstreamPool{
-		Min: pool.Scaling.Min, Max: pool.Scaling.Max, Needed: planner.Needed(demand), ReclaimablePrice: pool.Scaling.ReclaimablePrice,
+		Min: pool.Scaling.Min, Max: pool.Scaling.Max, Needed: s.peak(pool.Name, planner.Needed(demand), now), ReclaimablePrice: pool.Scaling.ReclaimablePrice,
 	}
 	for _, name := range s.Domains {
 		price, there := pool.Scaling.DomainPrices[name]
@@ -115,6 +119,24 @@
 	}
 }
 
+// need is how many upstreams a pool needed at a time.
+type need struct {
+	at    time.Time
+	count int
+}
+
+// peak returns the largest need of a pool in the last span.
+func (s *Scaler) peak(pool string, count int, now time.Time) int {
+	kept := s.needs[pool][:0]
+	for _, n := range s.needs[pool] {
+		if now.Sub(n.at) < needSpan && n.count > count {
+			kept = append(kept, n)
+		}
+	}
+	s.needs[pool] = append(kept, need{at: now, count: count})
+	return s.needs[pool][0].count
+}
+
 // order sends an order that is new, or that was sent a while ago; there is the
 // number of upstreams that take work, demand is what the plan was made for.
 func (s *Scaler) order(ctx context.Context, term *lease.Term, o cloud.ScaleOrder, there int, demand planner.Demand) {
