Give up hosts that an outage kept, without waiting for a change

Hosts that vanish around an outage are kept for a span, but were only looked at again with the next change of the records. Change: the view is built again when the span ends.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,7 @@
 	callTimeout = 700 * time.Millisecond
 	// returnSpan is how long after an outage of the service missing records
 	// are still taken for hosts that have not registered again.
-	returnSpan = 4 * time.Second
+	returnSpan = 3 * time.Second
 )
 
 // Registrations counts writes of the own record, by outcome.
@@ -62,7 +63,10 @@
 
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
-	counts  []count
+
+	mu     sync.Mutex // orders updates
+	counts []count
+	newest *replica.View
 }
 
 // count is the number of hosts at a time.
@@ -88,10 +92,26 @@
 // Leave marks the own record, so that callers are not sent here any more.
 func (p *Presence) Leave() { p.leaving.Store(true) }
 
-// update builds a view from the records. Records that vanished around an
-// outage of the service are kept until their hosts had time to return.
+// update takes new records.
 func (p *Presence) update(v *replica.View) {
-	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.newest = v
+	p.build(v, time.Now())
+	if left := returnSpan - time.Since(v.OutageEnded); !v.OutageEnded.IsZero() && left > 0 {
+		time.AfterFunc(left, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.newest == v {
+				p.build(v, time.Now())
+			}
+		})
+	}
+}
+
+// build makes a view of the records. Records that vanished around an outage of
+// the service are kept until their hosts had time to return.
+func (p *Presence) build(v *replica.View, now time.Time) {
 	known := map[string]membership.Member{}
 	for key, entry := range v.Entries {
 		var m membership.Member
