--- a/admission/share.go
+++ b/admission/share.go
@@ -20,8 +20,8 @@
 	debtAbove = 0.5
 )
 
-// Allowance is the limit of one client account over all hosts.
-type Allowance struct {
+// AccountLimit is the limit of one client account over all hosts.
+type AccountLimit struct {
 	// Rate a second and Burst at once; a Rate of zero is no limit.
 	Rate, Burst float64
 	// Slack is the excess over both that is tolerated, in the same unit.
@@ -38,7 +38,7 @@
 
 // Take spends cost of an account's share at one of the given number of hosts,
 // or returns how long to wait until it would be there.
-func (s *Shares) Take(account string, a Allowance, hosts int, cost float64, now time.Time) (wait time.Duration, ok bool) {
+func (s *Shares) Take(account string, a AccountLimit, hosts int, cost float64, now time.Time) (wait time.Duration, ok bool) {
 	if a.Rate <= 0 {
 		return 0, true
 	}
--- a/admission/share_test.go
+++ b/admission/share_test.go
@@ -18,8 +18,8 @@
 // 3,730,430 of 3,640,497 tokens.
 func TestFloodWhileTheOwnerIsReplacedTwice(t *testing.T) {
 	const prompt, step = 53_000.0, 10 * time.Millisecond
-	limit := Allowance{Rate: floodRate, Burst: floodRate, Slack: floodSlack}
-	alone := Allowance{Rate: floodRate / 2, Burst: floodRate / 2, Slack: floodSlack / 2}
+	limit := AccountLimit{Rate: floodRate, Burst: floodRate, Slack: floodSlack}
+	alone := AccountLimit{Rate: floodRate / 2, Burst: floodRate / 2, Slack: floodSlack / 2}
 	now := time.Unix(0, 0)
 	var first Shares
 	for range 1000 { // the account's burst has filled up
@@ -28,7 +28,7 @@
 	}
 	now = now.Add(floodSpan)
 	taken := 0.0
-	flood := func(from *Shares, a Allowance, hosts int, span time.Duration) {
+	flood := func(from *Shares, a AccountLimit, hosts int, span time.Duration) {
 		for end := now.Add(span); now.Before(end); now = now.Add(step) {
 			for range 5 {
 				if _, ok := from.Take("a", a, hosts, prompt, now); ok {
@@ -60,7 +60,7 @@
 // A prompt larger than half of the burst is taken and leaves a debt.
 func TestLargePromptOfASmallAccount(t *testing.T) {
 	var s Shares
-	limit := Allowance{Rate: 1000, Burst: 1000}
+	limit := AccountLimit{Rate: 1000, Burst: 1000}
 	now := time.Unix(0, 0)
 	if wait, ok := s.Take("a", limit, 1, 5000, now); ok || wait <= 0 {
 		t.Errorf("taken before half of the burst was there: wait %v", wait)
@@ -82,7 +82,7 @@
 // of the burst, not with what has filled up meanwhile while another gave it out.
 func TestOwnerThatReturns(t *testing.T) {
 	var s Shares
-	limit := Allowance{Rate: 1000, Burst: 1000}
+	limit := AccountLimit{Rate: 1000, Burst: 1000}
 	now := time.Unix(0, 0)
 	s.Take("a", limit, 1, 1, now)
 	s.Keep(func(string) bool { return false })
@@ -100,7 +100,7 @@
 
 func TestNoLimit(t *testing.T) {
 	var s Shares
-	if _, ok := s.Take("a", Allowance{}, 1, 1e12, time.Unix(0, 0)); !ok {
+	if _, ok := s.Take("a", AccountLimit{}, 1, 1e12, time.Unix(0, 0)); !ok {
 		t.Error("refused without a limit")
 	}
 }
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -21,11 +21,11 @@
 		return nil
 	}
 	e.cost = costOf(e.account, e.meta)
-	allowance := admission.Allowance{Rate: e.account.Rate, Burst: e.account.Burst}
+	limit := admission.AccountLimit{Rate: e.account.Rate, Burst: e.account.Burst}
 	if e.account.Tokens {
-		allowance.Slack = e.f.Tolerated
+		limit.Slack = e.f.Tolerated
 	}
-	wait, by, ok := e.f.Limits.Take(e.ctx, e.account.Name, allowance, e.cost)
+	wait, by, ok := e.f.Limits.Take(e.ctx, e.account.Name, limit, e.cost)
 	e.limitBy = by
 	if !ok {
 		e.cost = 0
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -48,7 +48,7 @@
 }
 
 // Take implements forward.Limits.
-func (f *fixture) Take(_ context.Context, account string, _ admission.Allowance, _ float64) (time.Duration, string, bool) {
+func (f *fixture) Take(_ context.Context, account string, _ admission.AccountLimit, _ float64) (time.Duration, string, bool) {
 	return time.Second, "test", account != "poor"
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -52,7 +52,7 @@
 type Limits interface {
 	// Take spends cost of an account's limit, or returns when to try again. by
 	// says who decided.
-	Take(ctx context.Context, account string, limit admission.Allowance, cost float64) (wait time.Duration, by string, ok bool)
+	Take(ctx context.Context, account string, limit admission.AccountLimit, cost float64) (wait time.Duration, by string, ok bool)
 	// Refund gives back what a request took that did not run.
 	Refund(account string, cost float64)
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -44,9 +44,9 @@
 
 // takeRequest asks an account's owner for a cost; a negative one is a refund.
 type takeRequest struct {
-	Account string              `cbor:"1,keyasint"`
-	Limit   admission.Allowance `cbor:"2,keyasint"`
-	Cost    float64             `cbor:"3,keyasint"`
+	Account string                 `cbor:"1,keyasint"`
+	Limit   admission.AccountLimit `cbor:"2,keyasint"`
+	Cost    float64                `cbor:"3,keyasint"`
 	// Deputy says that the owner has just joined and the host before it is asked.
 	Deputy bool `cbor:"4,keyasint,omitempty"`
 }
@@ -140,7 +140,7 @@
 
 // Take spends cost of an account's limit, or returns when to try again. by is
 // the host that decided.
-func (o *Owners) Take(ctx context.Context, account string, limit admission.Allowance, cost float64) (wait time.Duration, by string, ok bool) {
+func (o *Owners) Take(ctx context.Context, account string, limit admission.AccountLimit, cost float64) (wait time.Duration, by string, ok bool) {
 	if limit.Rate <= 0 {
 		return 0, "", true
 	}
@@ -153,7 +153,7 @@
 		Takes.Inc(labelOwnerRefused)
 		return time.Duration(answer.WaitMS) * time.Millisecond, by, false
 	}
-	part := admission.Allowance{Rate: limit.Rate * alonePart, Burst: limit.Burst * alonePart, Slack: limit.Slack * alonePart}
+	part := admission.AccountLimit{Rate: limit.Rate * alonePart, Burst: limit.Burst * alonePart, Slack: limit.Slack * alonePart}
 	if wait, ok = o.alone.Take(account, part, max(o.count(), 1), cost, time.Now()); ok {
 		Takes.Inc(labelAloneTaken)
 	} else {
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -36,7 +36,7 @@
 				done <- struct{}{}
 			}()
 		}
-		req := takeRequest{Account: "x", Limit: admission.Allowance{Rate: 1000, Burst: 1000}, Cost: 1}
+		req := takeRequest{Account: "x", Limit: admission.AccountLimit{Rate: 1000, Burst: 1000}, Cost: 1}
 		moved := time.Now().Add(5 * time.Second)
 		granted := map[string]time.Time{} // the last by the old, the first by the new
 		for time.Now().Before(moved.Add(5 * time.Second)) {
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -48,7 +48,7 @@
 func (p Prefill) Pick(s *Snapshot, r *Request, _ uint64) Choice {
 	first, second := p.cachedAt(s, r)
 	short := shortCount(len(s.Upstreams), p.ShortShare)
-	best, reason := -1, ReasonNone
+	best, reason := -1, ReasonLoad
 	least := int64(math.MaxInt64)
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
@@ -84,8 +84,6 @@
 		reason = ReasonLastResort
 	case best == first || p.Cached != nil && p.Cached(s.Upstreams[best].ID):
 		reason = ReasonAffinity
-	default:
-		reason = ReasonLoad
 	}
 	return Choice{Index: best, Reason: reason}
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -30,8 +30,9 @@
 	// keptWindows is how many past windows are kept: twice as long as a report
 	// may be late.
 	keptWindows = 4
-	// Role is the key by which the collectors are chosen, and Collectors their number.
-	Role       = "duties"
+	// Role is the key by which the collectors are chosen.
+	Role = "duties"
+	// Collectors is how many hosts collect counts and campaign for the duties.
 	Collectors = 2
 )
 
