Notice a reader of the store that is cut off within two seconds

Change: watches last 1.2 s, questions 0.3 s, and a stale answer makes the follower ask other readers at once.

--- a/forwarding.go
+++ b/forwarding.go
@@ -33,10 +33,10 @@
 )
 
 const (
-	// tableWait and hostsWait bound one watch of the routes and of the
+	// tableWait bounds one watch of the routes and of the
 	// upstreams: a watch that went silent is noticed within that time, which
 	// is short against the 2 s in which both must be in force.
-	tableWait = 1700 * time.Millisecond
+	tableWait = 1200 * time.Millisecond
 	// membersWait bounds one watch of the entry hosts, which may lag more.
 	membersWait = 3500 * time.Millisecond
 	// watcherRole is the key by which the hosts are chosen that read the store
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -10,7 +10,7 @@
 )
 
 // askTimeout bounds one question to a peer beyond the time that it may wait.
-const askTimeout = 300 * time.Millisecond
+const askTimeout = 200 * time.Millisecond
 
 // readRequest asks a peer what it knows of a prefix beyond a revision.
 type readRequest struct {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -41,8 +41,10 @@
 	// readTimeout bounds one list: the service answers in some ms.
 	readTimeout = time.Second
 	// peerWait bounds one question to a peer, so that one that is cut off is
-	// noticed before its copy is too old.
-	peerWait = 900 * time.Millisecond
+	// noticed soon after its copy is too old.
+	peerWait = 300 * time.Millisecond
+	// peerTries is how many peers are asked for a fresh copy in a row.
+	peerTries = 3
 	// outageSpan is how long reads must fail before their end counts as the
 	// end of an outage; one failed call is not one.
 	outageSpan = time.Second
@@ -323,26 +325,32 @@
 }
 
 // followPeer follows the copy of a host that reads the service, once; false
-// where that one is older than a watch lasts.
+// where none that was asked has one that is no older than a watch lasts.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	view := r.current.Load()
-	asked := time.Now()
-	change, err := r.peers.Newer(ctx, r.prefix, view.Revision, min(r.wait, peerWait))
-	if err != nil {
-		Failures.Inc(labelAsk)
-		return false
-	}
-	if change == nil || time.Duration(change.AgeMS)*time.Millisecond > r.wait {
-		Failures.Inc(labelStale)
-		return false
-	}
-	r.answered()
-	if change.Revision > view.Revision && (change.Full || len(change.Entries)+len(change.Deleted) > 0) {
-		r.apply(change, asked)
+	wait := min(r.wait, peerWait)
+	for range peerTries {
+		asked := time.Now()
+		change, err := r.peers.Newer(ctx, r.prefix, view.Revision, wait)
+		wait = 0 // another one is asked only for what it has
+		if err != nil || change == nil {
+			Failures.Inc(labelAsk)
+			continue
+		}
+		age := time.Duration(change.AgeMS) * time.Millisecond
+		if change.Revision > view.Revision && (change.Full || len(change.Entries)+len(change.Deleted) > 0) {
+			r.apply(change, asked)
+			view = r.current.Load()
+		}
+		if age > r.wait {
+			Failures.Inc(labelStale)
+			continue
+		}
+		r.answered()
+		r.confirm(max(change.Revision, view.Revision), asked.Add(-age))
 		return true
 	}
-	r.confirm(change.Revision, asked.Add(-time.Duration(change.AgeMS)*time.Millisecond))
-	return true
+	return false
 }
 
 // apply installs what a peer knows.
