--- a/forwarding.go
+++ b/forwarding.go
@@ -123,7 +123,7 @@
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
-	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount)
+	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.Valid)
 	f.forwarder = forward.New(forward.Parts{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
 		Limits: f.limits, Hosts: f.hostCount, Started: f.counter.Started, Tolerated: s.LimitExcess,
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -63,6 +63,7 @@
 
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
+	renewed atomic.Int64 // unix ns of the sending of the last renewal that succeeded
 
 	mu     sync.Mutex // orders updates
 	counts []count
@@ -89,6 +90,15 @@
 // View returns the newest view.
 func (p *Presence) View() *View { return p.view.Load() }
 
+// validMargin of a lease is left to calls on their way.
+const validMargin = 500 * time.Millisecond
+
+// Valid says that no other host can have found this one gone: its lease was
+// renewed a short while ago.
+func (p *Presence) Valid() bool {
+	return time.Since(time.Unix(0, p.renewed.Load())) < leaseTTL-validMargin
+}
+
 // Leave marks the own record, so that callers are not sent here any more.
 func (p *Presence) Leave() { p.leaving.Store(true) }
 
@@ -159,9 +169,12 @@
 	for ctx.Err() == nil {
 		if lease == 0 || left != p.leaving.Load() {
 			leaving := p.leaving.Load()
-			lease, version = p.register(ctx, lease, version, leaving)
+			sent := time.Now()
+			if lease, version = p.register(ctx, lease, version, leaving); lease != 0 {
+				p.renewed.Store(sent.UnixNano())
+			}
 			left = leaving && lease != 0
-		} else if err := p.call(ctx, func(ctx context.Context) error { return p.store.KeepAlive(ctx, lease) }); kv.ReasonOf(err) == kv.ReasonLeaseExpired {
+		} else if !p.renew(ctx, lease) {
 			lease, version = 0, 0
 			continue
 		}
@@ -172,6 +185,16 @@
 	}
 }
 
+// renew renews the lease; false where it has ended.
+func (p *Presence) renew(ctx context.Context, lease kv.LeaseID) bool {
+	sent := time.Now()
+	err := p.call(ctx, func(ctx context.Context) error { return p.store.KeepAlive(ctx, lease) })
+	if err == nil {
+		p.renewed.Store(sent.UnixNano())
+	}
+	return kv.ReasonOf(err) != kv.ReasonLeaseExpired
+}
+
 // register writes the own record under a lease.
 func (p *Presence) register(ctx context.Context, lease kv.LeaseID, version kv.Version, leaving bool) (kv.LeaseID, kv.Version) {
 	fail := func(err error) (kv.LeaseID, kv.Version) {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -69,6 +69,8 @@
 	hosts  func() *membership.View
 	// count is the number of hosts that share a limit without its owner.
 	count func() int
+	// valid says that the other hosts still take this one for one of them.
+	valid func() bool
 
 	owned, alone admission.Shares
 
@@ -79,8 +81,8 @@
 }
 
 // NewOwners returns the limits at the host self and registers their message.
-func NewOwners(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View, count func() int) *Owners {
-	o := &Owners{self: self, client: client, hosts: hosts, count: count, unreachable: map[string]time.Time{}, lost: map[string]time.Time{}, joined: time.Now()}
+func NewOwners(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View, count func() int, valid func() bool) *Owners {
+	o := &Owners{self: self, client: client, hosts: hosts, count: count, valid: valid, unreachable: map[string]time.Time{}, lost: map[string]time.Time{}, joined: time.Now()}
 	inner.Register(server, inner.KindQuotaTake, func(_ context.Context, req takeRequest) (takeAnswer, error) {
 		return o.decide(req), nil
 	})
@@ -127,6 +129,9 @@
 
 // decide answers for an account that this host owns.
 func (o *Owners) decide(req takeRequest) takeAnswer {
+	if !o.valid() { // another host may own the account by now
+		return takeAnswer{NotOwner: true}
+	}
 	if !req.Deputy && (!o.owns(req.Account) || !o.settled()) {
 		return takeAnswer{NotOwner: true}
 	}
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -26,8 +26,9 @@
 		oldView.Store(before)
 		newView.Store(before)
 		count := func() int { return 2 }
-		old := NewOwners(other, nil, inner.NewServer(), oldView.Load, count)
-		next := NewOwners(owner, nil, inner.NewServer(), newView.Load, count)
+		valid := func() bool { return true }
+		old := NewOwners(other, nil, inner.NewServer(), oldView.Load, count, valid)
+		next := NewOwners(owner, nil, inner.NewServer(), newView.Load, count, valid)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{}, 2)
 		for _, o := range []*Owners{old, next} {
@@ -62,3 +63,20 @@
 		<-done
 	})
 }
+
+// A host that is cut off from the others may have been replaced as an owner: it
+// falls back to its even share, though it still takes itself for the owner.
+func TestOwnerThatIsCutOff(t *testing.T) {
+	view := &membership.View{Members: []membership.Member{{ID: "a"}}}
+	connected := true
+	o := NewOwners("a", nil, inner.NewServer(), func() *membership.View { return view }, func() int { return 100 }, func() bool { return connected })
+	o.joined = time.Now().Add(-time.Hour)
+	limit := admission.AccountLimit{Rate: 1000, Burst: 1000}
+	if _, by, ok := o.Take(t.Context(), "x", limit, 100); !ok || by != "a" {
+		t.Errorf("connected: by %q, %v", by, ok)
+	}
+	connected = false
+	if _, by, ok := o.Take(t.Context(), "x", limit, 100); ok || by != byShare {
+		t.Errorf("cut off: by %q, %v", by, ok)
+	}
+}
