--- a/clock/clock.go
+++ b/clock/clock.go
@@ -11,24 +11,17 @@
 
 // Clock is an estimate of true time. Use New.
 type Clock struct {
-	read  func() time.Time
 	began time.Time     // time of day at the start
 	since time.Duration // boot time at the start
-	boot  func() time.Duration
 }
 
 // New returns a clock that takes the time of day of now for true.
 func New() *Clock {
-	c := &Clock{read: time.Now, boot: bootTime}
-	c.began, c.since = c.read(), c.boot()
-	return c
+	return &Clock{began: time.Now(), since: bootTime()}
 }
 
 // Now returns the estimate of true time.
-func (c *Clock) Now() time.Time { return c.began.Round(0).Add(c.boot() - c.since) }
-
-// Adjust moves the estimate by the given amount.
-func (c *Clock) Adjust(by time.Duration) { c.began = c.began.Add(by) }
+func (c *Clock) Now() time.Time { return c.began.Round(0).Add(bootTime() - c.since) }
 
 // started is the reference of bootTime where the system has no such clock.
 var started = time.Now()
--- a/forwarding.go
+++ b/forwarding.go
@@ -33,9 +33,9 @@
 )
 
 const (
-	// tableWait bounds one watch of the routes and of the
-	// upstreams: a watch that went silent is noticed within that time, which
-	// is short against the 2 s in which both must be in force.
+	// tableWait bounds one watch of the routes and of the upstreams: a watch
+	// that went silent is noticed within that time, which is short against the
+	// 2 s in which a change of either must be in force.
 	tableWait = 1200 * time.Millisecond
 	// membersWait bounds one watch of the entry hosts, which may lag more.
 	membersWait = 3500 * time.Millisecond
@@ -191,7 +191,10 @@
 			f.close()
 			return &ListenError{Address: l.address, Cause: err}
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, ErrorLog: f.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+			ErrorLog: f.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		}
 		f.listeners = append(f.listeners, served{server: server, listener: listener})
 	}
 	return nil
