Avoid upstreams that fail quietly, by what all hosts saw

One host sees one or two requests of an upstream in the seconds that matter. Ruled out: marking an upstream at its first 500: order-status reads fail by themselves in 14 of 100. Change: outcomes that decay over 4 s travel with the load digests; an upstream whose share of failures is 0.2 above that of the others of its pool is the last choice. Where all fail alike nothing changes.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -116,15 +116,23 @@
 	return max(0, m.PromptTokens-m.Prompt[len(m.Prompt)-1].Tokens)
 }
 
+// hundredths is the unit of outcomes among the loads that hosts share.
+const hundredths = 100
+
 // Loads returns what this host has sent to each upstream.
 func (f *Forwarder) Loads() []loadshare.Load {
 	var out []loadshare.Load
+	now := time.Now()
 	f.eachLive(func(h hosts.Host, live *routing.Live) {
-		if l := (loadshare.Load{Upstream: loadshare.Key(h.ID), Unread: live.Unread(), InFlight: int64(live.InFlight())}); l.Unread != 0 || l.InFlight != 0 {
+		outcomes := live.Outcomes(now)
+		l := loadshare.Load{
+			Upstream: loadshare.Key(h.ID), Unread: live.Unread(), InFlight: int64(live.InFlight()),
+			Ended: int64(hundredths * outcomes.Ended), Failed: int64(hundredths * outcomes.Failed),
+		}
+		if l != (loadshare.Load{Upstream: l.Upstream}) {
 			out = append(out, l)
 		}
 	})
-	now := time.Now()
 	f.pools.Range(func(name, value any) bool {
 		if rate := int64(value.(*poolState).demand.rate(now)); rate > 0 {
 			out = append(out, loadshare.Load{Upstream: demandKey(name.(string)), Unread: rate})
@@ -142,7 +150,7 @@
 	}
 	f.eachLive(func(h hosts.Host, live *routing.Live) {
 		l := byKey[loadshare.Key(h.ID)]
-		live.SetOthers(l.Unread, l.InFlight)
+		live.SetOthers(l.Unread, l.InFlight, routing.Outcomes{Ended: float64(l.Ended) / hundredths, Failed: float64(l.Failed) / hundredths})
 	})
 	f.pools.Range(func(name, value any) bool {
 		value.(*poolState).demand.others.Store(byKey[demandKey(name.(string))].Unread)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -55,6 +55,7 @@
 	e.started()
 	long := len(body) == wholeBytes
 	failed := a.StatusCode >= http.StatusInternalServerError
+	t.live.Outcome(failed, time.Now())
 	if failed && !long && e.repeatFailure() {
 		a.Close(true)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
@@ -115,6 +116,7 @@
 		err := pass.copy(a.Body, first)
 		a.Close(err == nil)
 		if err == nil {
+			t.live.Outcome(false, time.Now())
 			first() // a stream without events
 			t.live.Succeed()
 			e.finish(t, status)
@@ -125,6 +127,7 @@
 			return attemptDone, nil
 		}
 		if e.ctx.Err() == nil {
+			t.live.Outcome(true, time.Now())
 			t.live.Fail(time.Now())
 		}
 		if !e.answered {
--- a/loadshare/center.go
+++ b/loadshare/center.go
@@ -70,7 +70,9 @@
 	total.Upstream = l.Upstream
 	total.Unread += sign * l.Unread
 	total.InFlight += sign * l.InFlight
-	if total.Unread == 0 && total.InFlight == 0 {
+	total.Ended += sign * l.Ended
+	total.Failed += sign * l.Failed
+	if total == (Load{Upstream: l.Upstream}) {
 		delete(c.totals, l.Upstream)
 		return
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -51,6 +51,10 @@
 	Unread int64 `cbor:"2,keyasint,omitempty"`
 	// InFlight are requests without a whole answer.
 	InFlight int64 `cbor:"3,keyasint,omitempty"`
+	// Ended and Failed are requests that ended there lately, in hundredths: both
+	// decay at the host that counts them.
+	Ended  int64 `cbor:"4,keyasint,omitempty"`
+	Failed int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Key returns the short name of an upstream. Two upstreams may share one; then
--- a/routing/live.go
+++ b/routing/live.go
@@ -61,8 +61,10 @@
 type Live struct {
 	inFlight atomic.Int64
 	waiting  atomic.Int64 // prompt tokens not yet read
+	evidence evidence
 	// What the other hosts have there, as they said last.
 	othersWaiting, othersInFlight atomic.Int64
+	othersOutcomes                atomic.Pointer[Outcomes]
 	slowUntil                     atomic.Int64 // unix ns
 	failures                      atomic.Int64 // in a row
 	// Gap is the time between two tokens of a stream.
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -49,6 +50,7 @@
 	first, second := p.cachedAt(s, r)
 	short := shortCount(len(s.Upstreams), p.ShortShare)
 	best, reason := -1, ReasonLoad
+	quiet := failing(s, r.Now)
 	least := int64(math.MaxInt64)
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
@@ -70,9 +72,7 @@
 		if s.layout != nil && (s.layout.rank[i] < short) != (p.Tokens <= ShortPrompt) {
 			cost += crossCost
 		}
-		if u.Slow(r.Now) {
-			cost += failedCost
-		}
+		cost += suspicion(u, quiet[i], r.Now)
 		if cost < least {
 			best, least = i, cost
 		}
@@ -80,7 +80,7 @@
 	switch {
 	case best < 0:
 		return noChoice
-	case least >= failedCost:
+	case least >= quietCost:
 		reason = ReasonLastResort
 	case best == first || p.Cached != nil && p.Cached(s.Upstreams[best].ID):
 		reason = ReasonAffinity
@@ -88,6 +88,17 @@
 	return Choice{Index: best, Reason: reason}
 }
 
+// suspicion is the cost of choosing an upstream that failed lately.
+func suspicion(u *Upstream, quiet bool, now time.Time) int64 {
+	switch {
+	case u.Slow(now):
+		return failedCost
+	case quiet:
+		return quietCost
+	}
+	return 0
+}
+
 // cachedAt returns the first two upstreams in the order of the request's shared
 // prompt, of the part of the pool that its prompt belongs to; -1 for none.
 func (p Prefill) cachedAt(s *Snapshot, r *Request) (first, second int) {
@@ -139,10 +150,12 @@
 // Unread are this host's prompt tokens that the upstream has not yet read.
 func (l *Live) Unread() int64 { return l.waiting.Load() }
 
-// SetOthers notes what the other hosts have sent to the upstream.
-func (l *Live) SetOthers(unread, inFlight int64) {
+// SetOthers notes what the other hosts have sent to the upstream and how their
+// requests ended there.
+func (l *Live) SetOthers(unread, inFlight int64, outcomes Outcomes) {
 	l.othersWaiting.Store(unread)
 	l.othersInFlight.Store(inFlight)
+	l.othersOutcomes.Store(&outcomes)
 }
 
 // Others is the number of the other hosts' requests there.
@@ -173,6 +186,7 @@
 	}
 	order = slices.Concat(order[start:], order[:start])
 	best := -1
+	quiet := failing(s, r.Now)
 	least := int64(math.MaxInt64)
 	for _, i := range order {
 		u := &s.Upstreams[i]
@@ -183,9 +197,7 @@
 		if u.FailureDomain != p.Domain {
 			cost++
 		}
-		if u.Slow(r.Now) {
-			cost += failedCost
-		}
+		cost += suspicion(u, quiet[i], r.Now)
 		if cost < least {
 			best, least = i, cost
 		}
@@ -193,7 +205,7 @@
 	switch {
 	case best < 0:
 		return noChoice
-	case least >= failedCost:
+	case least >= quietCost:
 		return Choice{Index: best, Reason: ReasonLastResort}
 	}
 	return Choice{Index: best, Reason: ReasonLoad}
