--- a/quota/owner.go
+++ b/quota/owner.go
@@ -61,8 +61,10 @@
 
 // Owners keeps client accounts' limits over all hosts: each account has an
 // owner among them, found by rendezvous hashing, that is asked for every
-// request. A host that cannot reach the owner goes on with a part of an even
-// share. Use NewOwners.
+// request. An owner decides only while its own registration is valid, and not
+// just after it has joined: until then the host before it is asked as its
+// deputy. A host that reaches neither goes on with a part of an even share. Use
+// NewOwners.
 type Owners struct {
 	self   string
 	client *inner.Client
@@ -82,7 +84,10 @@
 
 // NewOwners returns the limits at the host self and registers their message.
 func NewOwners(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View, count func() int, valid func() bool) *Owners {
-	o := &Owners{self: self, client: client, hosts: hosts, count: count, valid: valid, unreachable: map[string]time.Time{}, lost: map[string]time.Time{}, joined: time.Now()}
+	o := &Owners{
+		self: self, client: client, hosts: hosts, count: count, valid: valid,
+		unreachable: map[string]time.Time{}, lost: map[string]time.Time{}, joined: time.Now(),
+	}
 	inner.Register(server, inner.KindQuotaTake, func(_ context.Context, req takeRequest) (takeAnswer, error) {
 		return o.decide(req), nil
 	})
@@ -127,7 +132,7 @@
 	return time.Since(o.joined) >= settleOwner
 }
 
-// decide answers for an account that this host owns.
+// decide answers for an account that this host owns or stands in for.
 func (o *Owners) decide(req takeRequest) takeAnswer {
 	if !o.valid() { // another host may own the account by now
 		return takeAnswer{NotOwner: true}
