Bound the bytes that an upstream sends where an answer or an event is due

Cause: readAnswer read heads over http.ReadResponse without a bound in bytes, lines or time, and eventPasser.copy let its buffer grow while no event ended and searched the whole of it after each read.

Change: the whole head has to be in the connection's read buffer (8 KiB, 128 lines, 2 s from its first byte) before it is parsed; bytes that do not begin like an answer are given up at once; informational and stray answers in a row are counted. An event is bounded at 32 KiB, a plain answer that is held back at 32 KiB, a caller's headers at 64 KiB. Each outcome is typed and counted.

After: 200 upstreams that hold heads before the bound take 2.4 MiB of heap, 200 streams 19.5 MiB, of which the test's own callers are up to 15.6.

Ruled out: silence before a head, which is the upstream at work, is not bounded by it (tested).

--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,23 +36,39 @@
 	return "event " + strconv.FormatInt(e.next, 10) + " came after event " + strconv.FormatInt(e.last, 10)
 }
 
+// oversizeError is the cause of a stream whose next event does not end.
+type oversizeError struct{}
+
+// Error implements error.
+func (oversizeError) Error() string { return "an event of the stream is too large" }
+
+// eventBytes bounds one event of a stream; those of known upstreams are under
+// 1 KiB.
+const eventBytes = 32 << 10
+
 // copy passes events on until the stream ends; first is called before the
 // first one.
 func (p *eventPasser) copy(a io.Reader, first func()) error {
 	buffer := make([]byte, 0, streamBuffer)
+	searched := 0 // bytes at the start of the buffer that hold no end of an event
 	for {
+		if len(buffer) >= eventBytes {
+			return oversizeError{}
+		}
 		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+			buffer = slices.Grow(buffer, len(buffer))
 		}
-		n, err := a.Read(buffer[len(buffer):cap(buffer)])
+		n, err := a.Read(buffer[len(buffer):min(cap(buffer), eventBytes)])
 		buffer = buffer[:len(buffer)+n]
-		whole := wholeEvents(buffer)
-		if whole > 0 {
+		overlap := max(0, searched-len(boundaryCRLF)+1)
+		if whole := wholeEvents(buffer[overlap:]); whole > 0 {
+			whole += overlap
 			if err := p.pass(buffer[:whole], first); err != nil {
 				return err
 			}
 			buffer = append(buffer[:0], buffer[whole:]...)
 		}
+		searched = len(buffer)
 		if errors.Is(err, io.EOF) {
 			if len(buffer) > 0 {
 				return cutError{}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -14,7 +14,7 @@
 const (
 	// wholeBytes is the size up to which a plain answer is read whole before it
 	// is passed on, so that one that breaks off can still be replaced.
-	wholeBytes = 256 << 10
+	wholeBytes = 32 << 10
 	// refusalBytes bounds the body of an upstream's refusal that is read to
 	// keep the connection.
 	refusalBytes = 16 << 10
--- a/forwarding.go
+++ b/forwarding.go
@@ -56,6 +56,9 @@
 	memoryShare = 0.7
 	// headerTimeout bounds how long a caller takes to send its headers.
 	headerTimeout = 5 * time.Second
+	// callerHeadBytes bounds a request's headers: the longest part, the list of
+	// a prompt's parts, takes under 2 KiB.
+	callerHeadBytes = 64 << 10
 	// callerIdle is longer than any caller keeps an idle connection, so that
 	// it is the caller who closes it.
 	callerIdle = 90 * time.Second
@@ -193,7 +196,7 @@
 			return &ListenError{Address: l.address, Cause: err}
 		}
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle,
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeadBytes,
 			ErrorLog: f.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 		f.listeners = append(f.listeners, served{server: server, listener: listener})
--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -47,7 +47,6 @@
 	idleMargin = 0.5
 	// maxIdlePerHost bounds the idle connections to one upstream.
 	maxIdlePerHost = 16
-	readBuffer     = 4 << 10
 )
 
 // Conn is a connection to one upstream that carries one request at a time.
@@ -157,7 +156,7 @@
 		return nil, err
 	}
 	Connections.Inc(labelOpened)
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address, idleSpan: defaultIdle}, nil
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, headBytes), address: address, idleSpan: defaultIdle}, nil
 }
 
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
--- a/upstream/connpool/exchange.go
+++ b/upstream/connpool/exchange.go
@@ -39,13 +39,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// strayError is the cause of an exchange whose connection carried only answers
-// to other requests.
-type strayError struct{}
-
-// Error implements error.
-func (strayError) Error() string { return "only answers to other requests came" }
-
 const (
 	// maxStrays is how many answers to other requests are passed over.
 	maxStrays = 3
@@ -97,7 +90,7 @@
 		}
 		failed <- err
 	}()
-	res, err := readAnswer(conn.reader, req, ours)
+	res, err := conn.readAnswer(req, ours)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -118,23 +111,37 @@
 }
 
 // readAnswer reads answers until one belongs to the request.
-func readAnswer(reader *bufio.Reader, req *http.Request, ours func(http.Header) bool) (*http.Response, error) {
-	for range maxStrays + 1 {
-		res, err := http.ReadResponse(reader, req)
+func (c *Conn) readAnswer(req *http.Request, ours func(http.Header) bool) (*http.Response, error) {
+	for strays, informational := 0, 0; ; {
+		res, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= http.StatusContinue && res.StatusCode < http.StatusOK {
+		switch {
+		case res.StatusCode < http.StatusOK:
+			if informational++; informational > maxInformational {
+				return nil, headError(HeadInformational)
+			}
 			continue
-		}
-		if ours(res.Header) {
+		case ours(res.Header):
 			return res, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, strayBytes)); err != nil {
+		if strays++; strays > maxStrays {
+			return nil, headError(HeadStrays)
+		}
+		if err := discardStray(res.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, strayError{}
+}
+
+// discardStray reads the body of an answer to another request to its end.
+func discardStray(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, strayBytes))
+	if err == nil && n == strayBytes {
+		return headError(HeadStrays)
+	}
+	return err
 }
 
 // Close ends the exchange. complete says that the body was read to its end;
