Rank each member once when some are chosen for a key

Cause: View.Chosen sorted all usable members and hashed both of them, over a joined string, in each comparison. A request chooses three or four times (limit, prompt twice, refund), a follower ten times a second and the load digests once an interval.

Change: one pass that keeps the first few; the order is the same (tested against sorting).

Test: TestChoosingAmongHundredsOfHosts (5,234 allocations before, bound 6).

--- a/membership/pollers.go
+++ b/membership/pollers.go
@@ -16,9 +16,7 @@
 	v := r.View()
 	own := r.Options.Self.ID
 	count := max(minPollers, int(math.Ceil(math.Sqrt(float64(len(v.Members))))))
-	chosen := v.Chosen(hostListKey, count)
-	sortByRank(chosen, own)
-	for _, m := range chosen {
+	for _, m := range choose(v.Chosen(hostListKey, count), own, count) {
 		if m.ID == own {
 			return true, nil
 		}
--- a/membership/view.go
+++ b/membership/view.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -60,16 +61,41 @@
 // Chosen returns up to count usable members in the rendezvous order of a key:
 // hosts with the same view choose the same, and a change of the members moves
 // few choices.
-func (v *View) Chosen(key string, count int) []Member {
-	usable := v.Usable()
-	sortByRank(usable, key)
-	return usable[:min(count, len(usable))]
+func (v *View) Chosen(key string, count int) []Member { return choose(v.Members, key, count) }
+
+// choose returns up to count usable members in the rendezvous order of a key.
+// It runs for each request and ranks each member once, without an allocation.
+func choose(members []Member, key string, count int) []Member {
+	var best []ranked // in order; the first count of those seen so far
+	prefix := xxhash.New()
+	_, _ = prefix.WriteString(key) // a hash never fails
+	_, _ = prefix.WriteString("/")
+	for i := range members {
+		if !members[i].Usable() {
+			continue
+		}
+		hash := *prefix
+		_, _ = hash.WriteString(members[i].ID)
+		next := ranked{rank: hash.Sum64(), index: i}
+		at := len(best)
+		for at > 0 && next.rank < best[at-1].rank {
+			at--
+		}
+		if at < count {
+			best = slices.Insert(best[:min(len(best), count-1)], at, next)
+		}
+	}
+	chosen := make([]Member, 0, len(best))
+	for _, r := range best {
+		chosen = append(chosen, members[r.index])
+	}
+	return chosen
 }
 
-// sortByRank puts members into the rendezvous order of a key.
-func sortByRank(members []Member, key string) {
-	rank := func(m Member) uint64 { return xxhash.Sum64String(key + "/" + m.ID) }
-	sort.Slice(members, func(i, j int) bool { return rank(members[i]) < rank(members[j]) })
+// ranked is a member's place in a rendezvous order.
+type ranked struct {
+	rank  uint64
+	index int
 }
 
 // successors returns the member after self on each ring, each member once. A
