Spread changes of the store on a tree; pace and resume watches

Cause: each of 295 hosts polled 7 readers three times a second for each of three prefixes, each reader made a call for each single change, and a host that was behind a reader's first list got the whole list.

Change: three readers at any size; over 96 hosts relays follow them and the others follow relays (PlaceOf, a pure function of the view). Watches that bring changes are a twelfth of a watch apart, a watch lasts 0.6 of the time in which a change must be in force (new settings routes_ms, leaving_ms; 2 s as before by default). Questions are held a quarter of that. A host behind the first list gets the changes and the keys, not the copy. Age of a copy counts from the answer, not from the question. The copy's revision is that of its changes.

--- a/events/replica.go
+++ b/events/replica.go
@@ -6,5 +6,6 @@
 var (
 	ReplicaLost     = define(2000, "replica source lost", hclog.Warn, "The key-value service does not answer this host; the copy stays and peers are asked.")
 	ReplicaRegained = define(2001, "replica source regained", hclog.Info, "The key-value service answers this host again.")
+	ReplicaPlace    = define(2003, "replica place changed", hclog.Info, "This host follows other hosts than before, or reads the key-value service itself (depth 0).")
 	ReplicaFromPeer = define(2002, "replica read from peer", hclog.Info, "A peer had a newer copy than this host, which cannot read the service itself.")
 )
--- a/forwarding.go
+++ b/forwarding.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,18 +35,11 @@
 )
 
 const (
-	// tableWait bounds one watch of the routes and of the upstreams: a watch
-	// that went silent is noticed within that time, which is short against the
-	// 2 s in which a change of either must be in force.
-	tableWait = 1200 * time.Millisecond
+	// watchPart of the time in which a change must be in force bounds one watch
+	// of the routes or the upstreams: one that went silent is noticed within it.
+	watchPart = 0.6
 	// membersWait bounds one watch of the entry hosts, which may lag more.
 	membersWait = 3500 * time.Millisecond
-	// watcherRole is the key by which the hosts are chosen that read the store
-	// for the others; minWatchers bear the loss of two, and hostsPerWatcher bounds
-	// the questions that one answers.
-	watcherRole     = "watchers"
-	minWatchers     = 3
-	hostsPerWatcher = 40
 	// probeInterval is how often a store that does not answer is tried.
 	probeInterval = 500 * time.Millisecond
 	// listInterval is how often hosts that may have vanished are looked at again.
@@ -92,6 +86,8 @@
 	peers                    *inner.Client
 	innerServer              *inner.Server
 
+	place atomic.Pointer[placed]
+
 	mu      sync.Mutex // orders readings of the upstreams
 	listing hosts.Listing
 	reading hosts.Reading
@@ -101,6 +97,13 @@
 	listeners []served
 }
 
+// placed is this host's place among the hosts of a view.
+type placed struct {
+	view    *membership.View
+	depth   int
+	sources []string
+}
+
 // served is a listener with its server.
 type served struct {
 	server   *http.Server
@@ -120,9 +123,9 @@
 		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
 		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
 	}
-	peers := &replica.InnerPeers{Client: f.peers, Watchers: f.watchers}
-	f.routes = replica.New(f.store, platform.ConfigPrefix, tableWait, peers, logger.Named("routes"))
-	f.runners = replica.New(f.store, platform.RunnersPrefix, tableWait, peers, logger.Named("upstreams"))
+	peers := &replica.InnerPeers{Client: f.peers, Sources: f.sources}
+	f.routes = replica.New(f.store, platform.ConfigPrefix, milliseconds(watchPart*s.RoutesMS), peers, logger.Named("routes"))
+	f.runners = replica.New(f.store, platform.RunnersPrefix, milliseconds(watchPart*s.LeavingMS), peers, logger.Named("upstreams"))
 	f.members = replica.New(f.store, presence.Prefix, membersWait, peers, logger.Named("members"))
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
@@ -143,6 +146,8 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func (f *ForwardServer) self() membership.Member {
 	return membership.Member{
 		ID: f.settings.HostID, Address: f.settings.Listen, InnerAddress: f.settings.InnerListen,
@@ -156,21 +161,26 @@
 // hostCount is the largest number of entry hosts in the last spans of the limits.
 func (f *ForwardServer) hostCount() int { return f.presence.View().Recent }
 
-// watchers returns whether this host reads the store for the others, and the
-// inner addresses of the hosts that do; the seeds while no others are known.
-func (f *ForwardServer) watchers() (self bool, addresses []string) {
+// sources returns this host's depth in the tree on which changes of the store
+// spread, and the inner addresses of the hosts whose copies it follows; the seeds
+// while no others are known.
+func (f *ForwardServer) sources() (depth int, addresses []string) {
 	view := f.hosts()
-	for _, m := range view.Chosen(watcherRole, max(minWatchers, len(view.Members)/hostsPerWatcher)) {
-		if m.ID == f.settings.HostID {
-			self = true
-		} else {
-			addresses = append(addresses, m.InnerAddress)
+	at := f.place.Load()
+	if at == nil || at.view != view {
+		place := replica.PlaceOf(f.settings.HostID, view)
+		at = &placed{
+			view: view, depth: place.Depth,
+			sources: lo.Map(place.Sources, func(m membership.Member, _ int) string { return m.InnerAddress }),
+		}
+		if len(at.sources) == 0 {
+			at.sources = lo.Without(f.settings.Seeds, f.settings.InnerListen)
+		}
+		if old := f.place.Swap(at); old == nil || old.depth != at.depth || !slices.Equal(old.sources, at.sources) {
+			events.ReplicaPlace.Log(f.logger, "hosts", len(view.Members), "depth", at.depth, "sources", at.sources)
 		}
 	}
-	if len(addresses) == 0 {
-		addresses = lo.Without(f.settings.Seeds, f.settings.InnerListen)
-	}
-	return self, addresses
+	return at.depth, at.sources
 }
 
 // listen opens the listeners.
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cardamompier/cardamompier/inner"
@@ -12,6 +11,9 @@
 // askTimeout bounds one question to a peer beyond the time that it may wait.
 const askTimeout = 200 * time.Millisecond
 
+// copyTimeout is added for a whole copy: 1 MB takes 0.4 s on a link of 20 Mbit/s.
+const copyTimeout = time.Second
+
 // readRequest asks a peer what it knows of a prefix beyond a revision.
 type readRequest struct {
 	Prefix string     `cbor:"1,keyasint"`
@@ -39,11 +41,18 @@
 func (r *Replica) newer(ctx context.Context, after kv.Version, wait time.Duration) *Change {
 	waiting, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	asked := time.Now()
+	since := func(view *View) *Change {
+		now := time.Now()
+		change := view.since(after, now)
+		change.HeldMS = now.Sub(asked).Milliseconds()
+		return change
+	}
 	for {
 		changed := *r.changed.Load()
 		view := r.current.Load()
 		if view != nil {
-			if change := view.since(after, time.Now()); change.Full || len(change.Entries)+len(change.Deleted) > 0 {
+			if change := since(view); !change.empty() {
 				return change
 			}
 		}
@@ -55,7 +64,7 @@
 		if view = r.current.Load(); view == nil {
 			return &Change{}
 		}
-		return view.since(after, time.Now())
+		return since(view)
 	}
 }
 
@@ -63,29 +72,34 @@
 type InnerPeers struct {
 	// Client makes the calls.
 	Client *inner.Client
-	// Watchers returns whether this host reads the service for others, and the
-	// inner addresses of the hosts that do, or of any where those are unknown.
-	Watchers func() (self bool, addresses []string)
+	// Sources returns this host's depth in the tree, and the inner addresses of
+	// the hosts whose copies it follows, or of any where those are unknown, in its
+	// own order of preference.
+	Sources func() (depth int, addresses []string)
 }
 
 var _ Peers = (*InnerPeers)(nil)
 
-// Watches implements Peers.
-func (p *InnerPeers) Watches() bool {
-	self, _ := p.Watchers()
-	return self
+// Depth implements Peers.
+func (p *InnerPeers) Depth() int {
+	depth, _ := p.Sources()
+	return depth
 }
 
-// Newer implements Peers: it asks one host, drawn at random.
-func (p *InnerPeers) Newer(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (*Change, error) {
-	_, addresses := p.Watchers()
+// Newer implements Peers.
+func (p *InnerPeers) Newer(ctx context.Context, turn int, prefix string, after kv.Version, wait time.Duration) (*Change, error) {
+	_, addresses := p.Sources()
 	if len(addresses) == 0 {
 		return nil, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
+	timeout := wait + askTimeout
+	if after == 0 {
+		timeout += copyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var change Change
-	address := addresses[rand.IntN(len(addresses))]
+	address := addresses[turn%len(addresses)]
 	request := readRequest{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()}
 	if err := p.Client.Call(ctx, address, inner.KindReplicaRead, request, &change); err != nil {
 		return nil, err
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -43,9 +43,12 @@
 	retryDelay = 250 * time.Millisecond
 	// readTimeout bounds one list: the service answers in some ms.
 	readTimeout = time.Second
-	// peerWait bounds one question to a peer, so that one that is cut off is
-	// noticed soon after its copy is too old.
-	peerWait = 300 * time.Millisecond
+	// peerWaitPart of the time of a watch bounds one question to a peer, so that
+	// one that is cut off is noticed soon after its copy is too old.
+	peerWaitPart = 4
+	// pausePart of the time of a watch passes between two watches that bring
+	// changes: those of that time come together.
+	pausePart = 12
 	// peerTries is how many peers are asked for a fresh copy in a row.
 	peerTries = 3
 )
@@ -78,12 +81,13 @@
 
 // Peers asks other hosts for their copies.
 type Peers interface {
-	// Watches says whether this host is one of those that read the service for
-	// the others.
-	Watches() bool
-	// Newer returns what has changed after a revision at one of the hosts that
-	// read the service, and waits for a change for up to the given time.
-	Newer(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (*Change, error)
+	// Depth is how many hosts a change passes on its way to this one: 0 for those
+	// that read the service for the others.
+	Depth() int
+	// Newer returns what has changed after a revision at one of the hosts whose
+	// copies this one follows, and waits for a change for up to the given time.
+	// turn selects the host: the next one is asked with the next number.
+	Newer(ctx context.Context, turn int, prefix string, after kv.Version, wait time.Duration) (*Change, error)
 }
 
 // Change is what a peer knows beyond a revision.
@@ -95,10 +99,24 @@
 	// how long it lasted.
 	OutageAgoMS int64 `cbor:"6,keyasint,omitempty"`
 	OutageForMS int64 `cbor:"7,keyasint,omitempty"`
+	// HeldMS is how long the question waited for a change.
+	HeldMS int64 `cbor:"8,keyasint,omitempty"`
 	// Full says that Entries are the whole copy.
 	Full    bool       `cbor:"3,keyasint,omitempty"`
 	Entries []kv.Entry `cbor:"4,keyasint,omitempty"`
 	Deleted []Deletion `cbor:"5,keyasint,omitempty"`
+	// Keys are all keys of the copy, where the peer does not know every deletion
+	// since the revision that was asked for. They are a tenth of the copy.
+	Keys []string `cbor:"9,keyasint,omitempty"`
+}
+
+// empty says that nothing has changed.
+func (c *Change) empty() bool { return !c.Full && len(c.Entries)+len(c.Deleted)+len(c.Keys) == 0 }
+
+// confirmedAt is when the service confirmed the peer's copy, on the clock of the
+// host that asked at the given time.
+func (c *Change) confirmedAt(asked time.Time) time.Time {
+	return asked.Add(time.Duration(c.HeldMS-c.AgeMS) * time.Millisecond)
 }
 
 // Replica follows one prefix. Use New.
@@ -114,6 +132,7 @@
 	mu      sync.Mutex                    // orders updates and their notifications
 	notify  []func(*View)
 
+	turn      int       // of the peer that answered last; used by Run alone
 	failing   time.Time // since when reads fail; zero when they do not
 	confirmed time.Time // when the service last confirmed a peer's copy
 	outage    outage
@@ -139,11 +158,11 @@
 // view and while this host reads it for the others, and by those otherwise.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.peers != nil && !r.peers.Watches() && r.current.Load() != nil && r.followPeer(ctx) {
+		if r.peers != nil && r.peers.Depth() > 0 && r.current.Load() != nil && r.followPeer(ctx) {
 			continue
 		}
 		err := r.list(ctx)
-		for err == nil && ctx.Err() == nil && (r.peers == nil || r.peers.Watches()) {
+		for err == nil && ctx.Err() == nil && (r.peers == nil || r.peers.Depth() == 0) {
 			err = r.watch(ctx)
 		}
 		if ctx.Err() != nil {
@@ -181,7 +200,7 @@
 	call, cancel := context.WithTimeout(ctx, r.wait)
 	defer cancel()
 	view := r.current.Load()
-	changes, reached, err := r.store.Watch(call, r.prefix, view.Revision)
+	changes, _, err := r.store.Watch(call, r.prefix, view.Revision)
 	if err != nil {
 		return err
 	}
@@ -193,17 +212,20 @@
 		return nil
 	}
 	byKey := make(map[string]kv.Entry, len(view.Entries)+len(changes))
-	for key, e := range view.Entries {
-		byKey[key] = e
-	}
+	maps.Copy(byKey, view.Entries)
+	// What the service has reached may lie beyond a change that it reports late:
+	// the copy has reached no more than the changes that it holds.
+	revision := view.Revision
 	for _, change := range changes {
+		revision = max(revision, change.Version)
 		if change.Deleted {
 			delete(byKey, change.Key)
 		} else {
 			byKey[change.Key] = change.Entry
 		}
 	}
-	r.install(byKey, max(reached, view.Revision), time.Now(), labelWatch)
+	r.install(byKey, revision, time.Now(), labelWatch)
+	wait.For(ctx, r.wait/pausePart)
 	return nil
 }
 
@@ -255,19 +277,27 @@
 	}
 }
 
-// since returns what the view has beyond a revision.
+// since returns what the view has beyond a revision; 0 is that of a host that
+// has no copy.
 func (v *View) since(after kv.Version, now time.Time) *Change {
-	change := &Change{Revision: v.Revision, AgeMS: now.Sub(v.ReadAt).Milliseconds(), Full: after < v.Complete}
+	change := &Change{Revision: v.Revision, AgeMS: now.Sub(v.ReadAt).Milliseconds(), Full: after == 0}
 	if !v.OutageEnded.IsZero() {
 		change.OutageAgoMS = max(1, now.Sub(v.OutageEnded).Milliseconds())
 		change.OutageForMS = v.OutageEnded.Sub(v.OutageBegan).Milliseconds()
 	}
+	if after >= v.Revision && !change.Full {
+		return change
+	}
 	for _, e := range v.Entries {
 		if change.Full || e.Version > after {
 			change.Entries = append(change.Entries, e)
 		}
 	}
-	if !change.Full {
+	switch {
+	case change.Full:
+	case after < v.Complete:
+		change.Keys = slices.Collect(maps.Keys(v.Entries))
+	default:
 		for _, d := range v.Deleted {
 			if d.Revision > after {
 				change.Deleted = append(change.Deleted, d)
@@ -287,14 +317,15 @@
 		after = view.Revision
 	}
 	asked := time.Now()
-	change, err := r.peers.Newer(ctx, r.prefix, after, 0)
+	change, err := r.peers.Newer(ctx, r.turn, r.prefix, after, 0)
 	if err != nil {
 		Failures.Inc(labelAsk)
+		r.turn++
 		return
 	}
 	if change != nil && change.Revision > 0 {
 		r.mu.Lock()
-		r.confirmed = latest(r.confirmed, asked.Add(-time.Duration(change.AgeMS)*time.Millisecond))
+		r.confirmed = latest(r.confirmed, change.confirmedAt(asked))
 		r.mu.Unlock()
 	}
 	if change == nil || change.Revision <= after {
@@ -304,30 +335,33 @@
 	r.apply(change, time.Now())
 }
 
-// followPeer follows the copy of a host that reads the service, once; false
-// where none that was asked has one that is no older than a watch lasts.
+// followPeer follows the copy of another host, once; false where none that was
+// asked has one that is fresh.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	view := r.current.Load()
-	wait := min(r.wait, peerWait)
+	held := r.wait / peerWaitPart
 	for range peerTries {
 		asked := time.Now()
-		change, err := r.peers.Newer(ctx, r.prefix, view.Revision, wait)
-		wait = 0 // another one is asked only for what it has
+		change, err := r.peers.Newer(ctx, r.turn, r.prefix, view.Revision, held)
+		held = 0 // another one is asked only for what it has
 		if err != nil || change == nil {
 			Failures.Inc(labelAsk)
+			r.turn++
 			continue
 		}
-		age := time.Duration(change.AgeMS) * time.Millisecond
-		if change.Revision > view.Revision && (change.Full || len(change.Entries)+len(change.Deleted) > 0) {
+		if change.Revision > view.Revision && !change.empty() {
 			r.apply(change, asked)
 			view = r.current.Load()
 		}
-		if age > r.wait {
+		// Each further host on the way may hold a question as long as this one.
+		bound := r.wait + time.Duration(r.peers.Depth()-1)*r.wait/peerWaitPart
+		if time.Duration(change.AgeMS)*time.Millisecond > bound {
 			Failures.Inc(labelStale)
+			r.turn++
 			continue
 		}
 		r.answered()
-		r.confirm(max(change.Revision, view.Revision), asked.Add(-age))
+		r.confirm(max(change.Revision, view.Revision), change.confirmedAt(asked))
 		return true
 	}
 	return false
@@ -355,8 +389,15 @@
 			delete(entries, d.Key)
 		}
 	}
+	if len(change.Keys) > 0 {
+		there := make(map[string]bool, len(change.Keys))
+		for _, key := range change.Keys {
+			there[key] = true
+		}
+		maps.DeleteFunc(entries, func(key string, _ kv.Entry) bool { return !there[key] })
+	}
 	for _, e := range change.Entries {
 		entries[e.Key] = e
 	}
-	r.install(entries, change.Revision, asked.Add(-time.Duration(change.AgeMS)*time.Millisecond), labelPeer)
+	r.install(entries, change.Revision, change.confirmedAt(asked), labelPeer)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -77,15 +77,80 @@
 	})
 }
 
+// A watch that brings a change, with a revision beyond another one that is
+// reported late: the next watch still begins before that one. Lists of all hosts
+// stood still for 2 s after a reader's last change.
+func TestChangeBehindAWatchWithChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{
+			list: func() ([]kv.Entry, kv.Version, error) { return []kv.Entry{entry("p/a", 5)}, 5, nil },
+			watch: func(ctx context.Context, after kv.Version) ([]kv.Event, kv.Version, error) {
+				time.Sleep(100 * time.Millisecond)
+				switch {
+				case after < 7:
+					return []kv.Event{{Entry: entry("p/b", 7)}}, 9, nil // that at 8 is reported late
+				case after < 8:
+					return []kv.Event{{Entry: kv.Entry{Key: "p/a", Version: 8}, Deleted: true}}, 9, nil
+				}
+				<-ctx.Done()
+				return nil, 0, &kv.Error{Reason: kv.ReasonUnknown}
+			},
+		}
+		r := New(store, "p/", watchSpan, nil, hclog.NewNullLogger())
+		defer run(t, r)()
+		time.Sleep(time.Second)
+		if _, there := r.Current().Entries["p/a"]; there {
+			t.Errorf("the deleted key is still there at revision %d", r.Current().Revision)
+		}
+	})
+}
+
+// A day on which many upstreams start: their changes come together, so that a
+// reader's calls do not grow with them; the first one is known at once.
+func TestChangesInQuickSuccessionShareAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began, calls := time.Now(), 0
+		store := &scriptedStore{
+			list: func() ([]kv.Entry, kv.Version, error) { return nil, 1, nil },
+			watch: func(_ context.Context, after kv.Version) ([]kv.Event, kv.Version, error) {
+				calls++
+				time.Sleep(4 * time.Millisecond)
+				newest := kv.Version(1 + time.Since(began)/(5*time.Millisecond))
+				if newest == after {
+					time.Sleep(5 * time.Millisecond)
+					newest++
+				}
+				return []kv.Event{{Entry: entry("p/a", newest)}}, newest, nil
+			},
+		}
+		r := New(store, "p/", watchSpan, nil, hclog.NewNullLogger())
+		stop := run(t, r)
+		time.Sleep(20 * time.Millisecond)
+		if r.Current().Revision < 2 {
+			t.Error("the first change was held back")
+		}
+		time.Sleep(time.Second - 20*time.Millisecond)
+		stop()
+		if most := pausePart + 1; calls > most {
+			t.Errorf("%d calls in a second, bound %d", calls, most)
+		}
+	})
+}
+
 // fakePeers answers from another replica's view.
 type fakePeers struct {
 	watches bool
 	newer   func(after kv.Version, wait time.Duration) (*Change, error)
 }
 
-func (p *fakePeers) Watches() bool { return p.watches }
+func (p *fakePeers) Depth() int {
+	if p.watches {
+		return 0
+	}
+	return 1
+}
 
-func (p *fakePeers) Newer(_ context.Context, _ string, after kv.Version, wait time.Duration) (*Change, error) {
+func (p *fakePeers) Newer(_ context.Context, _ int, _ string, after kv.Version, wait time.Duration) (*Change, error) {
 	return p.newer(after, wait)
 }
 
@@ -222,8 +287,19 @@
 	if change.Full || len(change.Entries) != 1 || len(change.Deleted) != 1 || change.Deleted[0].Key != "p/b" {
 		t.Errorf("since 5: %+v", change)
 	}
-	if change := r.Current().since(2, time.Now()); !change.Full || len(change.Entries) != 2 {
-		t.Errorf("before the first view: %+v", change)
+	if change := r.Current().since(0, time.Now()); !change.Full || len(change.Entries) != 2 {
+		t.Errorf("for a host without a copy: %+v", change)
+	}
+	// Before the first view: only what changed since, and what is there still.
+	early := r.Current().since(3, time.Now())
+	if early.Full || len(early.Entries) != 1 || len(early.Keys) != 2 {
+		t.Errorf("before the first view: %+v", early)
+	}
+	late := New(nil, "p/", watchSpan, nil, hclog.NewNullLogger())
+	late.install(map[string]kv.Entry{"p/a": entry("p/a", 3), "p/gone": entry("p/gone", 2)}, 3, time.Now(), labelList)
+	late.apply(early, time.Now())
+	if view := late.Current(); len(view.Entries) != 2 || view.Entries["p/c"].Version != 7 {
+		t.Errorf("the late follower has %+v", view.Entries)
 	}
 	follower := New(nil, "p/", watchSpan, nil, hclog.NewNullLogger())
 	follower.install(map[string]kv.Entry{"p/a": entry("p/a", 3), "p/b": entry("p/b", 4)}, 5, time.Now(), labelList)
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -53,6 +53,11 @@
 	LimitExcess float64 `json:"limit_excess"`
 	// UsageWindowSeconds is the length of a usage window. Default 5.
 	UsageWindowSeconds float64 `json:"usage_window_seconds"`
+	// RoutesMS is the time in milliseconds in which a change of the routes must be
+	// in force on each host, LeavingMS that in which an upstream that leaves must
+	// get no new work. Defaults 2000.
+	RoutesMS  float64 `json:"routes_ms"`
+	LeavingMS float64 `json:"leaving_ms"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error". Default "info".
 	LogLevel string `json:"log_level"`
 }
@@ -89,6 +94,8 @@
 	s.RetryBurst = lo.CoalesceOrEmpty(s.RetryBurst, 50)
 	s.RetryWindowSeconds = lo.CoalesceOrEmpty(s.RetryWindowSeconds, 10)
 	s.UsageWindowSeconds = lo.CoalesceOrEmpty(s.UsageWindowSeconds, 5)
+	s.RoutesMS = lo.CoalesceOrEmpty(s.RoutesMS, 2000)
+	s.LeavingMS = lo.CoalesceOrEmpty(s.LeavingMS, 2000)
 	s.LogLevel = lo.CoalesceOrEmpty(s.LogLevel, "info")
 	return s
 }
@@ -128,6 +135,10 @@
 		return refuse("limit_excess", expectedPositive)
 	case s.UsageWindowSeconds <= 0:
 		return refuse("usage_window_seconds", expectedPositive)
+	case s.RoutesMS <= 0:
+		return refuse("routes_ms", expectedPositive)
+	case s.LeavingMS <= 0:
+		return refuse("leaving_ms", expectedPositive)
 	case hclog.LevelFromString(s.LogLevel) == hclog.NoLevel:
 		return refuse("log_level", "trace, debug, info, warn or error")
 	}
