Give large fleets several centers of load, asked every 0.4 s

Change: one more center for each 100 hosts, each for its share of the upstreams; digests at most 0.4 s apart; a share whose center does not answer ages by itself. Centers' work: at 295 hosts 737 digests a second for a third of the upstreams each, in place of 250 for all of them.

--- a/loadshare/center.go
+++ b/loadshare/center.go
@@ -8,6 +8,34 @@
 // digestAge is how long a host's digest counts without a newer one.
 const digestAge = time.Second
 
+// shareKey is one share of the upstreams; hosts that count the fleet otherwise
+// have other shares for a moment.
+type shareKey struct{ share, shares int }
+
+// maxShares bounds the shares that a host is the center of.
+const maxShares = 64
+
+// centers are this host's centers, one a share. The zero value is ready.
+type centers struct {
+	mu      sync.Mutex
+	byShare map[shareKey]*center
+}
+
+// exchange takes a host's digest and returns the sum of the others.
+func (c *centers) exchange(d digest, now time.Time) []Load {
+	key := shareKey{share: d.Share, shares: d.Shares}
+	c.mu.Lock()
+	if c.byShare == nil || c.byShare[key] == nil && len(c.byShare) >= maxShares {
+		c.byShare = map[shareKey]*center{}
+	}
+	if c.byShare[key] == nil {
+		c.byShare[key] = &center{}
+	}
+	share := c.byShare[key]
+	c.mu.Unlock()
+	return share.exchange(d.Host, d.Loads, now)
+}
+
 // center adds up the digests of all hosts. The zero value is ready.
 type center struct {
 	mu      sync.Mutex
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -1,14 +1,17 @@
 // Package loadshare tells entry hosts what the others have sent to each
 // upstream. Each host sends a digest of its own load to one of them, the
-// center, and gets the sum of the others' in the answer: a message a host and
-// interval, however many hosts there are.
+// center, and gets the sum of the others' in the answer. Large fleets have
+// several centers, each for a share of the upstreams, so that the sums stay
+// fresh and no center is asked more often.
 //
-// The center is found by rendezvous hashing and holds nothing that is missed
-// when another takes its place.
+// Centers are found by rendezvous hashing and hold nothing that is missed when
+// another takes their place.
 package loadshare
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,17 +23,21 @@
 )
 
 const (
-	// minInterval and intervalPerHost give the pause between two digests: short
-	// against the 300 ms in which an engine reads a long prompt, and longer with
-	// many hosts, so that the center's work does not grow with them.
+	// minInterval and intervalPerHost give the pause between two digests: longer
+	// with many hosts, so that the work of a center does not grow with them.
 	minInterval     = 80 * time.Millisecond
 	intervalPerHost = 4 * time.Millisecond
+	// maxInterval keeps sums fresh against the 300 ms in which an engine reads a
+	// long prompt; a digest counts for more than two of them.
+	maxInterval = 400 * time.Millisecond
+	// hostsPerCenter is from how many hosts on there is one more center.
+	hostsPerCenter = 100
 	// callTimeout bounds one exchange.
 	callTimeout = 200 * time.Millisecond
 	// role is the key by which the center is chosen.
 	role = "loadshare"
-	// centers is how many hosts are tried in a row.
-	centers = 3
+	// centerTries is how many hosts are tried in a row.
+	centerTries = 3
 )
 
 // Exchanges counts exchanges with the center by outcome.
@@ -65,6 +72,10 @@
 type digest struct {
 	Host  string `cbor:"1,keyasint"`
 	Loads []Load `cbor:"2,keyasint,omitempty"`
+	// Share and Shares say which of how many shares of the upstreams it is for:
+	// one host may be the center of two.
+	Share  int `cbor:"3,keyasint,omitempty"`
+	Shares int `cbor:"4,keyasint,omitempty"`
 }
 
 // totals are the center's answer.
@@ -72,55 +83,100 @@
 	Others []Load `cbor:"1,keyasint,omitempty"`
 }
 
+// cadence returns how many centers a number of hosts has and the pause between
+// two digests of a host.
+func cadence(hosts int) (centers int, interval time.Duration) {
+	return 1 + hosts/hostsPerCenter, min(max(minInterval, time.Duration(hosts)*intervalPerHost), maxInterval)
+}
+
 // Sharer exchanges this host's load. Use New.
 type Sharer struct {
 	self   string
-	client *inner.Client
+	client inner.Transport
 	hosts  func() *membership.View
 	own    func() []Load
 	apply  func(others []Load)
-	center center
+
+	centers centers
+	parts   []part // by share of the upstreams; used by Run alone
+}
+
+// part is what the center of a share said last.
+type part struct {
+	others []Load
+	at     time.Time
 }
 
 // New returns a sharer of the host self and registers its message. own returns
-// this host's load; apply takes that of the others, nil where it is unknown.
-func New(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View,
+// this host's load; apply takes that of the others, without the upstreams for
+// which it is unknown.
+func New(self string, client inner.Transport, server *inner.Server, hosts func() *membership.View,
 	own func() []Load, apply func([]Load),
 ) *Sharer {
 	s := &Sharer{self: self, client: client, hosts: hosts, own: own, apply: apply}
 	inner.Register(server, inner.KindLoadDigest, func(_ context.Context, d digest) (totals, error) {
-		return totals{Others: s.center.exchange(d.Host, d.Loads, time.Now())}, nil
+		return totals{Others: s.centers.exchange(d, time.Now())}, nil
 	})
 	return s
 }
 
 // Run exchanges digests until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
-	var last time.Time
 	for {
 		view := s.hosts()
-		if !wait.For(ctx, max(minInterval, time.Duration(len(view.Members))*intervalPerHost)) {
+		count, interval := cadence(len(view.Members))
+		if !wait.For(ctx, interval) {
 			return
 		}
-		others, ok := s.exchange(ctx, view)
-		now := time.Now()
-		switch {
-		case ok:
-			s.apply(others)
-			last = now
-		case now.Sub(last) > digestAge:
+		s.round(ctx, view, count)
+	}
+}
+
+// round exchanges the digests of all shares and applies the sums that are known.
+func (s *Sharer) round(ctx context.Context, view *membership.View, count int) {
+	if len(s.parts) != count { // upstreams belong to other shares now
+		s.parts = make([]part, count)
+	}
+	digests := make([]digest, count)
+	for _, l := range s.own() {
+		d := &digests[int(l.Upstream%uint32(count))]
+		d.Loads = append(d.Loads, l)
+	}
+	var done sync.WaitGroup
+	for i := range digests {
+		done.Go(func() {
+			if others, ok := s.exchange(ctx, view, i, digests[i].Loads); ok {
+				s.parts[i] = part{others: others, at: time.Now()}
+			}
+		})
+	}
+	done.Wait()
+	var others []Load
+	for i := range s.parts {
+		if time.Since(s.parts[i].at) > digestAge {
 			Exchanges.Inc(labelStale)
-			s.apply(nil)
+			continue
 		}
+		others = append(others, s.parts[i].others...)
+	}
+	s.apply(others)
+}
+
+// shareRole returns the key by which the center of a share is chosen.
+func shareRole(share int) string {
+	if share == 0 {
+		return role
 	}
+	return role + "/" + strconv.Itoa(share)
 }
 
-func (s *Sharer) exchange(ctx context.Context, view *membership.View) ([]Load, bool) {
-	d := digest{Host: s.self, Loads: s.own()}
-	for _, m := range view.Chosen(role, centers) {
+// exchange sends the digest of a share to its center, or to the next host.
+func (s *Sharer) exchange(ctx context.Context, view *membership.View, share int, loads []Load) ([]Load, bool) {
+	d := digest{Host: s.self, Loads: loads, Share: share, Shares: len(s.parts)}
+	for _, m := range view.Chosen(shareRole(share), centerTries) {
 		if m.ID == s.self {
 			Exchanges.Inc(labelSelf)
-			return s.center.exchange(s.self, d.Loads, time.Now()), true
+			return s.centers.exchange(d, time.Now()), true
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		var answer totals
