Decode only changed records; build the hash ring only where it is used

Cause: each change of the list made every host decode all 330 records anew and hash and sort 40 ring points an upstream, which the policies of the forwarder never use.

Change: records are decoded where their version changed; the ring is built on its first use. Behaviour is the same (tests of routing and dispatch unchanged).

--- a/forwarding.go
+++ b/forwarding.go
@@ -91,6 +91,7 @@
 	mu      sync.Mutex // orders readings of the upstreams
 	listing hosts.Listing
 	reading hosts.Reading
+	decoded map[string]decodedHost // by key; used by readUpstreams alone
 
 	stopping  atomic.Bool
 	lastCall  atomic.Int64 // unix ns of the newest request
@@ -258,19 +259,34 @@
 	events.ForwardTable.Log(f.logger, "table", table.Version, "revision", uint64(entry.Version))
 }
 
-// readUpstreams takes a new reading of the upstreams.
+// decodedHost is an upstream's record at a version of the store.
+type decodedHost struct {
+	version kv.Version
+	host    hosts.Host
+	err     error
+}
+
+// readUpstreams takes a new reading of the upstreams. Only records that changed
+// are decoded.
 func (f *ForwardServer) readUpstreams(view *replica.View) {
 	list := make([]hosts.Host, 0, len(view.Entries))
+	decoded := make(map[string]decodedHost, len(view.Entries))
 	for key, entry := range view.Entries {
-		host, err := platform.DecodeRunner(key, entry.Value)
-		if err != nil {
-			events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", err)
-			continue
+		d, known := f.decoded[key]
+		if !known || d.version != entry.Version {
+			d.version = entry.Version
+			if d.host, d.err = platform.DecodeRunner(key, entry.Value); d.err != nil {
+				events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", d.err)
+			}
+		}
+		decoded[key] = d
+		if d.err == nil {
+			list = append(list, d.host)
 		}
-		list = append(list, host)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.decoded = decoded
 	f.reading = hosts.Reading{Hosts: list, ReadAt: view.ReadAt, OutageEnded: view.OutageEnded}
 	f.list(time.Now())
 	events.ForwardHosts.Log(f.logger, "upstreams", len(list), "revision", uint64(view.Revision))
--- a/routing/adaptive.go
+++ b/routing/adaptive.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return noChoice
 	}
-	ring := s.layout.ring
+	ring := s.layout.points()
 	bound := int(loadBound*s.MeanLoad) + loadSlack
 	start := s.layout.start(key)
 	for step := range maxRingSteps {
--- a/routing/layout.go
+++ b/routing/layout.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,7 +20,9 @@
 // Layout holds what depends on the list of upstreams alone: every entry host
 // that knows the same list computes the same layout. Use NewLayout.
 type Layout struct {
-	ring []ringPoint
+	ids  []string
+	once sync.Once
+	ring []ringPoint // use points: policies without affinity by content need none
 	// rank is an upstream's place in the order in which upstreams are set
 	// apart for long work; consecutive places are in different failure domains.
 	rank []int
@@ -32,18 +35,29 @@
 
 // NewLayout returns the layout of a list of upstreams.
 func NewLayout(upstreams []Upstream) *Layout {
-	l := &Layout{ring: make([]ringPoint, 0, len(upstreams)*ringPoints)}
-	for i, u := range upstreams {
-		for point := range ringPoints {
-			hash := xxhash.Sum64String(u.ID + "#" + strconv.Itoa(point))
-			l.ring = append(l.ring, ringPoint{hash: hash, index: int32(i)})
-		}
+	l := &Layout{ids: make([]string, 0, len(upstreams)), rank: rankByDomain(upstreams)}
+	for _, u := range upstreams {
+		l.ids = append(l.ids, u.ID)
 	}
-	slices.SortFunc(l.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
-	l.rank = rankByDomain(upstreams)
 	return l
 }
 
+// points returns the hash ring.
+func (l *Layout) points() []ringPoint {
+	l.once.Do(func() {
+		ring := make([]ringPoint, 0, len(l.ids)*ringPoints)
+		for i, id := range l.ids {
+			for point := range ringPoints {
+				hash := xxhash.Sum64String(id + "#" + strconv.Itoa(point))
+				ring = append(ring, ringPoint{hash: hash, index: int32(i)})
+			}
+		}
+		slices.SortFunc(ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
+		l.ring = ring
+	})
+	return l.ring
+}
+
 // rankByDomain orders upstreams by turns of their failure domains.
 func rankByDomain(upstreams []Upstream) []int {
 	type place struct {
@@ -89,6 +103,6 @@
 
 // start returns the place on the ring of a key.
 func (l *Layout) start(key uint64) int {
-	at, _ := slices.BinarySearchFunc(l.ring, next(&key), func(p ringPoint, key uint64) int { return cmp.Compare(p.hash, key) })
+	at, _ := slices.BinarySearchFunc(l.points(), next(&key), func(p ringPoint, key uint64) int { return cmp.Compare(p.hash, key) })
 	return at
 }
