Start hundreds of hosts with half of the calls on the store

Change: a host waits for the list of the others (0.3 s at most) and copies routes and upstreams from those that it follows; the service is read where they have nothing. The own record is written without a read, at the version that the list shows; a conflict reads it. Orders for upstreams that are all there are confirmed each 30 s, not 10.

--- a/forwarding.go
+++ b/forwarding.go
@@ -32,6 +32,7 @@
 	"github.com/cardamompier/cardamompier/routes"
 	"github.com/cardamompier/cardamompier/settings"
 	"github.com/cardamompier/cardamompier/usage"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 const (
@@ -40,6 +41,10 @@
 	watchPart = 0.6
 	// membersWait bounds one watch of the entry hosts, which may lag more.
 	membersWait = 3500 * time.Millisecond
+	// membersDelay is the longest that a host which starts waits for the list of
+	// the others, looking each membersCheck: some round trips of the store.
+	membersDelay = 300 * time.Millisecond
+	membersCheck = 10 * time.Millisecond
 	// probeInterval is how often a store that does not answer is tried.
 	probeInterval = 500 * time.Millisecond
 	// listInterval is how often hosts that may have vanished are looked at again.
@@ -322,7 +327,7 @@
 	defer stop()
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		f.routes.Run, f.runners.Run, f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run, f.sharer.Run, f.limits.Run,
+		f.afterMembers(f.routes.Run), f.afterMembers(f.runners.Run), f.members.Run, f.presence.Run, f.forwarder.Run, f.relist, f.counter.Run, f.sharer.Run, f.limits.Run,
 	} {
 		parts.Go(func() { run(background) })
 	}
@@ -358,6 +363,19 @@
 	return nil
 }
 
+// afterMembers returns a part that starts once the other entry hosts are known,
+// or after a while without: hosts that start copy from them what they can.
+func (f *ForwardServer) afterMembers(run func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		for began := time.Now(); f.members.Current() == nil && time.Since(began) < membersDelay; {
+			if !wait.For(ctx, membersCheck) {
+				return
+			}
+		}
+		run(ctx)
+	}
+}
+
 // drain answers callers that still have this host's address until they have
 // gone, and at most until the end of the grace.
 func (f *ForwardServer) drain(stopped, end time.Time) {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -219,24 +219,42 @@
 	}
 	key := Prefix + p.self.ID
 	if version == 0 { // the record of this host's last process may still be there
-		err := p.call(ctx, func(ctx context.Context) error {
+		version = p.listed(key)
+	}
+	write := func(expect kv.Version) (written kv.Version, err error) {
+		err = p.call(ctx, func(ctx context.Context) (err error) {
+			written, err = p.store.CompareAndSwap(ctx, kv.Write{Key: key, Value: value, Expect: expect, Lease: lease})
+			return err
+		})
+		return written, err
+	}
+	written, err := write(version)
+	if kv.ReasonOf(err) == kv.ReasonConflict {
+		err = p.call(ctx, func(ctx context.Context) error {
 			entry, err := p.store.Get(ctx, key)
 			version = entry.Version
 			return err
 		})
-		if err != nil && kv.ReasonOf(err) != kv.ReasonNotFound {
-			return fail(err)
+		if err == nil || kv.ReasonOf(err) == kv.ReasonNotFound {
+			written, err = write(version)
 		}
 	}
-	err = p.call(ctx, func(ctx context.Context) (err error) {
-		version, err = p.store.CompareAndSwap(ctx, kv.Write{Key: key, Value: value, Expect: version, Lease: lease})
-		return err
-	})
 	if err != nil {
 		return fail(err)
 	}
 	Registrations.Inc(labelDone)
-	return lease, version
+	return lease, written
+}
+
+// listed returns the version of a record as far as the newest list knows; 0 for
+// none.
+func (p *Presence) listed(key string) kv.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newest == nil {
+		return 0
+	}
+	return p.newest.Entries[key].Version
 }
 
 func (p *Presence) call(ctx context.Context, do func(context.Context) error) error {
--- a/replica/outage.go
+++ b/replica/outage.go
@@ -27,11 +27,7 @@
 		return
 	}
 	r.failing = time.Now()
-	revision := kv.Version(0)
-	if view := r.current.Load(); view != nil {
-		revision = view.Revision
-	}
-	events.ReplicaLost.Log(r.logger, "prefix", r.prefix, "revision", uint64(revision), "error", err)
+	events.ReplicaLost.Log(r.logger, "prefix", r.prefix, "revision", uint64(r.revision()), "error", err)
 }
 
 // answered notes that the service answered.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -154,11 +154,11 @@
 // before Run.
 func (r *Replica) Subscribe(notify func(*View)) { r.notify = append(r.notify, notify) }
 
-// Run follows the prefix until ctx ends: by the service itself until the first
-// view and while this host reads it for the others, and by those otherwise.
+// Run follows the prefix until ctx ends: by the service itself while this host
+// reads it for the others or finds none of those, and by those otherwise.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.peers != nil && r.peers.Depth() > 0 && r.current.Load() != nil && r.followPeer(ctx) {
+		if r.peers != nil && r.peers.Depth() > 0 && r.followPeer(ctx) {
 			continue
 		}
 		err := r.list(ctx)
@@ -312,10 +312,7 @@
 	if r.peers == nil {
 		return
 	}
-	after := kv.Version(0)
-	if view := r.current.Load(); view != nil {
-		after = view.Revision
-	}
+	after := r.revision()
 	asked := time.Now()
 	change, err := r.peers.Newer(ctx, r.turn, r.prefix, after, 0)
 	if err != nil {
@@ -336,37 +333,45 @@
 }
 
 // followPeer follows the copy of another host, once; false where none that was
-// asked has one that is fresh.
+// asked has one that is fresh. A host that starts takes a whole copy.
 func (r *Replica) followPeer(ctx context.Context) bool {
-	view := r.current.Load()
+	known := r.revision()
 	held := r.wait / peerWaitPart
 	for range peerTries {
 		asked := time.Now()
-		change, err := r.peers.Newer(ctx, r.turn, r.prefix, view.Revision, held)
+		change, err := r.peers.Newer(ctx, r.turn, r.prefix, known, held)
 		held = 0 // another one is asked only for what it has
-		if err != nil || change == nil {
+		if err != nil || change == nil || change.Revision == 0 {
 			Failures.Inc(labelAsk)
 			r.turn++
 			continue
 		}
-		if change.Revision > view.Revision && !change.empty() {
+		if change.Revision > known && !change.empty() {
 			r.apply(change, asked)
-			view = r.current.Load()
+			known = r.revision()
 		}
 		// Each further host on the way may hold a question as long as this one.
 		bound := r.wait + time.Duration(r.peers.Depth()-1)*r.wait/peerWaitPart
-		if time.Duration(change.AgeMS)*time.Millisecond > bound {
+		if known == 0 || time.Duration(change.AgeMS)*time.Millisecond > bound {
 			Failures.Inc(labelStale)
 			r.turn++
 			continue
 		}
 		r.answered()
-		r.confirm(max(change.Revision, view.Revision), change.confirmedAt(asked))
+		r.confirm(max(change.Revision, known), change.confirmedAt(asked))
 		return true
 	}
 	return false
 }
 
+// revision returns what the copy has reached; 0 without one.
+func (r *Replica) revision() kv.Version {
+	if view := r.current.Load(); view != nil {
+		return view.Revision
+	}
+	return 0
+}
+
 // apply installs what a peer knows.
 func (r *Replica) apply(change *Change, asked time.Time) {
 	if change.OutageAgoMS > 0 {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -312,3 +312,39 @@
 		t.Error("an older view replaced a newer one")
 	}
 }
+
+// Hundreds of hosts that start while others run: they copy what those have and
+// leave the service alone. Where those have nothing, the service is read.
+func TestHostThatStartsCopiesFromOthers(t *testing.T) {
+	for name, others := range map[string]*Change{
+		"others run":   {Revision: 7, Full: true, Entries: []kv.Entry{entry("p/a", 7)}},
+		"others start": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lists := 0
+				store := &scriptedStore{list: func() ([]kv.Entry, kv.Version, error) {
+					lists++
+					return []kv.Entry{entry("p/a", 7)}, 7, nil
+				}}
+				peers := &fakePeers{newer: func(after kv.Version, wait time.Duration) (*Change, error) {
+					if after == 0 {
+						return others, nil
+					}
+					time.Sleep(wait)
+					return &Change{Revision: 7}, nil
+				}}
+				r := New(store, "p/", watchSpan, peers, hclog.NewNullLogger())
+				stop := run(t, r)
+				time.Sleep(time.Second)
+				stop()
+				if view := r.Current(); view == nil || len(view.Entries) != 1 {
+					t.Fatalf("no copy: %+v", view)
+				}
+				if want := map[bool]int{true: 1, false: 0}[others.Revision == 0]; lists != want {
+					t.Errorf("%d lists, want %d", lists, want)
+				}
+			})
+		})
+	}
+}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -25,7 +25,7 @@
 	// are there: an order does not replace what was taken away while none were
 	// to be had. confirmInterval is how often it is while as many are there.
 	repeatInterval  = 2 * time.Second
-	confirmInterval = 10 * time.Second
+	confirmInterval = 30 * time.Second
 	// refusedSpan is how long a refused order keeps a domain's kind out of the plan.
 	refusedSpan = 3 * time.Second
 	// needSpan is how long a need is kept up: an upstream that is given up loses
