Share requests without an answer as evidence among hosts

Cause: an upstream that closes, resets or stays silent left a mark at the one host that met it; only answered requests were told to the others.

Change: an exchange without an answer counts as a failed outcome of the upstream, unless the caller left. The pooled rule stays: work goes elsewhere where an upstream fails more than the pool does.

--- a/forward/send.go
+++ b/forward/send.go
@@ -225,6 +225,10 @@
 	if e.ctx.Err() == nil {
 		t.live.Fail(time.Now())
 	}
+	if e.r.Context().Err() == nil {
+		// Shared with all hosts: each of hundreds meets a dark upstream anew.
+		t.live.Outcome(true, time.Now())
+	}
 	if errors.As(err, &failed) && failed.Stage != connpool.StageSent {
 		return attemptUnsent, err
 	}
