Compress large values once; let strong hosts spread and add up; shorten a start

Readers were drawn without regard to links of 20 to 200 Mbit/s and 0.192 to 0.8 cores.

Change: values of 4 KiB or more are compressed for other hosts, once for all followers. Member records carry a capacity; readers, relays and centers of load are drawn among the stronger half. A host without a copy asks one peer for 0.1 s, then reads the service.

--- a/forwarding.go
+++ b/forwarding.go
@@ -158,9 +158,13 @@
 	return membership.Member{
 		ID: f.settings.HostID, Address: f.settings.Listen, InnerAddress: f.settings.InnerListen,
 		FailureDomain: f.settings.FailureDomain, Region: f.settings.Region,
+		Capacity: min(f.settings.Cores/commonCores, f.settings.LinkMbps/commonLink),
 	}
 }
 
+// commonCores and commonLink, in Mbit/s, are those of a host of capacity 1.
+const commonCores, commonLink = 0.4, 100
+
 // hosts returns the entry hosts as far as they are known.
 func (f *ForwardServer) hosts() *membership.View { return &f.presence.View().View }
 
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -173,7 +173,7 @@
 // exchange sends the digest of a share to its center, or to the next host.
 func (s *Sharer) exchange(ctx context.Context, view *membership.View, share int, loads []Load) ([]Load, bool) {
 	d := digest{Host: s.self, Loads: loads, Share: share, Shares: len(s.parts)}
-	for _, m := range view.Chosen(shareRole(share), centerTries) {
+	for _, m := range view.ChosenStrong(shareRole(share), centerTries) {
 		if m.ID == s.self {
 			Exchanges.Inc(labelSelf)
 			return s.centers.exchange(d, time.Now()), true
--- a/membership/chosen_test.go
+++ b/membership/chosen_test.go
@@ -62,3 +62,27 @@
 		})
 	}
 }
+
+// A fleet of uneven hosts: what one host does for all goes to the half that can
+// carry it; where capacities are unknown, to any.
+func TestWorkForAllGoesToStrongHosts(t *testing.T) {
+	v := viewOf(295)
+	for i := range v.Members {
+		v.Members[i].Capacity = 0.2 * float64(1+i%5)
+	}
+	v.Strong = StrongOf(v.Members)
+	if share := float64(len(v.Strong)) / 295; share < 0.5 || share > 0.7 {
+		t.Errorf("%.2f of the hosts are strong", share)
+	}
+	for _, m := range v.ChosenStrong("watchers", 16) {
+		if m.Capacity < 0.6 {
+			t.Errorf("%s has a capacity of %.1f", m.ID, m.Capacity)
+		}
+	}
+	if even := StrongOf(viewOf(9).Members); even != nil {
+		t.Errorf("even hosts: %v", even)
+	}
+	if got := viewOf(9).ChosenStrong("watchers", 3); len(got) != 3 {
+		t.Errorf("%d chosen", len(got))
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,6 +60,9 @@
 	// Incarnation is raised by the member itself only.
 	Incarnation uint64 `json:"incarnation,omitempty" cbor:"7,keyasint,omitempty"`
 	State       State  `json:"state" cbor:"8,keyasint,omitempty"`
+	// Capacity is what the member can do for other hosts beside its own work, as
+	// a multiple of a common host's; zero where it is not known.
+	Capacity float64 `json:"capacity,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // Usable reports whether the member takes new work, as far as is known.
--- a/membership/view.go
+++ b/membership/view.go
@@ -21,6 +21,9 @@
 	// Members are those that take part, this host included: a member that has
 	// been suspect for absentTimeout is left out, though it may come back.
 	Members []Member
+	// Strong are those of Members with the most capacity, half of them: work for
+	// all hosts goes to them. Empty where capacities are not known.
+	Strong []Member
 	// All are the members that are not known to have ended.
 	All        []Member
 	byID       map[string]Member
@@ -63,6 +66,29 @@
 // few choices.
 func (v *View) Chosen(key string, count int) []Member { return choose(v.Members, key, count) }
 
+// ChosenStrong is Chosen among the members with the most capacity.
+func (v *View) ChosenStrong(key string, count int) []Member {
+	if len(v.Strong) < count {
+		return v.Chosen(key, count)
+	}
+	return choose(v.Strong, key, count)
+}
+
+// StrongOf returns the half of the members with the most capacity, in the order
+// of the list; nil where all have the same.
+func StrongOf(members []Member) []Member {
+	capacities := make([]float64, 0, len(members))
+	for _, m := range members {
+		capacities = append(capacities, m.Capacity)
+	}
+	slices.Sort(capacities)
+	if len(capacities) == 0 || capacities[0] == capacities[len(capacities)-1] {
+		return nil
+	}
+	median := capacities[len(capacities)/2]
+	return lo.Filter(members, func(m Member, _ int) bool { return m.Capacity >= median })
+}
+
 // choose returns up to count usable members in the rendezvous order of a key.
 // It runs for each request and ranks each member once, without an allocation.
 func choose(members []Member, key string, count int) []Member {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -155,7 +155,7 @@
 		p.counts = slices.Delete(p.counts, 0, drop)
 	}
 	events.MembersChanged.Log(p.logger, "hosts", len(hosts), "revision", uint64(v.Revision))
-	p.view.Store(&View{View: membership.View{Members: hosts}, Recent: max(recent, 1)})
+	p.view.Store(&View{View: membership.View{Members: hosts, Strong: membership.StrongOf(hosts)}, Recent: max(recent, 1)})
 }
 
 // maxCounts bounds the remembered counts.
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -11,9 +11,6 @@
 // askTimeout bounds one question to a peer beyond the time that it may wait.
 const askTimeout = 200 * time.Millisecond
 
-// copyTimeout is added for a whole copy: 1 MB takes 0.4 s on a link of 20 Mbit/s.
-const copyTimeout = time.Second
-
 // readRequest asks a peer what it knows of a prefix beyond a revision.
 type readRequest struct {
 	Prefix string     `cbor:"1,keyasint"`
@@ -46,6 +43,7 @@
 		now := time.Now()
 		change := view.since(after, now)
 		change.HeldMS = now.Sub(asked).Milliseconds()
+		r.packed.pack(change)
 		return change
 	}
 	for {
@@ -92,11 +90,7 @@
 	if len(addresses) == 0 {
 		return nil, nil
 	}
-	timeout := wait + askTimeout
-	if after == 0 {
-		timeout += copyTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
 	defer cancel()
 	var change Change
 	address := addresses[turn%len(addresses)]
@@ -104,5 +98,8 @@
 	if err := p.Client.Call(ctx, address, inner.KindReplicaRead, request, &change); err != nil {
 		return nil, err
 	}
+	if err := unpack(&change); err != nil {
+		return nil, err
+	}
 	return &change, nil
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -34,6 +34,7 @@
 	labelPeer  = "peer"
 	labelAsk   = "peer_unreachable"
 	labelStale = "peer_stale"
+	labelPack  = "packing"
 	// labelCutOff: a host was without the service that others read meanwhile, or
 	// for too short a time to call it an outage.
 	labelCutOff = "no_outage"
@@ -49,6 +50,9 @@
 	// pausePart of the time of a watch passes between two watches that bring
 	// changes: those of that time come together.
 	pausePart = 12
+	// startWait bounds the question of a host without a copy: it is not ready
+	// before it has one, and others that start have none.
+	startWait = 100 * time.Millisecond
 	// peerTries is how many peers are asked for a fresh copy in a row.
 	peerTries = 3
 )
@@ -101,9 +105,11 @@
 	OutageForMS int64 `cbor:"7,keyasint,omitempty"`
 	// HeldMS is how long the question waited for a change.
 	HeldMS int64 `cbor:"8,keyasint,omitempty"`
-	// Full says that Entries are the whole copy.
+	// Full says that Entries and Packed are the whole copy.
 	Full    bool       `cbor:"3,keyasint,omitempty"`
 	Entries []kv.Entry `cbor:"4,keyasint,omitempty"`
+	// Packed are entries with large values, which are compressed.
+	Packed  []kv.Entry `cbor:"10,keyasint,omitempty"`
 	Deleted []Deletion `cbor:"5,keyasint,omitempty"`
 	// Keys are all keys of the copy, where the peer does not know every deletion
 	// since the revision that was asked for. They are a tenth of the copy.
@@ -111,7 +117,9 @@
 }
 
 // empty says that nothing has changed.
-func (c *Change) empty() bool { return !c.Full && len(c.Entries)+len(c.Deleted)+len(c.Keys) == 0 }
+func (c *Change) empty() bool {
+	return !c.Full && len(c.Entries)+len(c.Packed)+len(c.Deleted)+len(c.Keys) == 0
+}
 
 // confirmedAt is when the service confirmed the peer's copy, on the clock of the
 // host that asked at the given time.
@@ -131,6 +139,7 @@
 	changed atomic.Pointer[chan struct{}] // closed when the entries change
 	mu      sync.Mutex                    // orders updates and their notifications
 	notify  []func(*View)
+	packed  packer
 
 	turn      int       // of the peer that answered last; used by Run alone
 	failing   time.Time // since when reads fail; zero when they do not
@@ -336,8 +345,11 @@
 // asked has one that is fresh. A host that starts takes a whole copy.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	known := r.revision()
-	held := r.wait / peerWaitPart
-	for range peerTries {
+	held, tries := r.wait/peerWaitPart, peerTries
+	if known == 0 { // the service is there for hosts that start
+		held, tries = startWait, 1
+	}
+	for range tries {
 		asked := time.Now()
 		change, err := r.peers.Newer(ctx, r.turn, r.prefix, known, held)
 		held = 0 // another one is asked only for what it has
--- a/replica/tree.go
+++ b/replica/tree.go
@@ -37,7 +37,7 @@
 	if n := len(view.Members); n > readers*maxFollowers {
 		relays = (n + relayFollowers - 1) / relayFollowers
 	}
-	inner := view.Chosen(readerRole, readers+relays)
+	inner := view.ChosenStrong(readerRole, readers+relays)
 	top := inner[:min(readers, len(inner))]
 	isSelf := func(m membership.Member) bool { return m.ID == self }
 	_, at, _ := lo.FindIndexOf(inner, isSelf)
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -39,6 +39,11 @@
 	Duties string `json:"duties"`
 	// MemoryMB is the memory of the process. Default no limit.
 	MemoryMB int64 `json:"memory_mb"`
+	// Cores is the process's part of a processor, LinkMbps the bandwidth of its
+	// link in Mbit/s. Hosts with more of both do more of what is done for all.
+	// Default unknown.
+	Cores    float64 `json:"cores"`
+	LinkMbps float64 `json:"link_mbps"`
 	// GraceSeconds pass between a stop and a kill. Default 8.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// AddressSeconds is how long callers may keep an answer. Default 2.
@@ -135,6 +140,10 @@
 		return refuse("limit_excess", expectedPositive)
 	case s.UsageWindowSeconds <= 0:
 		return refuse("usage_window_seconds", expectedPositive)
+	case s.Cores < 0:
+		return refuse("cores", expectedPositive)
+	case s.LinkMbps < 0:
+		return refuse("link_mbps", expectedPositive)
 	case s.RoutesMS <= 0:
 		return refuse("routes_ms", expectedPositive)
 	case s.LeavingMS <= 0:
