Tell each caller hosts of all of the fleet, by capacity and nearness

Cause: callers use up to 64 addresses of an answer, and it named all hosts in order of their ids, the same for everyone; where there are 66, 83 or 295, how the rest fares is the caller's choice. Capacity (0.192 to 0.8 cores, 20 to 200 Mbit/s) and the caller's failure domain were not regarded.

Change: package directory, a pure function: 64 hosts by weighted rendezvous over the caller's address, so that a caller's choice is stable; three times the weight in its own failure domain. Fleets of up to 64 are named whole, as before.

--- a/forwarding.go
+++ b/forwarding.go
@@ -16,6 +16,7 @@
 	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/clock"
+	"github.com/cardamompier/cardamompier/directory"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/forward"
 	"github.com/cardamompier/cardamompier/hosts"
@@ -239,15 +240,14 @@
 
 func (f *ForwardServer) ready() bool { return !f.stopping.Load() && f.forwarder.Known() }
 
-// addresses returns where callers connect: every host that takes requests.
-func (f *ForwardServer) addresses(_, _ string) ([]string, time.Duration) {
-	var out []string
-	for _, m := range f.presence.View().Members {
-		if !m.Leaving && (m.ID != f.settings.HostID || f.ready()) {
-			out = append(out, m.Address)
-		}
+// addresses returns where a caller connects, among the hosts that take requests.
+func (f *ForwardServer) addresses(caller directory.Caller) ([]string, time.Duration) {
+	hosts := f.presence.View().Members
+	if !f.ready() {
+		hosts = lo.Reject(hosts, func(m membership.Member, _ int) bool { return m.ID == f.settings.HostID })
 	}
-	return out, seconds(f.settings.AddressSeconds)
+	chosen := directory.Choose(hosts, caller)
+	return lo.Map(chosen, func(m membership.Member, _ int) string { return m.Address }), seconds(f.settings.AddressSeconds)
 }
 
 // readTable puts a newer route table in force.
