Plan by what all hosts measured, not by the holder of the duty alone

Reading speed was that which the holder itself had measured, and its view of a pool was made by its own first request; on 295 hosts it has next to none.

Change: hosts share the reading speed that they measured as they share their load; a view of each pool is made when loads come in. Small fleets: the same, where every host has requests.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -154,9 +155,13 @@
 		}
 	})
 	f.pools.Range(func(name, value any) bool {
-		if rate := int64(value.(*poolState).demand.rate(now)); rate > 0 {
+		demand := &value.(*poolState).demand
+		if rate := int64(demand.rate(now)); rate > 0 {
 			out = append(out, loadshare.Load{Upstream: demandKey(name.(string)), Unread: rate})
 		}
+		if speed := int64(math.Float64frombits(demand.speed.Load())); speed > 0 {
+			out = append(out, loadshare.Load{Upstream: speedKey(name.(string)), Unread: speed, InFlight: 1})
+		}
 		return true
 	})
 	return out
@@ -168,16 +173,33 @@
 	for _, l := range loads {
 		byKey[l.Upstream] = l
 	}
+	f.viewAll()
 	f.eachLive(func(h hosts.Host, live *routing.Live) {
 		l := byKey[loadshare.Key(h.ID)]
 		live.SetOthers(l.Unread, l.InFlight, routing.Outcomes{Ended: float64(l.Ended) / hundredths, Failed: float64(l.Failed) / hundredths})
 	})
 	f.pools.Range(func(name, value any) bool {
-		value.(*poolState).demand.others.Store(byKey[demandKey(name.(string))].Unread)
+		demand := &value.(*poolState).demand
+		demand.others.Store(byKey[demandKey(name.(string))].Unread)
+		speed := byKey[speedKey(name.(string))]
+		demand.othersSpeed.Store(speed.Unread)
+		demand.othersMeasured.Store(speed.InFlight)
 		return true
 	})
 }
 
+// viewAll makes a view of each pool of the routes in force, so that a host knows
+// what the others do there before it has a request for it.
+func (f *Forwarder) viewAll() {
+	table, list := f.Table(), f.Upstreams()
+	if table == nil || list == nil {
+		return
+	}
+	for _, p := range table.Pools {
+		f.pool(p.Name).view(p.Name, list)
+	}
+}
+
 func (f *Forwarder) eachLive(visit func(hosts.Host, *routing.Live)) {
 	f.pools.Range(func(_, value any) bool {
 		if v := value.(*poolState).current.Load(); v != nil {
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -32,6 +32,9 @@
 
 	speed  atomic.Uint64 // bits of a float64: tokens a second
 	others atomic.Int64  // tokens a second of the other hosts
+	// othersSpeed is the sum of the reading speeds that the other hosts measured,
+	// othersMeasured their number.
+	othersSpeed, othersMeasured atomic.Int64
 }
 
 // add counts tokens that have to be read.
@@ -69,6 +72,23 @@
 	m.speed.Store(math.Float64bits(measured))
 }
 
+// readingSpeed returns the mean of the reading speeds that hosts measured, in
+// tokens a second; zero where none did.
+func (m *meter) readingSpeed() float64 {
+	sum, measured := float64(m.othersSpeed.Load()), float64(m.othersMeasured.Load())
+	if own := math.Float64frombits(m.speed.Load()); own > 0 {
+		sum, measured = sum+own, measured+1
+	}
+	if measured == 0 {
+		return 0
+	}
+	return sum / measured
+}
+
+// speedKey names a pool's reading speed among the loads that hosts share: the
+// sum of those measured is in its unread tokens, their number in its requests.
+func speedKey(pool string) uint32 { return loadshare.Key("speed/" + pool) }
+
 // demandKey names a pool's demand among the loads that hosts share.
 func demandKey(pool string) uint32 { return loadshare.Key("demand/" + pool) }
 
@@ -77,9 +97,10 @@
 	p := f.pool(pool)
 	d := planner.Demand{
 		TokensPerSecond: p.demand.rate(time.Now()) + float64(p.demand.others.Load()),
-		ReadPerSecond:   math.Float64frombits(p.demand.speed.Load()),
+		ReadPerSecond:   p.demand.readingSpeed(),
 	}
-	if v := p.current.Load(); v != nil {
+	if list := f.Upstreams(); list != nil {
+		v := p.view(pool, list)
 		for _, h := range v.hosts {
 			live := v.lives[liveKey(h)]
 			d.InFlight += float64(live.InFlight() + live.Others())
