Give no caller of a plain service the answer to another request

Cause: calls that may be repeated shared kept connections of http.Transport and the answer's id was not looked at. A service that sends a second copy of an answer, late, where the next one is due, had it taken for the next caller's: a test with such a service gave request-1 to request-5 the answer of request-0.

Change: an answer that names another request is an error of its own and the idle connections are closed; connections are used again only with services that name the request in their answers, with others each call opens one. Heads of answers are bounded at 64 KiB here and at engines (http.Transport allows 10 MB).

Looked at and sound: the forwarder's pool (ids, TestStrayAnswers), messages between entry hosts (numbered calls). Not closed: the store's protocol has no id of a call, so that its client could not tell a second copy either.

--- a/upstream/enginehttp/client.go
+++ b/upstream/enginehttp/client.go
@@ -23,6 +23,7 @@
 	maxErrorSize    = 4 << 10  // bytes
 	maxReplySize    = 64 << 20 // bytes: an exported KV cache
 	readBufferSize  = 4 << 10  // bytes for each open stream
+	maxHeadBytes    = 64 << 10 // of the head of an answer
 )
 
 // Client is an engine at one address.
@@ -37,11 +38,12 @@
 // NewTransport returns the transport that the engines of a process share.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      readBufferSize,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		ReadBufferSize:         readBufferSize,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/upstream/plainhttp/client.go
+++ b/upstream/plainhttp/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
@@ -24,7 +25,8 @@
 
 const (
 	dialTimeout  = time.Second
-	maxReplySize = 8 << 20 // bytes
+	maxReplySize = 8 << 20  // bytes
+	maxHeadSize  = 64 << 10 // bytes
 	maxIdle      = 64
 	idleTimeout  = 60 * time.Second
 )
@@ -33,10 +35,14 @@
 type Client struct {
 	id   string
 	base string
-	// idempotent reuses connections; order opens a new one for each call, so
-	// that a failure to connect proves that nothing was sent.
-	idempotent *http.Client
-	order      *http.Client
+	// pooled reuses connections; single opens a new one for each call, so that a
+	// failure to connect proves that nothing was sent.
+	pooled *http.Client
+	single *http.Client
+	// echoes says that the service repeats the request's id in its answers. Only
+	// then an answer that comes late, where the next one is due, can be told
+	// from it, so that connections may be used again.
+	echoes atomic.Bool
 }
 
 var _ upstream.PlainService = (*Client)(nil)
@@ -44,12 +50,14 @@
 // NewClient returns the service of host id at an IP number and port.
 func NewClient(id, address string) *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout}
-	single := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	pooled := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadSize,
+	}
+	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadSize}
 	return &Client{
 		id: id, base: "http://" + address,
-		idempotent: &http.Client{Transport: pooled, CheckRedirect: keepRedirect},
-		order:      &http.Client{Transport: single, CheckRedirect: keepRedirect},
+		pooled: &http.Client{Transport: pooled, CheckRedirect: keepRedirect},
+		single: &http.Client{Transport: single, CheckRedirect: keepRedirect},
 	}
 }
 
@@ -62,9 +70,9 @@
 	if err != nil {
 		return upstream.Reply{}, c.fail(upstream.ReasonRefused, err)
 	}
-	client := c.idempotent
-	if call.OrderKey != "" {
-		client = c.order
+	client := c.single
+	if call.OrderKey == "" && c.echoes.Load() {
+		client = c.pooled
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -75,12 +83,27 @@
 	if err != nil {
 		return upstream.Reply{}, c.fail(upstream.ReasonBroken, err)
 	}
+	echoed := res.Header.Get(HeaderRequestID)
+	if echoed != "" && echoed != call.RequestID { // another request's
+		c.pooled.CloseIdleConnections()
+		return upstream.Reply{}, c.fail(upstream.ReasonProtocol, &StrayError{Got: echoed})
+	}
+	c.echoes.Store(echoed != "")
 	if len(body) > maxReplySize {
 		return upstream.Reply{}, c.fail(upstream.ReasonProtocol, nil)
 	}
 	return upstream.Reply{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// StrayError is the cause of a call that got the answer to another one.
+type StrayError struct {
+	// Got is the id in the answer.
+	Got string
+}
+
+// Error implements error.
+func (e *StrayError) Error() string { return "the answer belongs to request " + e.Got }
+
 // request builds the call without GetBody, so that it cannot be replayed.
 func (c *Client) request(ctx context.Context, call upstream.Call) (*http.Request, error) {
 	target := c.base + (&url.URL{Path: call.Path, RawQuery: call.Query}).String()
