Let one unexpected value or message end neither process nor copy

Cause: no goroutine of ours recovered from a panic outside net/http's handlers. A message of another entry host that its handler does not expect, or a value in the store over which a subscriber panics, ended the process; the value is read by every host and again after each start.

Change: a handler that panics fails its call with 'internal'; a subscriber that panics keeps what it made of the view before. Tests: TestPanicOfAHandlerEndsItsCallOnly, TestValueThatASubscriberPanicsOver.

--- a/inner/inner_test.go
+++ b/inner/inner_test.go
@@ -31,6 +31,9 @@
 		<-ctx.Done()
 		return echo{}, nil
 	})
+	inner.Register(server, 3, func(_ context.Context, req echo) (echo, error) {
+		return echo{Text: req.Text[:1]}, nil // an empty text is one that the author did not expect
+	})
 	web := httptest.NewServer(server)
 	client := inner.NewClient()
 	t.Cleanup(func() { client.Close(); server.Close(); web.Close() })
@@ -127,3 +130,19 @@
 		t.Fatalf("a call with 50 ms waited for %d dials of others", got)
 	}
 }
+
+// A message that a handler does not expect makes it panic: the call fails with a
+// type, the connection and the process go on.
+func TestPanicOfAHandlerEndsItsCallOnly(t *testing.T) {
+	client, address, server := newPair(t)
+	if err := client.Call(t.Context(), address, 3, echo{}, nil); reasonOf(err) != inner.ReasonHandler {
+		t.Errorf("the call: %v", err)
+	}
+	if _, err := server.Answer(t.Context(), 3, []byte{0xa0}); err == nil {
+		t.Error("no error over another transport")
+	}
+	var got echo
+	if err := client.Call(t.Context(), address, 3, echo{Text: "xy"}, &got); err != nil || got.Text != "x" {
+		t.Errorf("the next call: %+v, %v", got, err)
+	}
+}
--- a/inner/server.go
+++ b/inner/server.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
+	"strconv"
 	"sync"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/metrics"
 )
 
@@ -39,6 +43,7 @@
 // before it serves.
 type Server struct {
 	handlers map[Kind]rawHandler
+	logger   hclog.Logger
 	mu       sync.Mutex
 	open     map[*websocket.Conn]struct{}
 	closed   bool
@@ -46,9 +51,12 @@
 
 // NewServer returns a server without handlers.
 func NewServer() *Server {
-	return &Server{handlers: map[Kind]rawHandler{}, open: map[*websocket.Conn]struct{}{}}
+	return &Server{handlers: map[Kind]rawHandler{}, logger: hclog.NewNullLogger(), open: map[*websocket.Conn]struct{}{}}
 }
 
+// LogTo sets the logger. It is called before the server serves.
+func (s *Server) LogTo(logger hclog.Logger) { s.logger = logger }
+
 // Register sets the handler of a kind of message. A handler returns *Failure
 // to send a code of its own.
 func Register[Req, Resp any](s *Server, kind Kind, handle func(context.Context, Req) (Resp, error)) {
@@ -114,7 +122,19 @@
 	}
 }
 
-func (s *Server) dispatch(ctx context.Context, message envelope) (any, error) {
+// Panics counts handlers that ended by a panic, by the number of their message.
+var Panics = metrics.New("inner_handler_panics_total", "Handlers of messages between entry hosts that ended by a panic, by the number of the message.")
+
+// dispatch runs the handler of a message. One that panics fails its caller's
+// call only: the host serves others.
+func (s *Server) dispatch(ctx context.Context, message envelope) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			Panics.Inc(strconv.Itoa(int(message.Kind)))
+			events.InnerPanic.Log(s.logger, "kind", int(message.Kind), "bytes", len(message.Body), "cause", cause, "stack", string(debug.Stack()))
+			result, err = nil, &Failure{Code: codeInternal}
+		}
+	}()
 	handle, ok := s.handlers[message.Kind]
 	if !ok {
 		return nil, &Failure{Code: codeUnknownKind}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -9,6 +9,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/wait"
@@ -34,6 +36,7 @@
 	labelAsk   = "peer_unreachable"
 	labelStale = "peer_stale"
 	labelPack  = "packing"
+	labelPanic = "subscriber_panic"
 	// labelCutOff: a host was without the service that others read meanwhile, or
 	// for too short a time to call it an outage.
 	labelCutOff = "no_outage"
@@ -218,10 +221,23 @@
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
 	for _, notify := range r.notify {
-		notify(view)
+		r.call(notify, view)
 	}
 }
 
+// call tells a subscriber of a view. One that panics over a value of another
+// writer keeps what it made of the view before; every host reads the same value,
+// so that the panic would end all of them at once, again and again.
+func (r *Replica) call(notify func(*View), view *View) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			Failures.Inc(labelPanic)
+			events.ReplicaPanic.Log(r.logger, "prefix", r.prefix, "revision", uint64(view.Revision), "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	notify(view)
+}
+
 // confirm notes that nothing has changed up to a revision.
 func (r *Replica) confirm(revision kv.Version, readAt time.Time) {
 	r.mu.Lock()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -348,3 +348,25 @@
 		})
 	}
 }
+
+// One value that a subscriber cannot take ends neither the process nor the copy:
+// every host reads the same value.
+func TestValueThatASubscriberPanicsOver(t *testing.T) {
+	r := New(nil, "p/", watchSpan, nil, hclog.NewNullLogger())
+	seen := kv.Version(0)
+	r.Subscribe(func(v *View) {
+		if v.Revision == 6 {
+			panic("unexpected value")
+		}
+		seen = v.Revision
+	})
+	for revision := kv.Version(5); revision <= 7; revision++ {
+		r.install(map[string]kv.Entry{"p/a": entry("p/a", revision)}, revision, time.Now(), labelList)
+		if got := r.Current().Revision; got != revision {
+			t.Errorf("the copy is at %d after %d", got, revision)
+		}
+	}
+	if seen != 7 {
+		t.Errorf("the subscriber saw %d last", seen)
+	}
+}
