Answer what was accepted in the moment in which a host closes

Cause: after its drain a host called http.Server.Close, which cuts connections also where a request was accepted since the last look (each 250 ms) or came just then. Shown by a test: the answer was lost.

Change: listeners close, then Shutdown lets accepted requests finish within 250 ms of the 400 ms that are left before the end of the grace; Close after that.

--- a/forwarding.go
+++ b/forwarding.go
@@ -70,6 +70,8 @@
 	// drainEnd is how long before the end of the grace the host ends whatever
 	// is still running.
 	drainEnd = 400 * time.Millisecond
+	// lastRequests is left of that to requests that came at the last moment.
+	lastRequests = 250 * time.Millisecond
 )
 
 // ForwardServer is one entry host that forwards requests by the platform's
@@ -226,10 +228,23 @@
 	return nil
 }
 
+// close ends the listeners and, after lastRequests at most, all connections.
 func (f *ForwardServer) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastRequests)
+	defer cancel()
+	var ended sync.WaitGroup
 	for _, s := range f.listeners {
+		ended.Go(func() { s.end(ctx) })
+	}
+	ended.Wait()
+}
+
+// end takes no more connections and lets the requests finish that were accepted
+// just before, until ctx ends.
+func (s served) end(ctx context.Context) {
+	_ = s.listener.Close()
+	if s.server.Shutdown(ctx) != nil { // the time is over
 		_ = s.server.Close()
-		_ = s.listener.Close()
 	}
 }
 
--- a/provide.go
+++ b/provide.go
@@ -34,7 +34,9 @@
 func provide(s settings.Settings, logger hclog.Logger) *do.RootScope {
 	i := do.New()
 	do.ProvideValue[kv.Store](i, kv.NewClient(kvhttp.NewClient(s.Platform.KeyValue), kv.Options{}))
-	do.ProvideValue(i, inner.NewServer())
+	peers := inner.NewServer()
+	peers.LogTo(logger.Named("inner"))
+	do.ProvideValue(i, peers)
 	do.ProvideValue(i, inner.NewClient())
 	do.ProvideValue[hosts.Source](i, hosthttp.NewClient(s.Platform.HostList))
 	do.Provide(i, func(i do.Injector) (*config.Follower, error) {
