Pack whole changes; leave the service alone while copies are fresh

When hundreds of upstreams registered together (seconds -6 to -4) one change was 130 KB for each of two dozen followers of a relay; questions ran into their time of 0.2 s, and every follower that three sources had failed read all three lists from the service, again and again.

A follower whose sources fail asks them again while its copy is younger than a watch lasts, and the service only then.

--- a/replica/change.go
+++ b/replica/change.go
@@ -22,8 +22,8 @@
 	// Full says that Entries and Packed are the whole copy.
 	Full    bool       `cbor:"3,keyasint,omitempty"`
 	Entries []kv.Entry `cbor:"4,keyasint,omitempty"`
-	// Packed are entries with large values, which are compressed.
-	Packed  []kv.Entry `cbor:"10,keyasint,omitempty"`
+	// Packed are the entries of a large change, compressed.
+	Packed  []byte     `cbor:"10,keyasint,omitempty"`
 	Deleted []Deletion `cbor:"5,keyasint,omitempty"`
 	// Keys are all keys of the copy, where the peer does not know every deletion
 	// since the revision that was asked for. They are a tenth of the copy.
--- a/replica/pack.go
+++ b/replica/pack.go
@@ -7,92 +7,93 @@
 	"slices"
 	"sync"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/cardamompier/cardamompier/kv"
 )
 
 const (
-	// packBytes is the size from which a value is compressed for other hosts, in
-	// bytes: a table of some thousand routes takes a tenth.
+	// packBytes is the size from which the entries of a change are compressed for
+	// other hosts, in bytes: tables of routes and lists of upstreams take a tenth.
 	packBytes = 4 << 10
-	// unpackedBytes bounds a value that another host sent, in bytes; the
-	// platform's store takes 1 MiB.
+	// unpackedBytes bounds the entries that another host sent, in bytes: a
+	// thousand upstreams and a value of the 1 MiB that the store takes.
 	unpackedBytes = 8 << 20
+	// keptPacks is how many packed changes are kept for the next followers: they
+	// ask from a few revisions.
+	keptPacks = 4
 )
 
-// packer compresses each large value once for all followers. The zero value is
-// ready.
+// packer compresses the entries of a change once for all followers that ask from
+// the same revision. The zero value is ready.
 type packer struct {
-	mu     sync.Mutex
-	values map[string]packedValue // by key
+	mu   sync.Mutex
+	kept []packed // the newest last
 }
 
-type packedValue struct {
-	version kv.Version
-	data    []byte
+type packed struct {
+	after, revision kv.Version
+	data            []byte
 }
 
-// pack moves large values among the entries of a change to its packed ones.
-func (p *packer) pack(c *Change) {
-	if !slices.ContainsFunc(c.Entries, isLarge) {
+// pack moves the entries of a large change after a revision to its packed ones.
+// What cannot be packed is sent as it is.
+func (p *packer) pack(c *Change, after kv.Version) {
+	size := 0
+	for _, e := range c.Entries {
+		size += len(e.Key) + len(e.Value)
+	}
+	if size < packBytes {
 		return
 	}
-	small := make([]kv.Entry, 0, len(c.Entries))
-	for _, e := range c.Entries {
-		if !isLarge(e) {
-			small = append(small, e)
-			continue
-		}
-		if data := p.compressed(e); data != nil {
-			e.Value = data
-			c.Packed = append(c.Packed, e)
-			continue
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.kept {
+		if known.after == after && known.revision == c.Revision {
+			c.Packed, c.Entries = known.data, nil
+			return
 		}
-		small = append(small, e)
 	}
-	c.Entries = small
+	data, err := compress(c.Entries)
+	if err != nil {
+		Failures.Inc(labelPack)
+		return
+	}
+	if len(p.kept) == keptPacks {
+		p.kept = slices.Delete(p.kept, 0, 1)
+	}
+	p.kept = append(p.kept, packed{after: after, revision: c.Revision, data: data})
+	c.Packed, c.Entries = data, nil
 }
 
-func isLarge(e kv.Entry) bool { return len(e.Value) >= packBytes }
-
-// compressed returns an entry's value compressed; nil where that fails.
-func (p *packer) compressed(e kv.Entry) []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known, ok := p.values[e.Key]; ok && known.version == e.Version {
-		return known.data
+func compress(entries []kv.Entry) ([]byte, error) {
+	plain, err := cbor.Marshal(entries)
+	if err != nil {
+		return nil, err
 	}
 	var out bytes.Buffer
 	writer, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err == nil {
-		_, err = writer.Write(e.Value)
-	}
-	if err == nil {
-		err = writer.Close()
-	}
 	if err != nil {
-		Failures.Inc(labelPack)
-		return nil
+		return nil, err
+	}
+	if _, err := writer.Write(plain); err != nil {
+		return nil, err
 	}
-	if p.values == nil {
-		p.values = map[string]packedValue{}
+	if err := writer.Close(); err != nil {
+		return nil, err
 	}
-	p.values[e.Key] = packedValue{version: e.Version, data: out.Bytes()}
-	return out.Bytes()
+	return out.Bytes(), nil
 }
 
-// PackError is a value of another host that cannot be decompressed.
-type PackError struct {
-	Key   string
-	Cause error
-}
+// PackError is a change of another host that cannot be unpacked.
+type PackError struct{ Cause error }
 
 // Error implements error.
 func (e *PackError) Error() string {
-	msg := "packed value of " + e.Key
 	if e.Cause == nil {
-		return msg + " is too large"
+		return "packed entries are too large"
 	}
-	return msg + ": " + e.Cause.Error()
+	return "packed entries: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -101,15 +102,21 @@
 // unpack moves the packed entries of a change back among the others. It returns
 // *PackError.
 func unpack(c *Change) error {
-	for _, e := range c.Packed {
-		value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(e.Value)), unpackedBytes+1))
-		if err != nil || len(value) > unpackedBytes {
-			Failures.Inc(labelPack)
-			return &PackError{Key: e.Key, Cause: err}
-		}
-		e.Value = value
-		c.Entries = append(c.Entries, e)
+	if len(c.Packed) == 0 {
+		return nil
+	}
+	fail := func(cause error) error {
+		Failures.Inc(labelPack)
+		return &PackError{Cause: cause}
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(c.Packed)), unpackedBytes+1))
+	if err != nil || len(plain) > unpackedBytes {
+		return fail(err)
+	}
+	var entries []kv.Entry
+	if err := cbor.Unmarshal(plain, &entries); err != nil {
+		return fail(err)
 	}
-	c.Packed = nil
+	c.Entries, c.Packed = append(c.Entries, entries...), nil
 	return nil
 }
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -43,7 +43,7 @@
 		now := time.Now()
 		change := view.since(after, now)
 		change.HeldMS = now.Sub(asked).Milliseconds()
-		r.packed.pack(change)
+		r.packed.pack(change, after)
 		return change
 	}
 	for {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -136,8 +136,15 @@
 // reads it for the others or finds none of those, and by those otherwise.
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.peers != nil && r.peers.Depth() > 0 && r.followPeer(ctx) {
-			continue
+		if r.peers != nil && r.peers.Depth() > 0 {
+			if r.followPeer(ctx) {
+				continue
+			}
+			// Hundreds of hosts whose sources are busy would ask the service together.
+			if view := r.current.Load(); view != nil && time.Since(view.ReadAt) < r.wait {
+				wait.For(ctx, r.wait/pausePart)
+				continue
+			}
 		}
 		err := r.list(ctx)
 		for err == nil && ctx.Err() == nil && (r.peers == nil || r.peers.Depth() == 0) {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -370,3 +371,34 @@
 		t.Errorf("the subscriber saw %d last", seen)
 	}
 }
+
+// Followers whose sources are busy for a moment: as long as their copies are
+// fresh they leave the service alone, and read it once they are not.
+func TestFollowersOfBusySourcesDoNotFloodTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		var lists atomic.Int32
+		store := &scriptedStore{list: func() ([]kv.Entry, kv.Version, error) {
+			lists.Add(1)
+			return []kv.Entry{entry("p/a", 5)}, 5, nil
+		}}
+		peers := &fakePeers{newer: func(after kv.Version, wait time.Duration) (*Change, error) {
+			if since := time.Since(began); after > 0 && since > time.Second && since < 4*time.Second {
+				return nil, &kv.Error{Reason: kv.ReasonUnavailable}
+			}
+			time.Sleep(wait)
+			return &Change{Revision: 5, Full: after == 0, HeldMS: wait.Milliseconds(), Entries: []kv.Entry{entry("p/a", 5)}}, nil
+		}}
+		r := New(store, "p/", watchSpan, peers, hclog.NewNullLogger())
+		stop := run(t, r)
+		time.Sleep(time.Second + watchSpan/2)
+		if n := lists.Load(); n != 0 {
+			t.Errorf("%d lists while the copy was fresh", n)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		if n, most := lists.Load(), int32(3); n == 0 || n > most {
+			t.Errorf("%d lists in 3 s without sources, want 1 to %d", n, most)
+		}
+	})
+}
