--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,9 @@
 	*forward.Forwarder
 	url string
 
+	answer   atomic.Pointer[script]
+	snapshot atomic.Pointer[hosts.Snapshot]
+
 	mu       sync.Mutex
 	arrived  []seen
 	refunded float64
@@ -74,6 +78,7 @@
 func newFixture(t *testing.T, answer script) *fixture {
 	t.Helper()
 	f := &fixture{}
+	f.answerWith(answer)
 	var list []hosts.Host
 	for _, id := range []string{"u1", "u2"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,7 +87,7 @@
 		}
 		t.Cleanup(func() { _ = listener.Close() })
 		list = append(list, hosts.Host{ID: id, Address: listener.Addr().String(), FailureDomain: "d", Pool: "p", State: hosts.StateLive, Slots: 8})
-		go f.accept(listener, id, answer)
+		go f.accept(listener, id)
 	}
 	table := routes.New(routes.Contents{
 		Version: 1, Limits: routes.Limits{BodyBytes: 1000},
@@ -94,10 +99,10 @@
 		Accounts: []*routes.Account{{Name: "rich", Rate: 1, Burst: 1}, {Name: "poor", Rate: 1, Burst: 1}},
 		Keys:     map[string]string{"rich-key": "rich", "poor-key": "poor"},
 	})
-	snapshot := hosts.NewSnapshot(list, time.Now())
+	f.list(list)
 	f.Forwarder = forward.New(forward.Parts{
 		Domain: "d", Codec: platform.Headers{}, Limits: f, Prompts: f, Hosts: func() int { return 1 },
-		Table: func() *routes.Table { return table }, Upstreams: func() *hosts.Snapshot { return snapshot },
+		Table: func() *routes.Table { return table }, Upstreams: f.snapshot.Load,
 		Started: func(string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -118,7 +123,13 @@
 	}
 }
 
-func (f *fixture) accept(listener net.Listener, id string, answer script) {
+// answerWith sets what the upstreams answer.
+func (f *fixture) answerWith(answer script) { f.answer.Store(&answer) }
+
+// list sets the list of upstreams.
+func (f *fixture) list(list []hosts.Host) { f.snapshot.Store(hosts.NewSnapshot(list, time.Now())) }
+
+func (f *fixture) accept(listener net.Listener, id string) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -139,7 +150,7 @@
 			r := seen{Request: req, upstream: id, body: string(body)}
 			f.arrived = append(f.arrived, r)
 			f.mu.Unlock()
-			answer(n, r, conn)
+			(*f.answer.Load())(n, r, conn)
 		}()
 	}
 }
--- a/replica/pack_test.go
+++ b/replica/pack_test.go
@@ -71,3 +71,25 @@
 		}
 	}
 }
+
+// Any bytes of another host: unpacked, or a typed error, within the bound.
+func FuzzUnpack(f *testing.F) {
+	packed, err := compress([]kv.Entry{entry("p/a", 5), {Key: "p/b", Value: tableOf(20), Version: 6}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add(packed[:len(packed)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		change := &Change{Packed: data}
+		err := unpack(change)
+		var failed *PackError
+		if err != nil && !errors.As(err, &failed) {
+			t.Errorf("untyped: %v", err)
+		}
+		if err == nil && change.Packed != nil && len(data) > 0 {
+			t.Error("left packed")
+		}
+	})
+}
