--- a/membership/view.go
+++ b/membership/view.go
@@ -90,7 +90,8 @@
 }
 
 // choose returns up to count usable members in the rendezvous order of a key.
-// It runs for each request and ranks each member once, without an allocation.
+// It runs for each request, so that it ranks each member once and allocates for the
+// chosen ones only.
 func choose(members []Member, key string, count int) []Member {
 	var best []ranked // in order; the first count of those seen so far
 	prefix := xxhash.New()
