Log the shared prompt parts of a request and whether a failed attempt got an answer's head

The log could not tell crashes that follow the content of a prompt from an account whose requests are all at fault: it named no prompt parts and not whether the answer had begun.

--- a/forward/identify.go
+++ b/forward/identify.go
@@ -38,6 +38,7 @@
 	sends          int     // attempts whose request may have reached an upstream
 	possibleRuns   int     // attempts whose request an upstream may have run
 	tried          []string
+	headReceived   bool          // whether the current attempt received the head of an answer
 	answerBegun    bool          // whether a part of the answer was sent to the caller
 	startReported  bool          // whether Config.OnStarted was called for this request
 	firstByteAt    time.Time     // when the first byte of the answer was sent to the caller
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cardamompier/cardamompier/apierr"
@@ -93,6 +94,9 @@
 	if e.route != nil {
 		all = append(all, "route", e.route.Name, "pool", e.pool, "left_ms", time.Until(e.deadline).Milliseconds())
 	}
+	if len(e.meta.Prompt) > 1 {
+		all = append(all, "shared_parts", loggedParts(e.meta.Prompt[:len(e.meta.Prompt)-1]))
+	}
 	if e.account != nil {
 		all = append(all, "account", e.account.Name, "cost", e.cost, "limit_by", e.limitDecidedBy)
 	}
@@ -101,3 +105,19 @@
 	}
 	event.Log(e.f.Logger, append(all, fields...)...)
 }
+
+// maxLoggedParts limits the prompt parts in one log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the digests of the last maxLoggedParts parts in hexadecimal,
+// separated by commas.
+func loggedParts(parts []PromptPart) string {
+	text := make([]byte, 0, maxLoggedParts*9)
+	for i, part := range parts[max(0, len(parts)-maxLoggedParts):] {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, part.Digest, 16)
+	}
+	return string(text)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -234,7 +234,7 @@
 // so that the answer does not look complete.
 func (e *exchange) abortAnswer(t selectedUpstream, err error) {
 	Requests.Inc(outcomeBrokenOff)
-	e.log(events.ForwardBroken, "upstream", t.ID, "error", err)
+	e.log(events.ForwardBroken, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "error", err)
 	panic(http.ErrAbortHandler)
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -93,8 +93,8 @@
 		default:
 			repeat, reason = e.route.Kind.Repeatable() && e.possibleRuns < e.route.MaxAttempts && e.ctx.Err() == nil && e.reserveRetry(), repeatFailed
 		}
-		e.log(events.ForwardAttempt, "upstream", t.ID, "address", t.Address, "chosen_by", string(t.reason),
-			"outcome", string(result), "error", err, "repeat", repeat)
+		e.log(events.ForwardAttempt, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address, "chosen_by", string(t.reason),
+			"outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)
 		if !repeat {
 			e.refuse(e.attemptError(result, err))
 			return
@@ -212,6 +212,7 @@
 		endPrefill()
 		t.live.End()
 	}()
+	e.headReceived = false
 	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), func(h http.Header) bool {
 		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
 	})
@@ -219,6 +220,7 @@
 		return e.classifyFailure(t, err)
 	}
 	e.sends++
+	e.headReceived = true
 	verdict := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
 	if verdict.NotRun || verdict.WrongInstance {
 		if verdict.WrongInstance {
