Add a failing test of a prompt part that crashes upstreams

Twelve upstreams, one host: 30 requests with one deadly part, no two alike, between sound ones of the same account and first part.

--- /dev/null
+++ b/forward/crash_test.go
@@ -0,0 +1,163 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cardamompier/cardamompier/hosts"
+)
+
+const (
+	crashUpstreams = 12
+	// crashDowntime is how long an upstream is down after a crash.
+	crashDowntime = 300 * time.Millisecond
+	// deadlyPart is the prompt part that crashes every upstream that begins an answer on it.
+	deadlyPart = "dead"
+)
+
+// crashingUpstream is an upstream that crashes when it begins an answer to a request
+// whose prompt contains deadlyPart. It is back after crashDowntime.
+type crashingUpstream struct {
+	address string
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	runs     map[string]int // answers begun, by "deadly" or "sound"
+}
+
+func startCrashingUpstream(t *testing.T) *crashingUpstream {
+	t.Helper()
+	u := &crashingUpstream{conns: map[net.Conn]bool{}, runs: map[string]int{}, address: "127.0.0.1:0"}
+	if err := u.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.stop)
+	return u
+}
+
+// start opens the listener; after the first start at the address of that start.
+func (u *crashingUpstream) start() error {
+	listener, err := net.Listen("tcp", u.address)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.listener, u.address = listener, listener.Addr().String()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			u.conns[conn] = true
+			u.mu.Unlock()
+			go u.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// stop closes the listener and all connections, as the end of a process does.
+func (u *crashingUpstream) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.listener.Close()
+	for conn := range u.conns {
+		_ = conn.Close()
+	}
+	clear(u.conns)
+}
+
+func (u *crashingUpstream) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		writeStreamHead(conn, receivedRequest{Request: req})
+		if strings.Contains(req.Header.Get("Prompt-Prefix"), deadlyPart+":") {
+			u.count("deadly")
+			u.stop()
+			time.AfterFunc(crashDowntime, func() { _ = u.start() })
+			return
+		}
+		u.count("sound")
+		writeChunk(conn, eventText(1)+eventText(2))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+func (u *crashingUpstream) count(kind string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[kind]++
+}
+
+// newCrashFixture returns a fixture with crashingUpstreams.
+func newCrashFixture(t *testing.T) (*fixture, []*crashingUpstream) {
+	t.Helper()
+	f := newFixture(t, func(int, receivedRequest, net.Conn) {})
+	upstreams := make([]*crashingUpstream, crashUpstreams)
+	list := make([]hosts.Host, crashUpstreams)
+	for i := range upstreams {
+		upstreams[i] = startCrashingUpstream(t)
+		list[i] = hosts.Host{
+			ID: fmt.Sprintf("c%d", i), Address: upstreams[i].address, FailureDomain: "d", Pool: "p", State: hosts.StateLive, Slots: 8, StartedMS: 1,
+		}
+	}
+	f.setUpstreams(list)
+	return f, upstreams
+}
+
+func runsOf(upstreams []*crashingUpstream, kind string) int {
+	total := 0
+	for _, u := range upstreams {
+		u.mu.Lock()
+		total += u.runs[kind]
+		u.mu.Unlock()
+	}
+	return total
+}
+
+// maxDeadlyRuns is the number of requests with a deadly part that may reach upstreams in
+// total: five crashes, then three more.
+const maxDeadlyRuns = 5 + 3
+
+// TestPromptPartThatCrashesUpstreams guards against crashes that follow a prompt part:
+// requests with the part, no two alike, must stop reaching upstreams, while requests of
+// the same account with the same first part are served.
+func TestPromptPartThatCrashesUpstreams(t *testing.T) {
+	f, upstreams := newCrashFixture(t)
+	const pairs = 30
+	served := 0
+	for i := range pairs {
+		own := fmt.Sprintf("%x:20", 0xabc000+i)
+		_, _, _, _ = f.send(t, fmt.Sprintf("/resume/deadly/%d", i), fmt.Sprint("b", i), "Request-Id", fmt.Sprint("d", i),
+			"Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,"+own)
+		if status, _, _, err := f.send(t, fmt.Sprintf("/resume/sound/%d", i), fmt.Sprint("b", i), "Request-Id", fmt.Sprint("s", i),
+			"Token-Count", "120,5", "Prompt-Prefix", "f1:100,"+own); err == nil && status == http.StatusOK {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := runsOf(upstreams, "deadly"); got > maxDeadlyRuns {
+		t.Errorf("%d requests with the deadly part reached upstreams, want at most %d", got, maxDeadlyRuns)
+	}
+	if served < pairs*9/10 {
+		t.Errorf("%d of %d sound requests were served, want at least nine in ten", served, pairs)
+	}
+}
