Quarantine prompt parts that crash the upstreams that begin to answer on them

Cause: the forwarder refused nothing for its content and hosts told each other nothing about crashes; and it sent each such request to a second upstream.

Class: input that harms whatever carries it, with evidence that stays where it was seen.

Fix: quarantine.Tracker holds, by crash of one run of an upstream's process, the requests that were at their answer's start, and derives the content that explains the crashes. Content is keyed by prompt part and by whole request; a set of keys is refused only if a request carries all of them, so the first part and the account of the crashing requests stay served. Answers clear keys. The evidence travels with the load digests as records behind a position; sets are kept in the key-value service for hosts that start, and for hosts that no other host reaches. A crash is told from a broken answer by a connection that the machine refuses. A request that may have caused a crash is not repeated.

--- /dev/null
+++ b/forward/crash.go
@@ -0,0 +1,187 @@
+package forward
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/quarantine"
+)
+
+const (
+	// crashCheckTimeout bounds the check whether the process of an upstream has ended. A
+	// machine whose process has ended refuses a connection within one round trip.
+	crashCheckTimeout = 150 * time.Millisecond
+	// crashCheckValidity is how long the result of a check is used for other requests at
+	// the same upstream.
+	crashCheckValidity = 500 * time.Millisecond
+	// answeredAfter is how long a stream must go on after its first event to prove that its
+	// content does not crash the upstream.
+	answeredAfter = 100 * time.Millisecond
+	// maxPartKeys limits the prompt parts by which a request is tracked.
+	maxPartKeys = 20
+)
+
+// contentKeys returns the keys of the content that may crash upstreams: the prompt parts
+// that other requests may share, and the request as a whole, which its caller may repeat.
+func (e *exchange) contentKeys() []quarantine.Key {
+	digest := xxhash.New()
+	for _, text := range []string{e.r.Method, e.r.Host, requestTarget(e.r), e.accountName()} {
+		_, _ = digest.WriteString(text + "\x00")
+	}
+	_, _ = digest.Write(e.body)
+	keys := []quarantine.Key{quarantine.Key(digest.Sum64())}
+	if n := len(e.meta.Prompt); n > 1 {
+		for _, part := range e.meta.Prompt[max(0, n-1-maxPartKeys) : n-1] {
+			keys = append(keys, quarantine.Key(part.Digest))
+		}
+	}
+	return keys
+}
+
+func (e *exchange) accountName() string {
+	if e.account == nil {
+		return ""
+	}
+	return e.account.Name
+}
+
+// quarantined returns the refusal of a request whose content is quarantined because it
+// crashes upstreams, and nil for any other request. The refusal has a status after which the
+// caller may try again, because the quarantine ends.
+func (e *exchange) quarantined() *apierr.Error {
+	now := time.Now()
+	until, refused := e.f.Crashes.Refused(e.keys, now)
+	if !refused {
+		return nil
+	}
+	refusal := apierr.New(apierr.CodeQuarantined, "requests with this content crash the upstreams that run them")
+	if e.possibleRuns > 0 {
+		return refusal.WithRan(apierr.RanUnknown)
+	}
+	return refusal.WithRetryAfter(max(until.Sub(now), minTrialRetryAfter))
+}
+
+// minTrialRetryAfter is the Retry-After time while a trial of quarantined content is under
+// way or due at another host.
+const minTrialRetryAfter = time.Second
+
+// reportAnswered reports, once per request, that an upstream has begun an answer at the
+// given time and did not crash.
+func (e *exchange) reportAnswered(at time.Time) {
+	if !e.answeredReported {
+		e.answeredReported = true
+		e.f.Crashes.Answered(e.keys, at)
+	}
+}
+
+// reportLoss handles an attempt that ended before a whole event or answer arrived, at the
+// given upstream. It reports the crash if the upstream's process has ended without notice.
+// begun is whether the upstream had begun its answer; reportLoss then waits for the check and
+// returns whether the request may have caused the crash, so that it must not be sent again.
+func (e *exchange) reportLoss(t selectedUpstream, begun bool) (suspect bool) {
+	if e.r.Context().Err() != nil || e.ctx.Err() != nil {
+		return false
+	}
+	c := quarantine.Crash{
+		Upstream: xxhash.Sum64String(t.ID + "@" + t.Address + "/" + strconv.FormatInt(t.StartedMS, 10)), At: time.Now(),
+		Account: xxhash.Sum64String(e.accountName()), Begun: begun, Keys: e.keys,
+	}
+	if !begun {
+		go e.f.reportCrash(t.Host, c, e.meta.RequestID)
+		return false
+	}
+	return e.f.reportCrash(t.Host, c, e.meta.RequestID) && !e.f.Crashes.Proven(e.keys[1:])
+}
+
+// reportCrash adds the evidence of a crash if the upstream's process has ended without
+// notice, and returns whether it has.
+func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
+	if !f.listedLive(h) || !f.ended(h.Address) {
+		return false
+	}
+	f.Crashes.Add(c)
+	events.UpstreamCrash.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "keys", c.Keys)
+	return true
+}
+
+// listedLive reports whether the newest list shows this run of the upstream as live. An
+// upstream that left the list or is leaving ends by plan.
+func (f *Forwarder) listedLive(h hosts.Host) bool {
+	list := f.Upstreams()
+	if list == nil {
+		return false
+	}
+	for _, listed := range list.Pool(h.Pool) {
+		if listed.ID == h.ID && listed.Address == h.Address {
+			return listed.State == hosts.StateLive
+		}
+	}
+	return false
+}
+
+// endChecks holds the newest checks of the ends of upstream processes, by address. The zero
+// value is ready to use.
+type endChecks struct {
+	mu     sync.Mutex
+	checks map[string]*endCheck
+}
+
+// endCheck is one check; ended is valid when done is closed.
+type endCheck struct {
+	done  chan struct{}
+	at    time.Time
+	ended bool
+}
+
+// ended reports whether the machine at an address refuses connections, so that the
+// upstream's process has ended. A machine that does not answer proves nothing: the link to it
+// may be cut. Concurrent calls for one address share a check.
+func (f *Forwarder) ended(address string) bool {
+	f.endChecks.mu.Lock()
+	check := f.endChecks.checks[address]
+	if check == nil || time.Since(check.at) > crashCheckValidity {
+		check = &endCheck{done: make(chan struct{}), at: time.Now()}
+		if f.endChecks.checks == nil || len(f.endChecks.checks) >= maxEndChecks {
+			f.endChecks.checks = map[string]*endCheck{}
+		}
+		f.endChecks.checks[address] = check
+		go func() {
+			defer close(check.done)
+			ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+			defer cancel()
+			check.ended = f.conns.Refused(ctx, address)
+		}()
+	}
+	f.endChecks.mu.Unlock()
+	<-check.done
+	return check.ended
+}
+
+// maxEndChecks limits the checks that are kept.
+const maxEndChecks = 256
+
+// suspectError is the cause of a request that is not sent again because it may have crashed
+// its upstream.
+type suspectError struct{ cause error }
+
+// Error implements error.
+func (e *suspectError) Error() string {
+	return "the upstream crashed at the start of its answer: " + e.cause.Error()
+}
+
+// Unwrap returns the error with which the attempt failed.
+func (e *suspectError) Unwrap() error { return e.cause }
+
+// isSuspect reports whether an attempt failed with a suspectError.
+func isSuspect(err error) bool {
+	var suspect *suspectError
+	return errors.As(err, &suspect)
+}
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -26,6 +26,7 @@
 // whose prompt contains deadlyPart. It is back after crashDowntime.
 type crashingUpstream struct {
 	address string
+	onCrash func() // called before a crash; may be nil
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -91,6 +92,9 @@
 		writeStreamHead(conn, receivedRequest{Request: req})
 		if strings.Contains(req.Header.Get("Prompt-Prefix"), deadlyPart+":") {
 			u.count("deadly")
+			if u.onCrash != nil {
+				u.onCrash()
+			}
 			u.stop()
 			time.AfterFunc(crashDowntime, func() { _ = u.start() })
 			return
@@ -161,3 +165,44 @@
 		t.Errorf("%d of %d sound requests were served, want at least nine in ten", served, pairs)
 	}
 }
+
+// TestBrokenAnswerOfLiveUpstreamIsNoCrash guards against taking a connection that closes after the
+// head of an answer for a crash: the upstream still accepts connections, so the request is
+// sent again and its content stays allowed.
+func TestBrokenAnswerOfLiveUpstreamIsNoCrash(t *testing.T) {
+	f := newFixture(t, func(n int, r receivedRequest, conn net.Conn) {
+		writeStreamHead(conn, r)
+		if n%2 == 1 {
+			writeChunk(conn, eventText(1))
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	})
+	for i := range 4 {
+		status, _, _, err := f.send(t, "/resume/x", "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,f2:30,f3:20")
+		if err != nil || status != http.StatusOK {
+			t.Errorf("request %d: got status %d and error %v, want 200", i, status, err)
+		}
+	}
+}
+
+// TestLeavingUpstreamIsNoCrash checks that upstreams that end after they were listed as leaving are
+// no evidence against the requests that they had.
+func TestLeavingUpstreamIsNoCrash(t *testing.T) {
+	f, upstreams := newCrashFixture(t)
+	listed := f.snapshot.Load().Hosts
+	leaving := make([]hosts.Host, len(listed))
+	for i, h := range listed {
+		leaving[i] = h
+		leaving[i].State = hosts.StateLeaving
+	}
+	for i := range 4 {
+		f.setUpstreams(listed)
+		for _, u := range upstreams {
+			u.onCrash = func() { f.setUpstreams(leaving) }
+		}
+		_, body, _, _ := f.send(t, fmt.Sprintf("/stream/%d", i), "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,f3:20")
+		if strings.Contains(body, "request_quarantined") {
+			t.Errorf("request %d is refused because of its content", i)
+		}
+	}
+}
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -112,6 +112,9 @@
 	}
 	p.lastWriteAt = now
 	beginAnswer()
+	if now.Sub(p.e.firstByteAt) >= answeredAfter {
+		p.e.reportAnswered(p.e.firstByteAt)
+	}
 	if _, err := p.e.w.Write(out); err != nil {
 		p.callerWriteFailed = true
 		return err
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/cardamompier/cardamompier/forward"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/platform"
+	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
 )
@@ -109,7 +110,9 @@
 			defer f.mu.Unlock()
 			f.started++
 		},
-		Retries: retry.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, Logger: hclog.NewNullLogger(),
+		Retries: retry.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
+		Crashes: quarantine.NewTracker(func(quarantine.Key) bool { return true }, func(string, quarantine.Set) {}),
+		Logger:  hclog.NewNullLogger(),
 	})
 	server := httptest.NewServer(f.Forwarder)
 	t.Cleanup(server.Close)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
@@ -50,7 +51,9 @@
 	// LimitSlack is how far a client account may exceed its limit, in tokens.
 	LimitSlack float64
 	Retries    retry.Bound
-	Logger     hclog.Logger
+	// Crashes decides which content is refused because it crashes upstreams.
+	Crashes *quarantine.Tracker
+	Logger  hclog.Logger
 }
 
 // Limits enforces the rate limits of client accounts across all hosts that accept
@@ -83,6 +86,7 @@
 	pools        sync.Map // pool name (string) to *poolState
 	draining     atomic.Pointer[drainPeriod]
 	active       atomic.Int64
+	endChecks    endChecks
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
@@ -162,6 +166,11 @@
 		e.refuse(refused)
 		return
 	}
+	e.keys = e.contentKeys()
+	if refused := e.quarantined(); refused != nil {
+		e.refuse(refused)
+		return
+	}
 	if refused := e.admit(); refused != nil {
 		e.refuse(refused)
 		return
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -65,6 +65,9 @@
 // run.
 func statusOf(refused *apierr.Error) int {
 	status := refused.Status()
+	if refused.Code == apierr.CodeQuarantined {
+		status = http.StatusServiceUnavailable // the quarantine ends, so the caller may try again later
+	}
 	if refused.Ran != apierr.RanUnknown {
 		return status
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -52,7 +52,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer))
 	if err != nil {
 		a.Close(false)
-		return attemptFailed, e.contextCause(err)
+		return attemptFailed, e.lossError(t, err)
 	}
 	prefillDone()
 	e.reportStarted()
@@ -72,6 +72,7 @@
 	if !failed {
 		t.live.Succeed()
 	}
+	e.reportAnswered(time.Now())
 	e.copyAnswerHeaders(a)
 	if !exceedsBuffer && e.r.Method != http.MethodHead {
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -124,6 +125,9 @@
 			t.live.RecordOutcome(false, time.Now())
 			beginAnswer() // begins the answer even if the stream has no events
 			t.live.Succeed()
+			if a.Framed() {
+				e.reportAnswered(e.firstByteAt)
+			}
 			e.recordFinished(t, status)
 			return attemptDone, nil
 		}
@@ -136,7 +140,7 @@
 			t.live.Fail(time.Now())
 		}
 		if !e.answerBegun {
-			return attemptFailed, e.contextCause(err)
+			return attemptFailed, e.lossError(t, err)
 		}
 		next, answer, ok := e.resume(t, stream, err)
 		if !ok {
@@ -155,6 +159,10 @@
 			Repeats.Inc(repeatAttemptsUsed)
 			return selectedUpstream{}, nil, false
 		}
+		if e.quarantined() != nil {
+			Repeats.Inc(repeatSuspect)
+			return selectedUpstream{}, nil, false
+		}
 		t, ok := e.choose(time.Now())
 		if !ok || !e.reserveRetry() {
 			return selectedUpstream{}, nil, false
@@ -238,6 +246,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// lossError returns the error of an attempt that failed after the head of the answer and
+// before a whole event or answer. It is a *suspectError if the request may have crashed the
+// upstream.
+func (e *exchange) lossError(t selectedUpstream, err error) error {
+	if e.reportLoss(t, true) {
+		return &suspectError{cause: err}
+	}
+	return e.contextCause(err)
+}
+
 // contextCause returns the error that ended the request's context, or err if the
 // context has not ended.
 func (e *exchange) contextCause(err error) error {
--- a/forward/send.go
+++ b/forward/send.go
@@ -43,6 +43,7 @@
 	repeatResumed      = "resumed"
 	repeatBudgetEmpty  = "budget_empty"
 	repeatAttemptsUsed = "attempts_used"
+	repeatSuspect      = "crash_suspect"
 )
 
 const (
@@ -91,7 +92,7 @@
 			refused++
 			repeat, reason = refused < maxNotRunAttempts && e.ctx.Err() == nil && e.reserveRetry(), repeatNotRun
 		default:
-			repeat, reason = e.route.Kind.Repeatable() && e.possibleRuns < e.route.MaxAttempts && e.ctx.Err() == nil && e.reserveRetry(), repeatFailed
+			repeat, reason = e.mayRepeat(err), repeatFailed
 		}
 		e.log(events.ForwardAttempt, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address, "chosen_by", string(t.reason),
 			"outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)
@@ -104,6 +105,19 @@
 	}
 }
 
+// mayRepeat reports whether a request that an upstream may have run is sent to another
+// upstream, and reserves the repeated attempt.
+func (e *exchange) mayRepeat(err error) bool {
+	if !e.route.Kind.Repeatable() || e.possibleRuns >= e.route.MaxAttempts || e.ctx.Err() != nil {
+		return false
+	}
+	if isSuspect(err) || e.quarantined() != nil {
+		Repeats.Inc(repeatSuspect)
+		return false
+	}
+	return e.reserveRetry()
+}
+
 // reserveRetry takes one repeated attempt from the retry budget of the upstream pool
 // and returns whether the attempt is allowed. An attempt that was reserved earlier is
 // not counted twice.
@@ -250,6 +264,7 @@
 	}
 	e.sends++
 	e.possibleRuns++
+	e.reportLoss(t, false)
 	return attemptFailed, err
 }
 
--- a/forwarding.go
+++ b/forwarding.go
@@ -27,6 +27,7 @@
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/prefixes"
 	"github.com/cardamompier/cardamompier/presence"
+	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/replica"
 	"github.com/cardamompier/cardamompier/retry"
@@ -97,6 +98,8 @@
 	limits                   *quota.Owners
 	counter                  *usage.Counter
 	sharer                   *loadshare.Sharer
+	crashes                  *quarantine.Tracker
+	persister                *quarantine.Persister
 	peers                    *inner.Client
 	innerServer              *inner.Server
 
@@ -148,14 +151,17 @@
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.LeaseValid)
+	f.trackCrashes()
 	f.forwarder = forward.New(forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
+		Crashes: f.crashes,
 		Logger:  logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
 		f.forwarder.LocalLoads, f.forwarder.SetPeerLoads)
+	f.sharer.Attach(f.crashes)
 	f.routes.Subscribe(f.applyTable)
 	f.runners.Subscribe(f.applyUpstreams)
 	return f, f.listen()
@@ -363,7 +369,7 @@
 	defer stop()
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
-		f.afterMembersRead(f.routes.Run), f.afterMembersRead(f.runners.Run), f.members.Run, f.presence.Run, f.forwarder.Run, f.refreshUpstreams, f.counter.Run, f.sharer.Run, f.limits.Run,
+		f.afterMembersRead(f.routes.Run), f.afterMembersRead(f.runners.Run), f.members.Run, f.presence.Run, f.forwarder.Run, f.refreshUpstreams, f.counter.Run, f.sharer.Run, f.limits.Run, f.persister.Run,
 	} {
 		parts.Go(func() { run(background) })
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -83,11 +83,26 @@
 	Partition int `cbor:"3,keyasint,omitempty"`
 	// Partitions is the number of partitions into which the upstreams are divided.
 	Partitions int `cbor:"4,keyasint,omitempty"`
+	// Attached is a request of the Attachment, only in the digest of partition 0.
+	Attached []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // totals is the aggregating host's answer to a digest: the sums of the other hosts' loads.
 type totals struct {
 	Others []Load `cbor:"1,keyasint,omitempty"`
+	// Attached is the Attachment's answer to the request in the digest.
+	Attached []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Attachment exchanges other data than loads with the aggregating host of partition 0, in the same
+// messages. Its methods must not block.
+type Attachment interface {
+	// Request returns the request for an aggregating host.
+	Request(host string, now time.Time) []byte
+	// Answer returns the answer of this host, as the aggregating host, to a request.
+	Answer(request []byte, now time.Time) []byte
+	// Receive handles the answer of an aggregating host.
+	Receive(host string, answer []byte, now time.Time)
 }
 
 // schedule returns how many aggregators (hosts that add up the loads) a fleet of the given number of
@@ -104,6 +119,7 @@
 	own    func() []Load
 	apply  func(others []Load)
 
+	attachment  Attachment // nil if there is none
 	aggregators aggregators
 	sums        []partitionSums // by partition of the upstreams; accessed by Run only
 }
@@ -123,11 +139,20 @@
 ) *Sharer {
 	s := &Sharer{self: self, client: client, hosts: hosts, own: own, apply: apply}
 	inner.Register(server, inner.KindLoadDigest, func(_ context.Context, d digest) (totals, error) {
-		return totals{Others: s.aggregators.exchange(d, time.Now())}, nil
+		now := time.Now()
+		out := totals{Others: s.aggregators.exchange(d, now)}
+		if s.attachment != nil && len(d.Attached) > 0 {
+			out.Attached = s.attachment.Answer(d.Attached, now)
+		}
+		return out, nil
 	})
 	return s
 }
 
+// Attach adds an attachment to the exchanges. It must be called before Run and before the server
+// serves its first connection.
+func (s *Sharer) Attach(a Attachment) { s.attachment = a }
+
 // Run exchanges load digests with the aggregating hosts until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	for {
@@ -187,12 +212,19 @@
 			Exchanges.Inc(labelLocal)
 			return s.aggregators.exchange(d, time.Now()), true
 		}
+		attached := s.attachment != nil && partition == 0
+		if attached {
+			d.Attached = s.attachment.Request(m.ID, time.Now())
+		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		var answer totals
 		err := s.client.Call(call, m.InnerAddress, inner.KindLoadDigest, d, &answer)
 		cancel()
 		if err == nil {
 			Exchanges.Inc(labelDone)
+			if attached && len(answer.Attached) > 0 {
+				s.attachment.Receive(m.ID, answer.Attached, time.Now())
+			}
 			return answer.Others, true
 		}
 		Exchanges.Inc(labelFailed)
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,365 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamompier/cardamompier/metrics"
+)
+
+// Key identifies content that a request carries: the digest of a prompt part that other
+// requests may share, or of the whole request.
+type Key uint64
+
+// String returns the digest in hexadecimal.
+func (k Key) String() string { return strconv.FormatUint(uint64(k), 16) }
+
+// Crash is evidence of one host: an upstream ended without notice while it had a request
+// of this host that it had not answered.
+type Crash struct {
+	// Upstream identifies one run of the upstream's process. A process that starts again
+	// has another value.
+	Upstream uint64
+	At       time.Time
+	// Account identifies the client account, so that one account cannot use up the
+	// memory for evidence.
+	Account uint64
+	// Begun reports that the upstream had begun its answer to the request. Requests that
+	// only waited at the upstream are suspects only if no such request is known.
+	Begun bool
+	// Keys identify the content of the request: first the whole request, then its parts.
+	Keys []Key
+}
+
+const (
+	// begunCrashes is the number of crashes after which content is quarantined if the
+	// upstreams had begun their answers to it and no answer to it ever succeeded.
+	begunCrashes = 2
+	// provenCrashes is the number of such crashes if earlier answers succeeded.
+	provenCrashes = 3
+	// requestCrashes and partCrashes are the numbers of crashes after which whole requests
+	// and parts are quarantined if no answer had begun. A whole request is rarely repeated
+	// by chance.
+	requestCrashes, partCrashes = 3, 5
+	// simultaneousSpan groups crashes that may have one outside cause, such as the loss of
+	// a failure domain: except for begunCrashes, crashes in one span count as one.
+	simultaneousSpan = 200 * time.Millisecond
+	// sameCrashSpan is the time within which hosts report the same end of an upstream's
+	// process.
+	sameCrashSpan = time.Second
+	// minQuarantine is how long content is quarantined after the fewest crashes that
+	// quarantine it. Each further crash doubles the time, up to Expiry.
+	minQuarantine = time.Minute
+	// trialTimeout is the time after which the trial of quarantined content counts as
+	// undecided, and another may begin.
+	trialTimeout = 10 * time.Second
+	// maxCrashes limits the crashes in memory, maxAccountReports the reports of one client
+	// account, and maxReports those of one crash.
+	maxCrashes, maxAccountReports, maxReports = 128, 96, 16
+	// maxKeys limits the keys of one request. A prompt with more parts is tracked by its last ones.
+	maxKeys = 24
+	// maxSets limits the quarantined sets in memory.
+	maxSets = 64
+	// maxAnswered is the number of keys in each of two generations for which the last
+	// answer on this host is remembered.
+	maxAnswered = 4096
+	// announceInterval is the shortest time between two announcements that the same key
+	// was answered.
+	announceInterval = time.Second
+)
+
+// Changes counts the changes of the quarantined sets at this host, by kind of change.
+var Changes = metrics.New("quarantine_changes_total", "Changes of the content that this host refuses because it crashes upstreams, by kind of change.")
+
+// Labels of the Changes counter.
+const (
+	changeImposed  = "imposed"
+	changeReceived = "received"
+	changeLoaded   = "loaded"
+	changeLifted   = "lifted"
+)
+
+// Set is quarantined content: requests that carry all of its keys are refused.
+type Set struct {
+	// Keys are sorted.
+	Keys []Key
+	// Crashes is the number of crashes that are evidence against the content.
+	Crashes int
+	// At is the time of the newest of these crashes.
+	At time.Time
+
+	stored  bool // whether the key-value service holds the set
+	trialAt time.Time
+}
+
+// Until returns when a trial of the content is due.
+func (s *Set) Until() time.Time {
+	span := minQuarantine << min(max(s.Crashes-begunCrashes, 0), 16)
+	return s.At.Add(min(span, Expiry))
+}
+
+// in reports whether a request with these keys carries all keys of the set.
+func (s *Set) in(keys []Key) bool {
+	return !slices.ContainsFunc(s.Keys, func(k Key) bool { return !slices.Contains(keys, k) })
+}
+
+// crash is the end of one run of an upstream's process, as reported by all hosts.
+type crash struct {
+	upstream uint64
+	at       time.Time
+	reports  []Crash
+}
+
+// suspects returns the reports of the requests to which the upstream had begun an answer,
+// or all reports if there are none of these.
+func (c *crash) suspects() []Crash {
+	if i := slices.IndexFunc(c.reports, func(r Crash) bool { return r.Begun }); i < 0 {
+		return c.reports
+	}
+	var begun []Crash
+	for _, r := range c.reports {
+		if r.Begun {
+			begun = append(begun, r)
+		}
+	}
+	return begun
+}
+
+// Tracker decides from the crash evidence of all hosts which content is quarantined. Use
+// NewTracker. Its methods are safe for concurrent use.
+type Tracker struct {
+	// trialHost reports whether this host runs the trials of sets with this first key.
+	trialHost func(Key) bool
+	changed   func(change string, set Set)
+
+	enforced atomic.Pointer[map[Key][]*Set] // by the first key of each set
+
+	mu       sync.Mutex
+	crashes  []*crash // in the order of their times
+	sets     []*Set
+	answered map[Key]time.Time // by suspected key: the newest answer on any host
+	recent   [2]map[Key]time.Time
+	log      recordLog
+	peers    map[string]*peer // by host
+	// peerSeenAt is when the last message of another host arrived.
+	peerSeenAt time.Time
+	// collectedAt is when the last request of another host arrived.
+	collectedAt time.Time
+	// loaded is whether the sets in the key-value service have been read, by this host or
+	// by one that sent it all of its records.
+	loaded bool
+	lifted [][]Key // keys of lifted sets that the key-value service may still hold
+}
+
+// NewTracker returns a Tracker without evidence. trialHost reports whether this host is the
+// one that tries quarantined content with the given first key again. changed is called
+// after each change of the quarantined sets; it must not block.
+func NewTracker(trialHost func(Key) bool, changed func(change string, set Set)) *Tracker {
+	t := &Tracker{trialHost: trialHost, changed: changed, answered: map[Key]time.Time{}, log: newRecordLog(), peers: map[string]*peer{}}
+	t.recent = [2]map[Key]time.Time{{}, {}}
+	t.enforced.Store(&map[Key][]*Set{})
+	return t
+}
+
+// Refused reports whether a request with these keys must not be sent to an upstream, and
+// when a trial of its content is due. When it is due, one host lets one request at a time
+// pass.
+func (t *Tracker) Refused(keys []Key, now time.Time) (until time.Time, refused bool) {
+	enforced := *t.enforced.Load()
+	if len(enforced) == 0 {
+		return time.Time{}, false
+	}
+	for _, key := range keys {
+		for _, set := range enforced[key] {
+			if set.in(keys) && !t.tries(set, now) {
+				return set.Until(), true
+			}
+		}
+	}
+	return time.Time{}, false
+}
+
+// tries reports whether a request may run as the trial of a set, and begins the trial.
+func (t *Tracker) tries(set *Set, now time.Time) bool {
+	if now.Before(set.Until()) || !t.trialHost(set.Keys[0]) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(set.trialAt) < trialTimeout {
+		return false
+	}
+	set.trialAt = now
+	return true
+}
+
+// Answered records that an upstream began an answer to a request with these keys at the
+// given time and did not crash. Such content is not the cause of earlier crashes.
+func (t *Tracker) Answered(keys []Key, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range keys {
+		if at.After(t.recent[0][key]) {
+			t.recent[0][key] = at
+		}
+		t.announce(key)
+	}
+	if len(t.recent[0]) > maxAnswered {
+		t.recent = [2]map[Key]time.Time{{}, t.recent[0]}
+	}
+}
+
+// Proven reports whether this host knows a successful answer to other requests for each
+// key. Keys without one may be the cause of a crash.
+func (t *Tracker) Proven(keys []Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !slices.ContainsFunc(keys, func(k Key) bool { return t.lastAnswer(k).IsZero() })
+}
+
+// Add records a crash that this host observed.
+func (t *Tracker) Add(c Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(c, localSource)
+}
+
+// add merges the evidence of a host and updates the quarantined sets. The caller holds
+// t.mu.
+func (t *Tracker) add(c Crash, source uint64) {
+	if !t.merge(c) {
+		return
+	}
+	t.log.append(logRecord{kind: recordCrash, crash: c, at: c.At}, source)
+	for _, key := range c.Keys {
+		t.announce(key)
+	}
+	t.extendTried(c)
+	t.evaluate(c.At)
+}
+
+// lastAnswer returns when an answer to a request with the key last began; zero if none is
+// known. The caller holds t.mu.
+func (t *Tracker) lastAnswer(key Key) time.Time {
+	newest := t.answered[key]
+	for _, generation := range t.recent {
+		if at := generation[key]; at.After(newest) {
+			newest = at
+		}
+	}
+	return newest
+}
+
+// announce shares the newest answer of this host if the key is suspected. The caller holds
+// t.mu.
+func (t *Tracker) announce(key Key) {
+	if !t.suspected(key) {
+		return
+	}
+	at := t.lastAnswer(key)
+	if !at.After(t.answered[key]) || at.Sub(t.answered[key]) < announceInterval && !t.lifts(key, at) {
+		return
+	}
+	t.clear(key, at, localSource)
+}
+
+// lifts reports whether an answer at the given time contradicts a quarantined set with the
+// key. The caller holds t.mu.
+func (t *Tracker) lifts(key Key, at time.Time) bool {
+	return slices.ContainsFunc(t.sets, func(s *Set) bool { return slices.Contains(s.Keys, key) && at.After(s.At) })
+}
+
+// suspected reports whether a key is in any evidence. The caller holds t.mu.
+func (t *Tracker) suspected(key Key) bool {
+	for _, s := range t.sets {
+		if slices.Contains(s.Keys, key) {
+			return true
+		}
+	}
+	for _, c := range t.crashes {
+		if slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// clear records the newest answer to a request with a suspected key, and removes the key
+// from quarantined sets whose crashes are older. The caller holds t.mu.
+func (t *Tracker) clear(key Key, at time.Time, source uint64) {
+	if !at.After(t.answered[key]) {
+		return
+	}
+	t.answered[key] = at
+	t.log.append(logRecord{kind: recordAnswer, crash: Crash{Keys: []Key{key}}, at: at}, source)
+	for _, s := range slices.Clone(t.sets) {
+		if !slices.Contains(s.Keys, key) || !at.After(s.At) {
+			continue
+		}
+		t.drop(s)
+		if rest := without(s.Keys, key); len(rest) > 0 {
+			t.impose(Set{Keys: rest, Crashes: s.Crashes, At: s.At}, changeImposed, localSource)
+		}
+	}
+}
+
+// merge adds a report to the crash that it belongs to and reports whether it is new. The
+// caller holds t.mu.
+func (t *Tracker) merge(c Crash) bool {
+	if len(c.Keys) == 0 || len(c.Keys) > maxKeys {
+		return false
+	}
+	i := slices.IndexFunc(t.crashes, func(known *crash) bool {
+		return known.upstream == c.Upstream && c.At.Sub(known.at).Abs() < sameCrashSpan
+	})
+	if i < 0 {
+		t.evict(c)
+		t.crashes = append(t.crashes, &crash{upstream: c.Upstream, at: c.At})
+		i = len(t.crashes) - 1
+	}
+	known := t.crashes[i]
+	if len(known.reports) >= maxReports || slices.ContainsFunc(known.reports, func(r Crash) bool {
+		return slices.Equal(r.Keys, c.Keys) && (r.Begun || !c.Begun)
+	}) {
+		return false
+	}
+	known.reports = append(known.reports, c)
+	if c.At.Before(known.at) {
+		known.at = c.At
+	}
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return true
+}
+
+// evict removes expired crashes and makes room for a report: the oldest report of the same
+// client account, or the oldest crash. The caller holds t.mu.
+func (t *Tracker) evict(c Crash) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(known *crash) bool { return c.At.Sub(known.at) >= Expiry })
+	reports := 0
+	for _, known := range slices.Backward(t.crashes) {
+		for _, r := range known.reports {
+			if r.Account == c.Account {
+				reports++
+			}
+		}
+		if reports >= maxAccountReports {
+			known.reports = slices.DeleteFunc(known.reports, func(r Crash) bool { return r.Account == c.Account })
+		}
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(known *crash) bool { return len(known.reports) == 0 })
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = t.crashes[1:]
+	}
+	if len(t.answered) > maxAnswered {
+		maps.DeleteFunc(t.answered, func(k Key, _ time.Time) bool { return !t.suspected(k) })
+	}
+}
+
+// without returns a copy of keys without one of them.
+func without(keys []Key, key Key) []Key {
+	return slices.DeleteFunc(slices.Clone(keys), func(k Key) bool { return k == key })
+}
--- /dev/null
+++ b/quarantine/tracker_test.go
@@ -0,0 +1,229 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var trackerStart = time.Unix(10000, 0)
+
+// newTestTracker returns a tracker whose host runs all trials.
+func newTestTracker() *Tracker {
+	return NewTracker(func(Key) bool { return true }, func(string, Set) {})
+}
+
+// begin reports a crash at the start of an answer to a request with the given keys.
+func begin(t *Tracker, upstream uint64, at time.Duration, keys ...Key) {
+	t.Add(Crash{Upstream: upstream, At: trackerStart.Add(at), Begun: true, Keys: keys})
+}
+
+// waiting reports a crash at which a request with the given keys waited.
+func waiting(t *Tracker, upstream uint64, at time.Duration, keys ...Key) {
+	t.Add(Crash{Upstream: upstream, At: trackerStart.Add(at), Keys: keys})
+}
+
+func (t *Tracker) refuses(at time.Duration, keys ...Key) bool {
+	_, refused := t.Refused(keys, trackerStart.Add(at))
+	return refused
+}
+
+const (
+	firstPart, deadly, otherPart Key = 1, 2, 3
+	// whole is the key of the first request as a whole; each further request has the next one.
+	whole Key = 1000
+)
+
+// TestFirstPartOfCrashingRequestsStaysServed guards against a verdict by count alone: the
+// first part is in as many crashes as the deadly part, but sound requests carry it too.
+func TestFirstPartOfCrashingRequestsStaysServed(t *testing.T) {
+	tr := newTestTracker()
+	begin(tr, 1, 0, whole, firstPart, deadly)
+	begin(tr, 2, time.Second, whole+1, firstPart, deadly)
+	for i, keys := range [][]Key{{whole + 2, firstPart}, {whole + 2, otherPart}} {
+		if tr.refuses(2*time.Second, keys...) {
+			t.Errorf("sound request %d is refused", i)
+		}
+	}
+	if !tr.refuses(2*time.Second, whole+2, firstPart, deadly) {
+		t.Error("a request with the parts of both crashes is not refused")
+	}
+	tr.Answered([]Key{whole + 3, firstPart}, trackerStart.Add(3*time.Second))
+	if !tr.refuses(4*time.Second, whole+4, otherPart, deadly) {
+		t.Error("a request with the deadly part and another first part is not refused, though the first part is proven sound")
+	}
+}
+
+// TestPartThatWasAnsweredBeforeIsNotBlamed checks that of two parts in all crashes the one that
+// was never answered is blamed.
+func TestPartThatWasAnsweredBeforeIsNotBlamed(t *testing.T) {
+	tr := newTestTracker()
+	tr.Answered([]Key{firstPart}, trackerStart.Add(-time.Minute))
+	begin(tr, 1, 0, whole, firstPart, deadly)
+	begin(tr, 2, time.Second, whole+1, firstPart, deadly)
+	if !tr.refuses(2*time.Second, whole+2, otherPart, deadly) || tr.refuses(2*time.Second, whole+2, firstPart) {
+		t.Errorf("quarantined sets are %v, want the deadly part alone", tr.Sets())
+	}
+}
+
+// TestPartThatBecomesDeadly checks that a part is quarantined although it was answered before
+// the first crash.
+func TestPartThatBecomesDeadly(t *testing.T) {
+	tr := newTestTracker()
+	tr.Answered([]Key{firstPart, deadly}, trackerStart.Add(-time.Second))
+	for i := range Key(4) {
+		begin(tr, uint64(i), time.Duration(i)*time.Second, whole+i, firstPart, deadly)
+	}
+	if !tr.refuses(5*time.Second, whole+9, firstPart, deadly) {
+		t.Error("the part is not quarantined after four crashes")
+	}
+}
+
+// TestRepeatedRequestIsRefusedAlone checks that a request that crashes upstreams as a whole is
+// refused, and other requests with its parts are served.
+func TestRepeatedRequestIsRefusedAlone(t *testing.T) {
+	tr := newTestTracker()
+	for i := range uint64(4) {
+		waiting(tr, i, time.Duration(i)*time.Second, whole, firstPart, otherPart)
+	}
+	if !tr.refuses(5*time.Second, whole, firstPart, otherPart) || tr.refuses(5*time.Second, whole+1, firstPart, otherPart) {
+		t.Errorf("quarantined sets are %v, want the whole request", tr.Sets())
+	}
+}
+
+// TestCompanionOfCrashesStaysServed checks that content that only waited, or was in fewer crashes
+// than other content, is not refused.
+func TestCompanionOfCrashesStaysServed(t *testing.T) {
+	tr := newTestTracker()
+	for i := range Key(5) {
+		at := time.Duration(i) * time.Second
+		begin(tr, uint64(i), at, whole+i, firstPart, deadly)
+		waiting(tr, uint64(i), at, whole+100+i, otherPart)
+	}
+	if tr.refuses(6*time.Second, whole+200, otherPart) {
+		t.Error("content that waited at the upstreams is refused")
+	}
+}
+
+// TestLossOfFailureDomainQuarantinesNothing checks that upstreams that end together, with the
+// same popular content, are no evidence against it.
+func TestLossOfFailureDomainQuarantinesNothing(t *testing.T) {
+	tr := newTestTracker()
+	tr.Answered([]Key{firstPart, otherPart}, trackerStart.Add(-time.Second))
+	for i := range Key(20) {
+		begin(tr, uint64(i), time.Duration(i)*5*time.Millisecond, whole+i, firstPart, otherPart)
+		waiting(tr, uint64(i), time.Duration(i)*5*time.Millisecond, whole+100+i, otherPart)
+	}
+	if sets := tr.Sets(); len(sets) != 0 {
+		t.Errorf("quarantined sets are %v, want none", sets)
+	}
+}
+
+// TestTrialOfQuarantinedContent checks the end of a quarantine: one request at a time tries the
+// content, at one host; a crash extends the quarantine, an answer lifts it.
+func TestTrialOfQuarantinedContent(t *testing.T) {
+	mine := true
+	tr := NewTracker(func(Key) bool { return mine }, func(string, Set) {})
+	begin(tr, 1, 0, whole, deadly)
+	begin(tr, 2, time.Second, whole+1, deadly)
+	due := tr.Sets()[0].Until().Sub(trackerStart)
+	if due != time.Second+minQuarantine || !tr.refuses(due-time.Second, whole+2, deadly) {
+		t.Fatalf("the trial is due after %v, want %v", due, time.Second+minQuarantine)
+	}
+	mine = false
+	if !tr.refuses(due, whole+2, deadly) {
+		t.Error("a host that does not run the trial lets a request pass")
+	}
+	mine = true
+	if tr.refuses(due, whole+2, deadly) {
+		t.Error("no trial runs when it is due")
+	}
+	if !tr.refuses(due, whole+3, deadly) {
+		t.Error("a second request passes during the trial")
+	}
+	begin(tr, 3, due+time.Second, whole+2, deadly)
+	if next := tr.Sets()[0].Until().Sub(trackerStart); next < due+2*minQuarantine {
+		t.Errorf("after a crash in the trial the next one is due after %v, want twice the time", next)
+	}
+	tr.Answered([]Key{deadly}, trackerStart.Add(due+2*time.Second))
+	if sets := tr.Sets(); len(sets) != 0 {
+		t.Errorf("quarantined sets are %v after an answer, want none", sets)
+	}
+}
+
+// TestEvidenceIsBounded checks that a client account that sends new content for each crash
+// cannot push out the evidence of others, nor use memory without bound.
+func TestEvidenceIsBounded(t *testing.T) {
+	tr := newTestTracker()
+	tr.Add(Crash{Upstream: 1, At: trackerStart, Account: 1, Begun: true, Keys: []Key{whole, deadly}})
+	for i := range 1000 {
+		at := trackerStart.Add(time.Duration(i) * 10 * time.Millisecond)
+		tr.Add(Crash{Upstream: uint64(i + 2), At: at, Account: 2, Begun: true, Keys: []Key{Key(1<<20 + i)}})
+		tr.Answered([]Key{Key(1<<30 + i)}, at)
+	}
+	tr.Add(Crash{Upstream: 5000, At: trackerStart.Add(11 * time.Second), Account: 1, Begun: true, Keys: []Key{whole + 1, deadly}})
+	if !tr.refuses(12*time.Second, whole+2, deadly) {
+		t.Error("the evidence of another account was lost")
+	}
+	if crashes, sets := len(tr.crashes), len(tr.sets); crashes > maxCrashes || sets > maxSets {
+		t.Errorf("%d crashes and %d sets in memory, want at most %d and %d", crashes, sets, maxCrashes, maxSets)
+	}
+}
+
+// TestVerdictDoesNotDependOnTheOrderOfEvidence checks that hosts that learn the same reports in
+// different orders refuse the same requests.
+func TestVerdictDoesNotDependOnTheOrderOfEvidence(t *testing.T) {
+	keys := rapid.SliceOfNDistinct(rapid.SampledFrom([]Key{1, 2, 3, 4}), 1, 3, rapid.ID[Key])
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Crash {
+			upstream := rapid.Uint64Range(1, 6).Draw(t, "upstream")
+			at := trackerStart.Add(time.Duration(upstream) * time.Second)
+			return Crash{Upstream: upstream, At: at, Begun: true, Keys: keys.Draw(t, "keys")}
+		}), 1, 10).Draw(t, "reports")
+		a, b := newTestTracker(), newTestTracker()
+		for _, r := range reports {
+			a.Add(r)
+		}
+		for _, r := range rapid.Permutation(append(slices.Clone(reports), reports...)).Draw(t, "order") {
+			b.Add(r)
+		}
+		request := keys.Draw(t, "request")
+		if got, want := b.refuses(10*time.Second, request...), a.refuses(10*time.Second, request...); got != want {
+			t.Fatalf("request %v: refused %v and %v, sets %v and %v", request, got, want, b.Sets(), a.Sets())
+		}
+	})
+}
+
+// TestDeadlyPartIsFound plays random crashes: requests with the deadly part, companions that wait or
+// losses of upstreams from outside. It checks that the deadly
+// part is refused soon and that no sound request is refused for long.
+func TestDeadlyPartIsFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := newTestTracker()
+		parts := rapid.SliceOfN(rapid.SampledFrom([]Key{11, 12, 13, 14}), 12, 12).Draw(t, "first parts")
+		crashes, refusedSound, losses := 0, 0, 0
+		for i, first := range parts {
+			at := time.Duration(i) * time.Second
+			if !tr.refuses(at, whole+Key(i), first, deadly) {
+				crashes++
+				begin(tr, uint64(i), at, whole+Key(i), first, deadly)
+				waiting(tr, uint64(i), at, whole+Key(100+i), rapid.SampledFrom(parts).Draw(t, "companion"))
+			}
+			if losses < partCrashes-1 && rapid.Bool().Draw(t, "loss") {
+				losses++
+				waiting(tr, uint64(100+i), at+300*time.Millisecond, whole+Key(200+i), rapid.SampledFrom(parts).Draw(t, "lost"))
+			}
+			sound := rapid.SampledFrom(parts).Draw(t, "sound")
+			if tr.refuses(at+500*time.Millisecond, whole+Key(300+i), sound) {
+				refusedSound++
+			} else {
+				tr.Answered([]Key{whole + Key(300+i), sound}, trackerStart.Add(at+500*time.Millisecond))
+			}
+		}
+		if crashes > 5 || refusedSound > 0 {
+			t.Fatalf("%d crashes and %d sound requests refused, want at most 5 and none; sets %v", crashes, refusedSound, slices.Clone(tr.Sets()))
+		}
+	})
+}
--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/cardamompier/cardamompier/metrics"
@@ -93,6 +94,17 @@
 	}
 }
 
+// Refused reports whether the machine at address refuses a new connection, because no
+// process listens there. A connection that opens is kept for a later request.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c)
+	return false
+}
+
 // popIdle removes and returns an idle connection to address, or nil if there is none.
 func (p *Pool) popIdle(address string) *Conn {
 	p.mu.Lock()
--- a/upstream/connpool/exchange.go
+++ b/upstream/connpool/exchange.go
@@ -108,7 +108,7 @@
 	}
 	a := &Answer{Response: res, pool: p, conn: conn, stop: stop, sent: sent}
 	conn.idleLimit = idleLimit(res.Header)
-	a.reusable = !res.Close && res.ProtoAtLeast(1, 1) && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0) && conn.idleLimit > 0
+	a.reusable = !res.Close && res.ProtoAtLeast(1, 1) && a.Framed() && conn.idleLimit > 0
 	return a, nil
 }
 
@@ -148,6 +148,10 @@
 	return err
 }
 
+// Framed reports whether the response states its own end, by a length or in chunks. The end
+// of any other response is the end of its connection.
+func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+
 // Close ends the exchange. complete reports whether the body was read to its end. If
 // complete is false, Close closes the connection instead of returning it to the pool.
 func (a *Answer) Close(complete bool) {
