Keep loaded quarantines after one more crash, and load them sooner

Cause: a set was dropped when the evidence in memory did not explain it. After a restart that evidence is one crash, of a request under way, so the set loaded from the key-value service was dropped by all hosts 0.07 s later (events 1802 at 16.54 and 16.61 s). Besides, hosts read the sets 0.5 s after their start.

Fix: a set is dropped only if at least as many crashes are known as it was imposed for.

TestLoadedQuarantineOutlivesACrash failed before (all 9 hosts let requests pass) and passes.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -53,8 +53,9 @@
 func (t *Tracker) evaluate(now time.Time) {
 	sets, known := t.explain(now)
 	for _, s := range slices.Clone(t.sets) {
-		// A set whose evidence is still known, but explained otherwise by now, was wrong.
-		if lo.Every(known, s.Keys) && !slices.ContainsFunc(sets, func(other Set) bool { return other.in(s.Keys) }) {
+		// A set whose evidence is known, but explained otherwise by now, was wrong.
+		complete := lo.EveryBy(s.Keys, func(k Key) bool { return known[k] >= s.Crashes })
+		if complete && !slices.ContainsFunc(sets, func(other Set) bool { return other.in(s.Keys) }) {
 			t.drop(s)
 		}
 	}
@@ -63,15 +64,16 @@
 	}
 }
 
-// explain returns the content that explains the known crashes, and all suspected keys. It
+// explain returns the content that explains the known crashes, and the number of crashes by
+// suspected key. It
 // selects the content with the most evidence first; crashes that this content explains are
 // no evidence against other content. The caller holds t.mu.
-func (t *Tracker) explain(now time.Time) (sets []Set, suspected []Key) {
+func (t *Tracker) explain(now time.Time) (sets []Set, known map[Key]int) {
 	rest := lo.Filter(t.crashes, func(c *crash, _ int) bool { return now.Sub(c.at) < Expiry })
 	for len(sets) < maxSets {
 		suspicions := t.suspicions(rest)
-		if suspected == nil {
-			suspected = lo.Keys(suspicions)
+		if known == nil {
+			known = lo.MapValues(suspicions, func(s *suspicion, _ Key) int { return len(s.crashes) })
 		}
 		set, found := t.strongest(suspicions)
 		if !found {
@@ -82,7 +84,7 @@
 			return slices.ContainsFunc(c.suspects(), func(r Crash) bool { return set.in(r.Keys) })
 		})
 	}
-	return sets, suspected
+	return sets, known
 }
 
 // strongest returns the content with the most evidence that suffices for quarantine. The
--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -176,6 +176,30 @@
 	})
 }
 
+// TestLoadedQuarantineOutlivesACrash checks that one crash, of a request that was under way, does not
+// lift a quarantine whose own evidence was lost with all hosts.
+func TestLoadedQuarantineOutlivesACrash(t *testing.T) {
+	playFleet(t, 9, func(t *testing.T, f *fleet) {
+		time.Sleep(time.Second)
+		f.crash("front-000", 1)
+		f.crash("front-001", 2)
+		time.Sleep(inTouch)
+		members := f.view.Load().Members
+		for _, m := range members {
+			f.stop(m.ID)
+		}
+		for _, m := range members {
+			f.start(m.ID)
+		}
+		time.Sleep(inTouch)
+		f.crash("front-002", 3)
+		time.Sleep(inTouch)
+		if passing := f.passing(); len(passing) > 0 {
+			t.Errorf("hosts %v let requests pass after one more crash", passing)
+		}
+	})
+}
+
 // TestHostCutOffFromAllOthersReadsTheStore cuts the links of one host to all other hosts before the
 // crashes.
 func TestHostCutOffFromAllOthersReadsTheStore(t *testing.T) {
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -21,6 +21,10 @@
 	Prefix = "quarantine/"
 	// persistInterval is the time between two checks for sets that must be written or read.
 	persistInterval = 500 * time.Millisecond
+	// startInterval is the time between two checks of a host that has not learned the
+	// stored sets yet, and connectSpan the time in which a starting host usually hears of
+	// other hosts. Only hosts that collect evidence read the store earlier.
+	startInterval, connectSpan = 100 * time.Millisecond, 400 * time.Millisecond
 	// isolatedReadInterval is the time between two reads of a host that exchanges evidence
 	// with no other host.
 	isolatedReadInterval = time.Second
@@ -60,9 +64,10 @@
 
 // Run writes and reads quarantined sets until ctx ends.
 func (p *Persister) Run(ctx context.Context) {
-	for wait.For(ctx, persistInterval) {
+	started := time.Now()
+	for wait.For(ctx, p.interval()) {
 		now := time.Now()
-		connected := p.Tracker.Connected(now)
+		connected := p.Tracker.Connected(now) || now.Sub(started) < connectSpan
 		// The hosts that collect evidence write for all. A host that no other host reaches
 		// writes for itself.
 		writes := p.Tracker.Collects(now) || !connected
@@ -77,6 +82,13 @@
 	}
 }
 
+func (p *Persister) interval() time.Duration {
+	if p.Tracker.Loaded() {
+		return persistInterval
+	}
+	return startInterval
+}
+
 // write stores the sets that are not stored yet.
 func (p *Persister) write(ctx context.Context) {
 	for _, s := range p.Tracker.Sets() {
