Treat a stream that ends with its connection and has no event as broken off

Callers got an empty stream as a complete answer, with the seal of an upstream that had crashed at its answer's start, when the answer had neither a length nor chunks: such an answer ends in the same way when it is whole. The crash was no evidence either.

TestUnframedStream failed before (one of four cases: status 200 with an empty body, one upstream tried) and passes: the stream is continued elsewhere, and the loss is reported as one at an answer's start. Streams that end after a whole event stay complete, streams that end within one were broken off before.

--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -29,6 +29,13 @@
 // Error implements error.
 func (truncatedEventError) Error() string { return "the upstream's stream ended within an event" }
 
+// emptyStreamError is returned for a stream without any event that does not state its own end.
+// An upstream that crashes as it begins to answer ends such a stream in the same way.
+type emptyStreamError struct{}
+
+// Error implements error.
+func (emptyStreamError) Error() string { return "the upstream's stream ended without an event" }
+
 // eventGapError is returned for a stream whose event ids are not consecutive.
 type eventGapError struct{ last, next int64 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -120,6 +120,9 @@
 	status := a.StatusCode
 	for {
 		err := stream.copy(a.Body, beginAnswer)
+		if err == nil && !a.Framed() && !e.answerBegun {
+			err = emptyStreamError{}
+		}
 		a.Close(err == nil)
 		if err == nil {
 			t.live.RecordOutcome(false, time.Now())
