Withdraw waiting requests whose content is quarantined

Cause: a quarantine applied to new requests only.

Fix: Withdraw ends the attempts that wait for the head of an answer; the upstream drops a request whose connection closes. Each attempt looks at the quarantine again after it is registered as waiting, so that no order of the two misses it. The caller gets 502, as the request may have run.

TestWaitingRequestsAreWithdrawn fails without the cancellation (504 after the whole time of the request).

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -58,8 +58,12 @@
 // caller may try again, because the quarantine ends.
 func (e *exchange) quarantined() *apierr.Error {
 	now := time.Now()
+	if e.inTrial && e.possibleRuns == 0 {
+		return nil
+	}
 	until, refused := e.f.Crashes.Refused(e.keys, now)
 	if !refused {
+		e.inTrial = !until.IsZero()
 		return nil
 	}
 	refusal := apierr.New(apierr.CodeQuarantined, "requests with this content crash the upstreams that run them")
@@ -69,6 +73,29 @@
 	return refusal.WithRetryAfter(max(until.Sub(now), minTrialRetryAfter))
 }
 
+// Withdraw ends the attempts of the requests with quarantined content that wait at upstreams,
+// so that the upstreams drop them from their queues. It does not block.
+func (f *Forwarder) Withdraw(set quarantine.Set) {
+	f.exchanges.Range(func(key, _ any) bool {
+		if e := key.(*exchange); set.In(e.keys) && e.waiting.CompareAndSwap(true, false) {
+			Withdrawals.Inc(e.pool)
+			e.cancel(errWithdrawn)
+		}
+		return true
+	})
+}
+
+// withdrawn reports whether Withdraw has ended the request.
+func (e *exchange) withdrawn() bool { return errors.Is(context.Cause(e.ctx), errWithdrawn) }
+
+// withdrawnError is the cause of a context that Withdraw ended.
+type withdrawnError struct{}
+
+// Error implements error.
+func (withdrawnError) Error() string { return "the request's content was quarantined while it waited" }
+
+var errWithdrawn = withdrawnError{}
+
 // minTrialRetryAfter is the Retry-After time while a trial of quarantined content is under
 // way or due at another host.
 const minTrialRetryAfter = time.Second
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/quarantine"
 )
 
 const (
@@ -206,3 +208,35 @@
 		}
 	}
 }
+
+// TestWaitingRequestsAreWithdrawn checks that requests with deadly content that wait at upstreams when
+// the content is quarantined are taken back, so that they crash no further upstream.
+func TestWaitingRequestsAreWithdrawn(t *testing.T) {
+	dropped := make(chan struct{}, 1)
+	arrived := make(chan struct{}, 1)
+	f := newFixture(t, func(_ int, _ receivedRequest, conn net.Conn) {
+		arrived <- struct{}{}
+		_, _ = conn.Read(make([]byte, 1)) // until the forwarder closes the connection
+		dropped <- struct{}{}
+	})
+	part, err := strconv.ParseUint(deadlyPart, 16, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		<-arrived
+		f.Withdraw(quarantine.Set{Keys: []quarantine.Key{quarantine.Key(part)}})
+	}()
+	started := time.Now()
+	status, body, _, err := f.send(t, "/resume/x", "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,f3:20")
+	if err != nil || status != http.StatusBadGateway {
+		t.Errorf("got status %d, body %s and error %v, want 502", status, body, err)
+	}
+	if took := time.Since(started); took > requestTimeout/2 {
+		t.Errorf("the answer took %v, want it at once", took)
+	}
+	<-dropped
+	if n := len(f.receivedRequests()); n != 1 {
+		t.Errorf("upstreams received %d requests, want 1", n)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -24,6 +24,7 @@
 	Refusals      = metrics.New("forward_refusals_total", "Requests that this host rejected, by error code.")
 	Attempts      = metrics.New("forward_attempts_total", "Attempts to send a request to an upstream, by outcome.")
 	Repeats       = metrics.New("forward_repeats_total", "Repeated attempts, by reason, and repeats rejected by the retry budget or the attempt limit.")
+	Withdrawals   = metrics.New("forward_withdrawals_total", "Requests withdrawn from upstreams because their content was quarantined while they waited, by upstream pool.")
 	FirstByteTime = metrics.NewHistogram("forward_first_byte_ms", "Time from a request's arrival to the first byte of its answer.")
 	AnswerTime    = metrics.NewHistogram("forward_whole_ms", "Time from a request's arrival to the end of its answer.")
 )
@@ -87,6 +88,7 @@
 	draining     atomic.Pointer[drainPeriod]
 	active       atomic.Int64
 	endChecks    endChecks
+	exchanges    sync.Map // *exchange to nil: the requests that may wait at an upstream
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
@@ -157,7 +159,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, errDeadline)
 	defer cancel()
-	e.ctx = ctx
+	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	defer e.cancel(nil)
 	controller := http.NewResponseController(w)
 	if err := controller.SetWriteDeadline(e.deadline.Add(writeGrace)); err == nil {
 		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
@@ -167,6 +170,10 @@
 		return
 	}
 	e.keys = e.contentKeys()
+	// The request is registered before the check, so that no quarantine that begins
+	// meanwhile is missed.
+	f.exchanges.Store(e, nil)
+	defer f.exchanges.Delete(e)
 	if refused := e.quarantined(); refused != nil {
 		e.refuse(refused)
 		return
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,7 +21,9 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	ctx     context.Context
+	cancel  context.CancelCauseFunc // ends ctx
 	arrived time.Time
+	waiting atomic.Bool // whether an attempt waits for the head of its answer
 
 	table    *routes.Table
 	route    *routes.Route
@@ -42,6 +45,7 @@
 	tried            []string
 	headReceived     bool          // whether the current attempt received the head of an answer
 	answerBegun      bool          // whether a part of the answer was sent to the caller
+	inTrial          bool          // whether the request tries quarantined content again
 	answeredReported bool          // whether the request's content was reported as answered
 	startReported    bool          // whether Config.OnStarted was called for this request
 	firstByteAt      time.Time     // when the first byte of the answer was sent to the caller
--- a/forward/send.go
+++ b/forward/send.go
@@ -149,6 +149,9 @@
 // attemptError returns the error for the caller after a failed attempt that is not
 // repeated.
 func (e *exchange) attemptError(result outcome, err error) *apierr.Error {
+	if refusal := e.quarantined(); refusal != nil && e.withdrawn() {
+		return refusal
+	}
 	deadlinePassed := errors.Is(err, errDeadline)
 	switch {
 	case e.possibleRuns > 0 && deadlinePassed:
@@ -203,6 +206,11 @@
 // attempt sends the request to one upstream and relays the upstream's answer to the
 // caller.
 func (e *exchange) attempt(t selectedUpstream, resumeAfter string) (outcome, error) {
+	e.waiting.Store(true)
+	if e.quarantined() != nil { // since the request was admitted
+		e.cancel(errWithdrawn)
+		return attemptUnsent, errWithdrawn
+	}
 	prefillTokens := t.prefillTokens
 	idle := t.live.Backlog() < idleBacklogTokens && t.reason != routing.ReasonAffinity
 	sent := time.Now()
@@ -230,6 +238,7 @@
 	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), func(h http.Header) bool {
 		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
 	})
+	e.waiting.Store(false)
 	if err != nil {
 		return e.classifyFailure(t, err)
 	}
@@ -254,7 +263,7 @@
 	if e.ctx.Err() == nil {
 		t.live.Fail(time.Now())
 	}
-	if e.r.Context().Err() == nil {
+	if e.r.Context().Err() == nil && !e.withdrawn() {
 		// All hosts share the outcomes of requests, so that hundreds of hosts do not
 		// each have to detect an unreachable upstream by failed requests of their own.
 		t.live.RecordOutcome(true, time.Now())
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -55,12 +55,12 @@
 	for _, s := range slices.Clone(t.sets) {
 		// A set whose evidence is known, but explained otherwise by now, was wrong.
 		complete := lo.EveryBy(s.Keys, func(k Key) bool { return known[k] >= s.Crashes })
-		if complete && !slices.ContainsFunc(sets, func(other Set) bool { return other.in(s.Keys) }) {
+		if complete && !slices.ContainsFunc(sets, func(other Set) bool { return other.In(s.Keys) }) {
 			t.drop(s)
 		}
 	}
 	for _, set := range sets {
-		t.impose(set, changeImposed, localSource)
+		t.impose(set, ChangeImposed, localSource)
 	}
 }
 
@@ -81,7 +81,7 @@
 		}
 		sets = append(sets, set)
 		rest = lo.Reject(rest, func(c *crash, _ int) bool {
-			return slices.ContainsFunc(c.suspects(), func(r Crash) bool { return set.in(r.Keys) })
+			return slices.ContainsFunc(c.suspects(), func(r Crash) bool { return set.In(r.Keys) })
 		})
 	}
 	return sets, known
@@ -179,12 +179,12 @@
 			t.extend(s, set)
 			return
 		}
-		if s.in(set.Keys) {
+		if s.In(set.Keys) {
 			return
 		}
 	}
 	for _, s := range slices.Clone(t.sets) {
-		if set.in(s.Keys) {
+		if set.In(s.Keys) {
 			t.drop(s)
 		}
 	}
@@ -220,8 +220,8 @@
 		t.lifted = append(t.lifted, s.Keys)
 	}
 	t.publish()
-	Changes.Inc(changeLifted)
-	t.changed(changeLifted, *s)
+	Changes.Inc(ChangeLifted)
+	t.changed(ChangeLifted, *s)
 }
 
 // publish puts the sets in force for Refused. The caller holds t.mu.
@@ -246,7 +246,7 @@
 // also if the evidence that imposed it has expired. The caller holds t.mu.
 func (t *Tracker) extendTried(c Crash) {
 	for _, s := range slices.Clone(t.sets) {
-		if c.At.Sub(s.At) >= simultaneousSpan && s.in(c.Keys) {
+		if c.At.Sub(s.At) >= simultaneousSpan && s.In(c.Keys) {
 			t.extend(s, Set{Keys: s.Keys, Crashes: s.Crashes + 1, At: c.At})
 		}
 	}
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -205,7 +205,7 @@
 func (t *Tracker) imposeLive(set Set, epoch uint64) {
 	set.Keys = lo.Reject(set.Keys, func(k Key, _ int) bool { return t.lastAnswer(k).After(set.At) })
 	if len(set.Keys) > 0 {
-		t.impose(set, changeReceived, epoch)
+		t.impose(set, ChangeReceived, epoch)
 	}
 }
 
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -243,6 +243,6 @@
 			continue // answered since it was stored
 		}
 		set.At = now
-		t.impose(set, changeLoaded, localSource)
+		t.impose(set, ChangeLoaded, localSource)
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -75,12 +75,12 @@
 // Changes counts the changes of the quarantined sets at this host, by kind of change.
 var Changes = metrics.New("quarantine_changes_total", "Changes of the content that this host refuses because it crashes upstreams, by kind of change.")
 
-// Labels of the Changes counter.
+// Kinds of changes, also labels of the Changes counter.
 const (
-	changeImposed  = "imposed"
-	changeReceived = "received"
-	changeLoaded   = "loaded"
-	changeLifted   = "lifted"
+	ChangeImposed  = "imposed"  // by the evidence that this host knows
+	ChangeReceived = "received" // from another host
+	ChangeLoaded   = "loaded"   // from the key-value service
+	ChangeLifted   = "lifted"
 )
 
 // Set is quarantined content: requests that carry all of its keys are refused.
@@ -102,8 +102,8 @@
 	return s.At.Add(min(span, Expiry))
 }
 
-// in reports whether a request with these keys carries all keys of the set.
-func (s *Set) in(keys []Key) bool {
+// In reports whether a request with these keys carries all keys of the set.
+func (s *Set) In(keys []Key) bool {
 	return !slices.ContainsFunc(s.Keys, func(k Key) bool { return !slices.Contains(keys, k) })
 }
 
@@ -157,7 +157,7 @@
 
 // NewTracker returns a Tracker without evidence. trialHost reports whether this host is the
 // one that tries quarantined content with the given first key again. changed is called
-// after each change of the quarantined sets; it must not block.
+// after each change of the quarantined sets; it must not block or call the tracker.
 func NewTracker(trialHost func(Key) bool, changed func(change string, set Set)) *Tracker {
 	t := &Tracker{trialHost: trialHost, changed: changed, answered: map[Key]time.Time{}, log: newRecordLog(), peers: map[string]*peer{}}
 	t.recent = [2]map[Key]time.Time{{}, {}}
@@ -166,8 +166,8 @@
 }
 
 // Refused reports whether a request with these keys must not be sent to an upstream, and
-// when a trial of its content is due. When it is due, one host lets one request at a time
-// pass.
+// when a trial of its content is due; zero if the content is not quarantined. When the trial
+// is due, one host lets one request at a time pass.
 func (t *Tracker) Refused(keys []Key, now time.Time) (until time.Time, refused bool) {
 	enforced := *t.enforced.Load()
 	if len(enforced) == 0 {
@@ -175,8 +175,8 @@
 	}
 	for _, key := range keys {
 		for _, set := range enforced[key] {
-			if set.in(keys) && !t.tries(set, now) {
-				return set.Until(), true
+			if set.In(keys) {
+				return set.Until(), !t.tries(set, now)
 			}
 		}
 	}
@@ -302,7 +302,7 @@
 		}
 		t.drop(s)
 		if rest := without(s.Keys, key); len(rest) > 0 {
-			t.impose(Set{Keys: rest, Crashes: s.Crashes, At: s.At}, changeImposed, localSource)
+			t.impose(Set{Keys: rest, Crashes: s.Crashes, At: s.At}, ChangeImposed, localSource)
 		}
 	}
 }
