Identify a crash by the upstream and its time, not by the listed start

Suspected, seen in no play: two hosts whose lists of upstreams differ in age know different start times of one process and would count its end twice, so that one crash would quarantine content. An upstream that ended cannot end again within a second. TestTwoHostsDoNotCountOneCrashTwice covers the merge.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -118,7 +117,7 @@
 		return false
 	}
 	c := quarantine.Crash{
-		Upstream: xxhash.Sum64String(t.ID + "@" + t.Address + "/" + strconv.FormatInt(t.StartedMS, 10)), At: time.Now(),
+		Upstream: xxhash.Sum64String(upstreamKey(t.Host)), At: time.Now(),
 		Account: xxhash.Sum64String(e.accountName()), Begun: begun, Keys: e.keys,
 	}
 	if !begun {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -21,8 +21,8 @@
 // Crash is evidence of one host: an upstream ended without notice while it had a request
 // of this host that it had not answered.
 type Crash struct {
-	// Upstream identifies one run of the upstream's process. A process that starts again
-	// has another value.
+	// Upstream identifies the upstream. Reports of one upstream at about the same time are
+	// of the same crash.
 	Upstream uint64
 	At       time.Time
 	// Account identifies the client account, so that one account cannot use up the
@@ -48,8 +48,8 @@
 	// simultaneousSpan groups crashes that may have one outside cause, such as the loss of
 	// a failure domain: except for begunCrashes, crashes in one span count as one.
 	simultaneousSpan = 200 * time.Millisecond
-	// sameCrashSpan is the time within which hosts report the same end of an upstream's
-	// process.
+	// sameCrashSpan is the time within which reports of one upstream are of the same crash.
+	// An upstream needs longer to start again.
 	sameCrashSpan = time.Second
 	// minQuarantine is how long content is quarantined after the fewest crashes that
 	// quarantine it. Each further crash doubles the time, up to Expiry.
@@ -107,7 +107,7 @@
 	return !slices.ContainsFunc(s.Keys, func(k Key) bool { return !slices.Contains(keys, k) })
 }
 
-// crash is the end of one run of an upstream's process, as reported by all hosts.
+// crash is one end of an upstream's process, as reported by all hosts.
 type crash struct {
 	upstream uint64
 	at       time.Time
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -227,3 +227,18 @@
 		}
 	})
 }
+
+// TestTwoHostsDoNotCountOneCrashTwice checks that reports of hosts that notice the end of an upstream
+// at different moments are of one crash.
+func TestTwoHostsDoNotCountOneCrashTwice(t *testing.T) {
+	tr := newTestTracker()
+	begin(tr, 1, 0, whole, deadly)
+	begin(tr, 1, 400*time.Millisecond, whole+1, deadly)
+	if tr.refuses(time.Second, whole+2, deadly) {
+		t.Error("content is quarantined after one crash")
+	}
+	begin(tr, 1, 5*time.Second, whole+2, deadly)
+	if !tr.refuses(6*time.Second, whole+3, deadly) {
+		t.Error("content is not quarantined after two crashes of the same upstream")
+	}
+}
