Keep the process running when a component panics on what it reads

The same class within this system: a record, a message or a configuration that one process panics on is read by the next one too. Requests, messages between hosts and replica subscribers recovered already; the loops of the entry host (lists, presence, loads, limits, usage, quarantine) and the duties did not, so that one bad record ended each host that read it, and with the duties each host that took them over.

guard.Run recovers, logs event 1006 with the stack, counts and starts the component again after a second. Answers of load exchanges are handled on the component's own goroutine. A panic in a request now has event 2106 and a counter; net/http logged it below the usual level.

--- a/duties.go
+++ b/duties.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"github.com/cardamompier/cardamompier/guard"
 	"github.com/cardamompier/cardamompier/lease"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/platform"
@@ -32,8 +33,10 @@
 	return func(ctx context.Context) {
 		campaign.Run(ctx, func(ctx context.Context, term *lease.Term) {
 			var running sync.WaitGroup
-			running.Go(func() { reporter.Run(ctx, term) })
-			scaler.Run(ctx, term)
+			running.Go(func() {
+				guard.Run(ctx, f.logger, "usage reports", func(ctx context.Context) { reporter.Run(ctx, term) })
+			})
+			guard.Run(ctx, f.logger, "scaling", func(ctx context.Context) { scaler.Run(ctx, term) })
 			running.Wait()
 		})
 	}
--- a/events/forward.go
+++ b/events/forward.go
@@ -10,6 +10,7 @@
 	ForwardBroken   = define(2103, "forward broken off", hclog.Warn, "An upstream's answer ended early after a part of it was sent to the caller; the caller's connection was closed.")
 	ForwardGone     = define(2104, "caller gone", hclog.Info, "The caller disconnected before the answer was complete; the request at the upstream was cancelled.")
 	ForwardResumed  = define(2105, "stream resumed elsewhere", hclog.Info, "A stream was resumed at another upstream, after the last event that was sent to the caller.")
+	ForwardPanicked = define(2106, "forward panicked", hclog.Error, "This host panicked while it handled a request, a fault of this program; the caller's connection was closed.")
 	ForwardTable    = define(2110, "route table in force", hclog.Info, "This host now routes requests by this version of the route table.")
 	ForwardUnread   = define(2111, "route table unreadable", hclog.Error, "A route table cannot be decoded; the current one remains in force.")
 	ForwardHosts    = define(2112, "upstream list changed", hclog.Info, "The list of upstreams changed.")
--- a/events/list.go
+++ b/events/list.go
@@ -4,12 +4,13 @@
 
 // The events of starting, stopping and reloading the process have the numbers 1000 to 1099.
 var (
-	ProcessStarted   = define(1000, "process started", hclog.Info, "The process has started and listens on its addresses.")
-	ProcessDraining  = define(1001, "process draining", hclog.Info, "A stop was requested; the process announces that it leaves and finishes its work in progress.")
-	ProcessStopped   = define(1002, "process stopped", hclog.Info, "All work in progress has ended.")
-	SettingsReloaded = define(1004, "settings reloaded", hclog.Info, "The settings file was read again; the settings that can change at run time are in force.")
-	SettingsRefused  = define(1005, "settings refused", hclog.Error, "The changed settings file is faulty; the previous settings remain in force.")
-	ListenerFailed   = define(1003, "listener failed", hclog.Error, "The server of a listen address stopped with an error.")
+	ProcessStarted    = define(1000, "process started", hclog.Info, "The process has started and listens on its addresses.")
+	ProcessDraining   = define(1001, "process draining", hclog.Info, "A stop was requested; the process announces that it leaves and finishes its work in progress.")
+	ProcessStopped    = define(1002, "process stopped", hclog.Info, "All work in progress has ended.")
+	SettingsReloaded  = define(1004, "settings reloaded", hclog.Info, "The settings file was read again; the settings that can change at run time are in force.")
+	SettingsRefused   = define(1005, "settings refused", hclog.Error, "The changed settings file is faulty; the previous settings remain in force.")
+	ListenerFailed    = define(1003, "listener failed", hclog.Error, "The server of a listen address stopped with an error.")
+	ComponentPanicked = define(1006, "component panicked", hclog.Error, "A component panicked, a fault of this program; it is started again while the process goes on.")
 )
 
 // The events of a request have the numbers 1100 to 1199.
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -240,3 +240,21 @@
 		t.Errorf("upstreams received %d requests, want 1", n)
 	}
 }
+
+// TestRequestThatPanicsClosesItsConnection checks that a panic in the handling of a request is counted
+// and ends that request only.
+func TestRequestThatPanicsClosesItsConnection(t *testing.T) {
+	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) { writeAnswer(conn, r, 200, sealHeader, "ok") })
+	limits := f.Limits
+	f.Limits = nil // a call of the interface panics
+	if _, _, _, err := f.send(t, "/order/x", "b"); err == nil {
+		t.Error("the request that panicked got an answer")
+	}
+	f.Limits = limits
+	if status, _, _, err := f.send(t, "/order/x", "b"); err != nil || status != http.StatusOK {
+		t.Errorf("next request: got status %d and error %v, want 200", status, err)
+	}
+	if active := f.Active(); active != 0 {
+		t.Errorf("%d requests count as active, want 0", active)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/admission"
+	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/quarantine"
@@ -148,11 +151,33 @@
 // requests can be served.
 func (f *Forwarder) Ready() bool { return f.Table() != nil && f.Upstreams() != nil }
 
+// Panics counts the requests that panicked, by route.
+var Panics = metrics.New("forward_panics_total", "Requests whose handling panicked, a fault of this program, by route.")
+
+// reportPanic logs a panic while the request was handled. The panic goes on as one that
+// closes the caller's connection.
+func (e *exchange) reportPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		route := ""
+		if e.route != nil {
+			route = e.route.Name
+		}
+		Panics.Inc(route)
+		events.ForwardPanicked.Log(e.f.Logger, "id", e.meta.RequestID, "route", route, "cause", cause, "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	e := &exchange{f: f, w: w, r: r, arrived: time.Now()}
+	defer e.reportPanic()
 	if refused := e.identify(); refused != nil {
 		e.refuse(refused)
 		return
--- a/forwarding.go
+++ b/forwarding.go
@@ -19,6 +19,7 @@
 	"github.com/cardamompier/cardamompier/directory"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/forward"
+	"github.com/cardamompier/cardamompier/guard"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/kv"
@@ -368,16 +369,18 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){
-		f.afterMembersRead(f.routes.Run), f.afterMembersRead(f.runners.Run), f.members.Run, f.presence.Run, f.forwarder.Run, f.refreshUpstreams, f.counter.Run, f.sharer.Run, f.limits.Run, f.persister.Run,
+	for component, run := range map[string]func(context.Context){
+		"routes": f.afterMembersRead(f.routes.Run), "upstreams": f.afterMembersRead(f.runners.Run), "members": f.members.Run,
+		"presence": f.presence.Run, "forward": f.forwarder.Run, "upstream list": f.refreshUpstreams, "usage": f.counter.Run,
+		"loadshare": f.sharer.Run, "limits": f.limits.Run, "quarantine": f.persister.Run,
 	} {
-		parts.Go(func() { run(background) })
+		parts.Go(func() { guard.Run(background, f.logger, component, run) })
 	}
 	duties, endDuties := context.WithCancel(background)
 	defer endDuties()
 	if f.settings.Duties != "" {
 		run := f.duties()
-		parts.Go(func() { run(duties) })
+		parts.Go(func() { guard.Run(duties, f.logger, "duties", run) })
 	}
 	for _, s := range f.listeners {
 		parts.Go(func() {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -129,6 +129,9 @@
 type partitionSums struct {
 	others     []Load
 	receivedAt time.Time
+	// attached is an answer of an Attachment that was not handled yet, from the host attachedBy.
+	attached   []byte
+	attachedBy string
 }
 
 // New returns a sharer for the host self and registers the handler of its message with the server.
@@ -178,12 +181,16 @@
 	var done sync.WaitGroup
 	for i := range digests {
 		done.Go(func() {
-			if others, ok := s.exchange(ctx, view, i, digests[i].Loads); ok {
-				s.sums[i] = partitionSums{others: others, receivedAt: time.Now()}
+			if sums, ok := s.exchange(ctx, view, i, digests[i].Loads); ok {
+				s.sums[i] = sums
 			}
 		})
 	}
 	done.Wait()
+	if first := &s.sums[0]; len(first.attached) > 0 {
+		s.attachment.Receive(first.attachedBy, first.attached, time.Now())
+		first.attached = nil
+	}
 	var others []Load
 	for i := range s.sums {
 		if time.Since(s.sums[i].receivedAt) > maxDigestAge {
@@ -205,15 +212,14 @@
 
 // exchange sends the digest of one partition of the upstreams to the host that aggregates it, or to the
 // next candidate host if there is no answer. It returns false if none of the hosts answered.
-func (s *Sharer) exchange(ctx context.Context, view *membership.View, partition int, loads []Load) ([]Load, bool) {
+func (s *Sharer) exchange(ctx context.Context, view *membership.View, partition int, loads []Load) (partitionSums, bool) {
 	d := digest{Host: s.self, Loads: loads, Partition: partition, Partitions: len(s.sums)}
 	for _, m := range view.ChosenByCapacity(partitionRole(partition), aggregatorTries) {
 		if m.ID == s.self {
 			Exchanges.Inc(labelLocal)
-			return s.aggregators.exchange(d, time.Now()), true
+			return partitionSums{others: s.aggregators.exchange(d, time.Now()), receivedAt: time.Now()}, true
 		}
-		attached := s.attachment != nil && partition == 0
-		if attached {
+		if s.attachment != nil && partition == 0 {
 			d.Attached = s.attachment.Request(m.ID, time.Now())
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -222,12 +228,9 @@
 		cancel()
 		if err == nil {
 			Exchanges.Inc(labelDone)
-			if attached && len(answer.Attached) > 0 {
-				s.attachment.Receive(m.ID, answer.Attached, time.Now())
-			}
-			return answer.Others, true
+			return partitionSums{others: answer.Others, receivedAt: time.Now(), attached: answer.Attached, attachedBy: m.ID}, true
 		}
 		Exchanges.Inc(labelFailed)
 	}
-	return nil, false
+	return partitionSums{}, false
 }
