--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -245,12 +245,11 @@
 // and ends that request only.
 func TestRequestThatPanicsClosesItsConnection(t *testing.T) {
 	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) { writeAnswer(conn, r, 200, sealHeader, "ok") })
-	limits := f.Limits
-	f.Limits = nil // a call of the interface panics
+	f.limitsPanic.Store(true)
 	if _, _, _, err := f.send(t, "/order/x", "b"); err == nil {
 		t.Error("the request that panicked got an answer")
 	}
-	f.Limits = limits
+	f.limitsPanic.Store(false)
 	if status, _, _, err := f.send(t, "/order/x", "b"); err != nil || status != http.StatusOK {
 		t.Errorf("next request: got status %d and error %v, want 200", status, err)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -39,6 +39,8 @@
 
 	answer   atomic.Pointer[answerFunc]
 	snapshot atomic.Pointer[hosts.Snapshot]
+	// limitsPanic makes the limits panic.
+	limitsPanic atomic.Bool
 
 	mu       sync.Mutex
 	received []receivedRequest
@@ -54,6 +56,9 @@
 
 // Take implements forward.Limits.
 func (f *fixture) Take(_ context.Context, account string, _ admission.AccountLimit, _ float64) (time.Duration, string, bool) {
+	if f.limitsPanic.Load() {
+		panic("the limits fail")
+	}
 	return time.Second, "test", account != "over-limit"
 }
 
