Bound the evidence of the loss of many upstreams

Cause: every report counted as news. A request that only waited is evidence only if it, or its part, is in several crashes.

Fix: reports of waiting requests stay at the collecting host until their whole request is in a second crash, or a part in three; reports of requests whose answer had begun replace them; and full memory drops crashes without such reports first.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -81,7 +81,7 @@
 		}
 		sets = append(sets, set)
 		rest = lo.Reject(rest, func(c *crash, _ int) bool {
-			return slices.ContainsFunc(c.suspects(), func(r Crash) bool { return set.In(r.Keys) })
+			return slices.ContainsFunc(c.reports, func(r Crash) bool { return set.In(r.Keys) })
 		})
 	}
 	return sets, known
@@ -116,8 +116,7 @@
 	out := map[Key]*suspicion{}
 	for _, c := range crashes {
 		partners, parts := map[Key][]Key{}, map[Key]bool{}
-		suspects := c.suspects()
-		for _, r := range suspects {
+		for _, r := range c.reports {
 			for _, k := range r.Keys[1:] {
 				parts[k] = true
 			}
@@ -135,7 +134,7 @@
 			s.part = s.part || parts[k]
 			s.crashes = append(s.crashes, c)
 			s.partners = lo.Intersect(s.partners, together)
-			if suspects[0].Begun {
+			if c.reports[0].Begun {
 				if s.begun = append(s.begun, c); len(s.begun) == 1 {
 					s.begunPartners = together
 				}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cardamompier/cardamompier/metrics"
 )
 
@@ -45,6 +47,9 @@
 	// and parts are quarantined if no answer had begun. A whole request is rarely repeated
 	// by chance.
 	requestCrashes, partCrashes = 3, 5
+	// sharedCrashes is the number of crashes from which a part that only waited at upstreams
+	// is shared with all hosts, so that they tell when they answered it.
+	sharedCrashes = 3
 	// simultaneousSpan groups crashes that may have one outside cause, such as the loss of
 	// a failure domain: except for begunCrashes, crashes in one span count as one.
 	simultaneousSpan = 200 * time.Millisecond
@@ -111,22 +116,9 @@
 type crash struct {
 	upstream uint64
 	at       time.Time
-	reports  []Crash
-}
-
-// suspects returns the reports of the requests to which the upstream had begun an answer,
-// or all reports if there are none of these.
-func (c *crash) suspects() []Crash {
-	if i := slices.IndexFunc(c.reports, func(r Crash) bool { return r.Begun }); i < 0 {
-		return c.reports
-	}
-	var begun []Crash
-	for _, r := range c.reports {
-		if r.Begun {
-			begun = append(begun, r)
-		}
-	}
-	return begun
+	// reports are those of the requests to which the upstream had begun an answer, or of all
+	// requests if no such request is known.
+	reports []Crash
 }
 
 // Tracker decides from the crash evidence of all hosts which content is quarantined. Use
@@ -234,6 +226,9 @@
 	if !t.merge(c) {
 		return
 	}
+	if !c.Begun && source != localSource && !t.repeated(c) {
+		return // too little to act on, or to tell other hosts
+	}
 	t.log.append(logRecord{kind: recordCrash, crash: c, at: c.At}, source)
 	for _, key := range c.Keys {
 		t.announce(key)
@@ -242,6 +237,21 @@
 	t.evaluate(c.At)
 }
 
+// repeated reports whether the whole request of a report was in another crash, or one of its
+// parts in nearly enough crashes for quarantine. When a failure domain is lost, hundreds of
+// requests wait at its upstreams; most of them are in one crash only. The caller holds t.mu.
+func (t *Tracker) repeated(c Crash) bool {
+	for i, key := range c.Keys {
+		with := lo.Filter(t.crashes, func(known *crash, _ int) bool {
+			return slices.ContainsFunc(known.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) })
+		})
+		if i == 0 && len(with) > 1 || countSpans(with) >= sharedCrashes {
+			return true
+		}
+	}
+	return false
+}
+
 // lastAnswer returns when an answer to a request with the key last began; zero if none is
 // known. The caller holds t.mu.
 func (t *Tracker) lastAnswer(key Key) time.Time {
@@ -322,9 +332,13 @@
 		i = len(t.crashes) - 1
 	}
 	known := t.crashes[i]
-	if len(known.reports) >= maxReports || slices.ContainsFunc(known.reports, func(r Crash) bool {
-		return slices.Equal(r.Keys, c.Keys) && (r.Begun || !c.Begun)
-	}) {
+	if slices.ContainsFunc(known.reports, func(r Crash) bool { return r.Begun && !c.Begun || slices.Equal(r.Keys, c.Keys) && r.Begun == c.Begun }) {
+		return false
+	}
+	if c.Begun { // the waiting requests are no suspects any more
+		known.reports = slices.DeleteFunc(known.reports, func(r Crash) bool { return !r.Begun })
+	}
+	if len(known.reports) >= maxReports {
 		return false
 	}
 	known.reports = append(known.reports, c)
@@ -352,7 +366,8 @@
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(known *crash) bool { return len(known.reports) == 0 })
 	if len(t.crashes) >= maxCrashes {
-		t.crashes = t.crashes[1:]
+		oldest := max(slices.IndexFunc(t.crashes, func(known *crash) bool { return !known.reports[0].Begun }), 0)
+		t.crashes = slices.Delete(t.crashes, oldest, oldest+1)
 	}
 	if len(t.answered) > maxAnswered {
 		maps.DeleteFunc(t.answered, func(k Key, _ time.Time) bool { return !t.suspected(k) })
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -242,3 +242,36 @@
 		t.Error("content is not quarantined after two crashes of the same upstream")
 	}
 }
+
+// TestLossOfManyUpstreamsStaysSmall reports, as 300 hosts would, the requests that waited at the upstreams
+// of a lost failure domain. The collecting host must not send each of them to all other hosts, and
+// must keep the evidence against content that crashes upstreams.
+func TestLossOfManyUpstreamsStaysSmall(t *testing.T) {
+	collector, host := newTestTracker(), newTestTracker()
+	exchange := func(from *Tracker, at time.Duration) int {
+		now := trackerStart.Add(at)
+		answer := collector.Answer(from.Request("collector", now), now)
+		from.Receive("collector", answer, now)
+		return len(answer)
+	}
+	deadlyHost := newTestTracker()
+	begin(deadlyHost, 9001, 0, whole, deadly)
+	exchange(deadlyHost, 0)
+	for upstream := range uint64(100) {
+		reporter := newTestTracker()
+		for waits := range Key(12) {
+			waiting(reporter, upstream, time.Second, whole+Key(upstream)*100+waits, firstPart, otherPart)
+		}
+		exchange(reporter, time.Second)
+	}
+	const maxAnswerBytes = 4 << 10
+	if size := exchange(host, 2*time.Second); size > maxAnswerBytes {
+		t.Errorf("the collecting host sent %d bytes to another host, want at most %d", size, maxAnswerBytes)
+	}
+	begin(deadlyHost, 9002, 3*time.Second, whole+1, deadly)
+	exchange(deadlyHost, 3*time.Second)
+	exchange(host, 3*time.Second)
+	if !host.refuses(4*time.Second, whole+2, deadly) {
+		t.Error("the evidence of a crash before the loss was pushed out")
+	}
+}
