--- a/forwarding.go
+++ b/forwarding.go
@@ -301,68 +301,6 @@
 	events.ForwardTable.Log(f.logger, "table", table.Version, "revision", uint64(entry.Version))
 }
 
-// decodedUpstream is the decoded record of an upstream, or its decoding error, with the store
-// version of the record.
-type decodedUpstream struct {
-	version kv.Version
-	host    hosts.Host
-	err     error
-}
-
-// applyUpstreams installs the upstreams of a new store view. It decodes only the records that
-// changed since the previous view.
-func (f *ForwardServer) applyUpstreams(view *replica.View) {
-	list := make([]hosts.Host, 0, len(view.Entries))
-	decoded := make(map[string]decodedUpstream, len(view.Entries))
-	for key, entry := range view.Entries {
-		d, known := f.decoded[key]
-		if !known || d.version != entry.Version {
-			d.version = entry.Version
-			if d.host, d.err = platform.DecodeRunner(key, entry.Value); d.err != nil {
-				events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", d.err)
-			}
-		}
-		decoded[key] = d
-		if d.err == nil {
-			list = append(list, d.host)
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.decoded = decoded
-	f.reading = hosts.Reading{Hosts: list, ReadAt: view.ReadAt, OutageEnded: view.OutageEnded}
-	f.installSnapshot(time.Now())
-	events.ForwardHosts.Log(f.logger, "upstreams", len(list), "revision", uint64(view.Revision))
-}
-
-// installSnapshot derives a snapshot of the upstreams at the time now from the newest
-// reading, and puts it in force.
-func (f *ForwardServer) installSnapshot(now time.Time) {
-	f.upstreams.Store(f.listing.Next(f.reading, now))
-}
-
-// refreshUpstreams removes upstreams from the snapshot that were retained for a limited time
-// after an outage of the store.
-func (f *ForwardServer) refreshUpstreams(ctx context.Context) {
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	provisional := false
-	for {
-		select {
-		case now := <-ticker.C:
-			f.mu.Lock()
-			wasProvisional := provisional
-			provisional = f.reading.Provisional(now)
-			if wasProvisional || provisional {
-				f.installSnapshot(now)
-			}
-			f.mu.Unlock()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Run serves until ctx ends, then drains within the grace period of the settings. It always
 // returns nil.
 func (f *ForwardServer) Run(ctx context.Context) error {
