Announce answers to suspected content once for each crash

Each host announced the answers to a part that other crashes had in their reports once a second for ten minutes, so that with hundreds of hosts the collecting host would have sent every host two records a second for each popular part.

Cause: an answer was news by its age, not by what it changes.

Fix: an answer is recorded and shared if it is the first one known to a suspected key, or the first after a crash.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -65,9 +65,8 @@
 }
 
 // explain returns the content that explains the known crashes, and the number of crashes by
-// suspected key. It
-// selects the content with the most evidence first; crashes that this content explains are
-// no evidence against other content. The caller holds t.mu.
+// suspected key. It selects the content with the most evidence first; crashes that this
+// content explains are no evidence against other content. The caller holds t.mu.
 func (t *Tracker) explain(now time.Time) (sets []Set, known map[Key]int) {
 	rest := lo.Filter(t.crashes, func(c *crash, _ int) bool { return now.Sub(c.at) < Expiry })
 	for len(sets) < maxSets {
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -189,9 +189,7 @@
 		case recordCrash:
 			t.add(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Begun: r.Begun, Keys: r.Keys}, epoch)
 		case recordAnswer:
-			if at.Sub(t.answered[r.Keys[0]]) >= announceInterval/2 || t.lifts(r.Keys[0], at) {
-				t.clear(r.Keys[0], at, epoch)
-			}
+			t.clear(r.Keys[0], at, epoch)
 		case recordSet:
 			keys := slices.Clone(r.Keys)
 			slices.Sort(keys)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -72,9 +72,6 @@
 	// maxAnswered is the number of keys in each of two generations for which the last
 	// answer on this host is remembered.
 	maxAnswered = 4096
-	// announceInterval is the shortest time between two announcements that the same key
-	// was answered.
-	announceInterval = time.Second
 )
 
 // Changes counts the changes of the quarantined sets at this host, by kind of change.
@@ -242,9 +239,7 @@
 // requests wait at its upstreams; most of them are in one crash only. The caller holds t.mu.
 func (t *Tracker) repeated(c Crash) bool {
 	for i, key := range c.Keys {
-		with := lo.Filter(t.crashes, func(known *crash, _ int) bool {
-			return slices.ContainsFunc(known.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) })
-		})
+		with := lo.Filter(t.crashes, func(known *crash, _ int) bool { return known.has(key) })
 		if i == 0 && len(with) > 1 || countSpans(with) >= sharedCrashes {
 			return true
 		}
@@ -264,44 +259,46 @@
 	return newest
 }
 
-// announce shares the newest answer of this host if the key is suspected. The caller holds
-// t.mu.
+// announce shares the newest answer of this host if it is news about a suspected key. The
+// caller holds t.mu.
 func (t *Tracker) announce(key Key) {
-	if !t.suspected(key) {
-		return
+	if at := t.lastAnswer(key); at.After(t.answered[key]) {
+		t.clear(key, at, localSource)
 	}
-	at := t.lastAnswer(key)
-	if !at.After(t.answered[key]) || at.Sub(t.answered[key]) < announceInterval && !t.lifts(key, at) {
-		return
-	}
-	t.clear(key, at, localSource)
-}
-
-// lifts reports whether an answer at the given time contradicts a quarantined set with the
-// key. The caller holds t.mu.
-func (t *Tracker) lifts(key Key, at time.Time) bool {
-	return slices.ContainsFunc(t.sets, func(s *Set) bool { return slices.Contains(s.Keys, key) && at.After(s.At) })
 }
 
-// suspected reports whether a key is in any evidence. The caller holds t.mu.
-func (t *Tracker) suspected(key Key) bool {
+// accusedSince returns the time of the newest crash after the given time that is evidence
+// against a key; zero if there is none. The caller holds t.mu.
+func (t *Tracker) accusedSince(key Key, since time.Time) time.Time {
+	var newest time.Time
 	for _, s := range t.sets {
-		if slices.Contains(s.Keys, key) {
-			return true
+		if slices.Contains(s.Keys, key) && s.At.After(newest) {
+			newest = s.At
 		}
 	}
 	for _, c := range t.crashes {
-		if slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) }) {
-			return true
+		if c.at.After(newest) && c.has(key) {
+			newest = c.at
 		}
 	}
-	return false
+	if !newest.After(since) {
+		return time.Time{}
+	}
+	return newest
+}
+
+// has reports whether a key is in a report of the crash.
+func (c *crash) has(key Key) bool {
+	return slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) })
 }
 
-// clear records the newest answer to a request with a suspected key, and removes the key
-// from quarantined sets whose crashes are older. The caller holds t.mu.
+// clear records an answer to a request with a suspected key if it is the first one known or
+// later than a crash that no known answer followed. It removes the key from quarantined sets whose
+// crashes are older. The caller holds t.mu.
 func (t *Tracker) clear(key Key, at time.Time, source uint64) {
-	if !at.After(t.answered[key]) {
+	known := t.answered[key]
+	accused := t.accusedSince(key, known)
+	if accused.IsZero() || !known.IsZero() && !at.After(accused) {
 		return
 	}
 	t.answered[key] = at
@@ -370,7 +367,7 @@
 		t.crashes = slices.Delete(t.crashes, oldest, oldest+1)
 	}
 	if len(t.answered) > maxAnswered {
-		maps.DeleteFunc(t.answered, func(k Key, _ time.Time) bool { return !t.suspected(k) })
+		maps.DeleteFunc(t.answered, func(k Key, _ time.Time) bool { return t.accusedSince(k, time.Time{}).IsZero() })
 	}
 }
 
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -243,6 +243,31 @@
 	}
 }
 
+// TestAnswersToPopularContentStayFew checks that hosts that answer requests with a suspected part all the
+// time tell each other so about once for each crash, not once for each answer.
+func TestAnswersToPopularContentStayFew(t *testing.T) {
+	collector := newTestTracker()
+	hosts := make([]*Tracker, 50)
+	for i := range hosts {
+		hosts[i] = newTestTracker()
+	}
+	const crashes, seconds = 3, 9
+	for step := range seconds * 5 {
+		now := trackerStart.Add(time.Duration(step) * 200 * time.Millisecond)
+		if step%15 == 0 {
+			hosts[0].Add(Crash{Upstream: uint64(step), At: now, Begun: true, Keys: []Key{whole + Key(step), firstPart, deadly}})
+		}
+		for _, h := range hosts {
+			h.Answered([]Key{firstPart}, now.Add(time.Millisecond))
+			h.Receive("collector", collector.Answer(h.Request("collector", now), now), now)
+		}
+	}
+	// A record for each crash and for the answer after it, and the quarantined set.
+	if records := collector.log.last; records > 2*crashes+1 {
+		t.Errorf("the collecting host holds %d records, want at most %d", records, 2*crashes+1)
+	}
+}
+
 // TestLossOfManyUpstreamsStaysSmall reports, as 300 hosts would, the requests that waited at the upstreams
 // of a lost failure domain. The collecting host must not send each of them to all other hosts, and
 // must keep the evidence against content that crashes upstreams.
