Let only the owner and its deputy decide on a limit

Trace: at 13.25 s front-gampaha-1 came back as owner of an account. Until 14.5 s three hosts did not know it; they asked the old owner, which had stopped, and then the next host as its deputy. That host was third by its own view, but decided on every request marked for a deputy, with a new bucket: 667,000 tokens in second 13 of an account limited to 348,000 a second.

Fix: a host decides as deputy only if it is among the first two by its own view. The hosts whose view is old use their even share meanwhile.

TestThirdHostIsNoDeputy failed before. Suspected, not seen: a deputy that has itself just joined decides while the old owner still does in lagging views.

--- a/quota/owner.go
+++ b/quota/owner.go
@@ -146,6 +146,13 @@
 	return len(owners) == 0 || owners[0].ID == o.self
 }
 
+// deputizes reports whether this host owns a client account or is the deputy of its owner, by
+// its own view of the hosts. It returns true when the view has no hosts.
+func (o *Owners) deputizes(account string) bool {
+	owners := o.hosts().Chosen(ownerKeyPrefix+account, 2)
+	return len(owners) == 0 || slices.ContainsFunc(owners, func(m membership.Member) bool { return m.ID == o.self })
+}
+
 // settled reports whether this host joined at least ownerSettleTime ago.
 func (o *Owners) settled() bool {
 	o.mu.Lock()
@@ -162,6 +169,9 @@
 	if !req.Deputy && (!o.owns(req.Account) || !o.settled()) {
 		return takeResponse{NotOwner: true}
 	}
+	if req.Deputy && !o.deputizes(req.Account) { // the sender does not know the newest owner yet
+		return takeResponse{NotOwner: true}
+	}
 	if req.Cost < 0 {
 		o.owned.Refund(req.Account, -req.Cost)
 		return takeResponse{Taken: true}
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -84,3 +84,19 @@
 		t.Errorf("while not registered: decided by %q with ok=%v, want the even share and false", by, ok)
 	}
 }
+
+// TestThirdHostIsNoDeputy guards against a third decider while an owner changes: a host whose view
+// lacks the new owner asks the old owner, which has stopped, and then the host behind it, which is
+// not the deputy by its own view. When that host decided too, an account limited to 348,000
+// tokens/s got 667,000 in one second.
+func TestThirdHostIsNoDeputy(t *testing.T) {
+	view := &membership.View{Members: []membership.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	ranked := view.Chosen(ownerKeyPrefix+"x", 3)
+	req := takeRequest{Account: "x", Limit: admission.AccountLimit{Rate: 1000, Burst: 1000}, Cost: 1, Deputy: true}
+	for rank, want := range []bool{true, true, false} {
+		o := NewOwners(ranked[rank].ID, nil, inner.NewServer(), func() *membership.View { return view }, func() int { return 3 }, func() bool { return true })
+		if got := o.decide(req).Taken; got != want {
+			t.Errorf("host %d in rendezvous order: decides as deputy is %v, want %v", rank+1, got, want)
+		}
+	}
+}
