--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -20,6 +20,8 @@
 	// idempotent marks a request that may run more than once; streams marks a request
 	// whose response is an event stream.
 	idempotent, streams bool
+	// prompt is the list of prompt parts; empty for a request without a prompt.
+	prompt string
 }
 
 var kinds = []kind{
@@ -135,6 +137,10 @@
 	req.Header.Set("Authorization", "Bearer "+accountKey)
 	req.Header.Set("Tenant-Id", "forged")
 	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	if k.prompt != "" {
+		req.Header.Set("Prompt-Prefix", k.prompt)
+		req.Header.Set("Token-Count", "100,10")
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return "no answer"
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -37,16 +37,44 @@
 	}
 	p := &proxy{listener: listener, target: target, open: map[net.Conn]struct{}{}}
 	p.changed = sync.NewCond(&p.mu)
-	go p.accept()
+	go p.accept(listener)
 	t.Cleanup(p.close)
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// refuse closes all connections and refuses new ones for a while, as a process that ends and starts
+// again does.
+func (p *proxy) refuse(span time.Duration) {
+	address := p.address()
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.reset()
+	time.AfterFunc(span, func() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.closed {
+			_ = listener.Close()
+			return
+		}
+		p.listener = listener
+		go p.accept(listener)
+	})
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -129,10 +157,10 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.reset()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
+	_ = p.listener.Close()
 	p.changed.Broadcast()
+	p.mu.Unlock()
+	p.reset()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,6 +112,8 @@
 	mu        sync.Mutex
 	upstreams []*upstream
 	faults    map[string]int // number of induced faults by name
+
+	deadlyRuns atomic.Int64 // answers begun on a prompt with deadlyPart
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -139,6 +141,7 @@
 	}
 	d.induceFaults(t, random)
 	d.checkServing(t, time.Now().Add(recoverSpan))
+	d.checkDeadlyPart(t)
 	d.checkChange(t)
 	d.checkLeaving(t)
 	d.checkStops(t)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -138,6 +139,9 @@
 		u.d.log.violate("UNASKED: request %s arrived with account %q and key %q", id, r.Header.Get("Tenant-Id"), r.Header.Get("Authorization"))
 	}
 	w.Header().Set("Response-Seal", sealOf(id))
+	if strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":") {
+		u.crashOnPrompt(w)
+	}
 	switch u.mode.Load() {
 	case losesAnswers:
 		panic(http.ErrAbortHandler)
