--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -20,12 +20,12 @@
 	crashUpstreams = 12
 	// crashDowntime is how long an upstream is down after a crash.
 	crashDowntime = 300 * time.Millisecond
-	// deadlyPart is the prompt part that crashes every upstream that begins an answer on it.
-	deadlyPart = "dead"
+	// poisonPart is the prompt part that crashes every upstream that begins an answer on it.
+	poisonPart = "dead"
 )
 
 // crashingUpstream is an upstream that crashes when it begins an answer to a request
-// whose prompt contains deadlyPart. It is back after crashDowntime.
+// whose prompt contains poisonPart. It is back after crashDowntime.
 type crashingUpstream struct {
 	address string
 	onCrash func() // called before a crash; may be nil
@@ -33,7 +33,7 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
-	runs     map[string]int // answers begun, by "deadly" or "sound"
+	runs     map[string]int // answers begun, by "poison" or "sound"
 }
 
 func startCrashingUpstream(t *testing.T) *crashingUpstream {
@@ -92,8 +92,8 @@
 			return
 		}
 		writeStreamHead(conn, receivedRequest{Request: req})
-		if strings.Contains(req.Header.Get("Prompt-Prefix"), deadlyPart+":") {
-			u.count("deadly")
+		if strings.Contains(req.Header.Get("Prompt-Prefix"), poisonPart+":") {
+			u.count("poison")
 			if u.onCrash != nil {
 				u.onCrash()
 			}
@@ -139,9 +139,9 @@
 	return total
 }
 
-// maxDeadlyRuns is the number of requests with a deadly part that may reach upstreams in
+// maxPoisonRuns is the number of requests with a poison part that may reach upstreams in
 // total: five crashes, then three more.
-const maxDeadlyRuns = 5 + 3
+const maxPoisonRuns = 5 + 3
 
 // TestPromptPartThatCrashesUpstreams guards against crashes that follow a prompt part:
 // requests with the part, no two alike, must stop reaching upstreams, while requests of
@@ -152,16 +152,16 @@
 	served := 0
 	for i := range pairs {
 		own := fmt.Sprintf("%x:20", 0xabc000+i)
-		_, _, _, _ = f.send(t, fmt.Sprintf("/resume/deadly/%d", i), fmt.Sprint("b", i), "Request-Id", fmt.Sprint("d", i),
-			"Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,"+own)
+		_, _, _, _ = f.send(t, fmt.Sprintf("/resume/poison/%d", i), fmt.Sprint("b", i), "Request-Id", fmt.Sprint("d", i),
+			"Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+poisonPart+":30,"+own)
 		if status, _, _, err := f.send(t, fmt.Sprintf("/resume/sound/%d", i), fmt.Sprint("b", i), "Request-Id", fmt.Sprint("s", i),
 			"Token-Count", "120,5", "Prompt-Prefix", "f1:100,"+own); err == nil && status == http.StatusOK {
 			served++
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	if got := runsOf(upstreams, "deadly"); got > maxDeadlyRuns {
-		t.Errorf("%d requests with the deadly part reached upstreams, want at most %d", got, maxDeadlyRuns)
+	if got := runsOf(upstreams, "poison"); got > maxPoisonRuns {
+		t.Errorf("%d requests with the poison part reached upstreams, want at most %d", got, maxPoisonRuns)
 	}
 	if served < pairs*9/10 {
 		t.Errorf("%d of %d sound requests were served, want at least nine in ten", served, pairs)
@@ -202,14 +202,14 @@
 		for _, u := range upstreams {
 			u.onCrash = func() { f.setUpstreams(leaving) }
 		}
-		_, body, _, _ := f.send(t, fmt.Sprintf("/stream/%d", i), "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,f3:20")
+		_, body, _, _ := f.send(t, fmt.Sprintf("/stream/%d", i), "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+poisonPart+":30,f3:20")
 		if strings.Contains(body, "request_quarantined") {
 			t.Errorf("request %d is refused because of its content", i)
 		}
 	}
 }
 
-// TestWaitingRequestsAreWithdrawn checks that requests with deadly content that wait at upstreams when
+// TestWaitingRequestsAreWithdrawn checks that requests with poison content that wait at upstreams when
 // the content is quarantined are taken back, so that they crash no further upstream.
 func TestWaitingRequestsAreWithdrawn(t *testing.T) {
 	dropped := make(chan struct{}, 1)
@@ -219,7 +219,7 @@
 		_, _ = conn.Read(make([]byte, 1)) // until the forwarder closes the connection
 		dropped <- struct{}{}
 	})
-	part, err := strconv.ParseUint(deadlyPart, 16, 64)
+	part, err := strconv.ParseUint(poisonPart, 16, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +228,7 @@
 		f.Withdraw(quarantine.Set{Keys: []quarantine.Key{quarantine.Key(part)}})
 	}()
 	started := time.Now()
-	status, body, _, err := f.send(t, "/resume/x", "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+deadlyPart+":30,f3:20")
+	status, body, _, err := f.send(t, "/resume/x", "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+poisonPart+":30,f3:20")
 	if err != nil || status != http.StatusBadGateway {
 		t.Errorf("got status %d, body %s and error %v, want 502", status, body, err)
 	}
--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -20,7 +20,7 @@
 	"github.com/cardamompier/cardamompier/quarantine"
 )
 
-const deadly quarantine.Key = 7
+const poison quarantine.Key = 7
 
 // fleet is a set of hosts that exchange crash evidence with their load digests.
 type fleet struct {
@@ -97,17 +97,17 @@
 	return ""
 }
 
-// crash reports, at one host, a crash at the start of an answer to a request with the deadly
+// crash reports, at one host, a crash at the start of an answer to a request with the poison
 // part.
 func (f *fleet) crash(host string, upstream uint64) {
-	f.trackers[host].Add(quarantine.Crash{Upstream: upstream, At: time.Now(), Begun: true, Keys: []quarantine.Key{quarantine.Key(1000 + upstream), deadly}})
+	f.trackers[host].Add(quarantine.Crash{Upstream: upstream, At: time.Now(), Begun: true, Keys: []quarantine.Key{quarantine.Key(1000 + upstream), poison}})
 }
 
-// passing returns the hosts that do not refuse requests with the deadly part.
+// passing returns the hosts that do not refuse requests with the poison part.
 func (f *fleet) passing() []string {
 	var out []string
 	for id, tracker := range f.trackers {
-		if _, refused := tracker.Refused([]quarantine.Key{1, deadly}, time.Now()); !refused {
+		if _, refused := tracker.Refused([]quarantine.Key{1, poison}, time.Now()); !refused {
 			out = append(out, id)
 		}
 	}
@@ -236,7 +236,7 @@
 		f.crash("front-000", 1)
 		f.crash("front-001", 2)
 		time.Sleep(inTouch)
-		f.trackers["front-003"].Answered([]quarantine.Key{1, deadly}, time.Now())
+		f.trackers["front-003"].Answered([]quarantine.Key{1, poison}, time.Now())
 		time.Sleep(inTouch)
 		if passing := f.passing(); len(passing) != 9 {
 			t.Errorf("only hosts %v let requests pass after the answer", passing)
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -9,10 +9,10 @@
 // the process, or use more memory than the limits allow.
 func FuzzExchange(f *testing.F) {
 	sender := newTestTracker()
-	begin(sender, 1, 0, whole, firstPart, deadly)
+	begin(sender, 1, 0, whole, firstPart, poison)
 	waiting(sender, 2, time.Second, whole, otherPart)
 	f.Add(sender.Request("collector", trackerStart.Add(time.Second)))
-	begin(sender, 3, 2*time.Second, whole+1, deadly)
+	begin(sender, 3, 2*time.Second, whole+1, poison)
 	sender.Answered([]Key{firstPart}, trackerStart.Add(3*time.Second))
 	f.Add(sender.Request("collector", trackerStart.Add(3*time.Second)))
 	f.Add(sender.Answer(nil, trackerStart))
@@ -23,7 +23,7 @@
 			tr.Receive("collector", data, now)
 			now = now.Add(time.Second)
 		}
-		tr.Refused([]Key{whole, firstPart, deadly}, now)
+		tr.Refused([]Key{whole, firstPart, poison}, now)
 		if len(tr.crashes) > maxCrashes || len(tr.sets) > maxSets || len(tr.log.records) > maxRecords {
 			t.Errorf("%d crashes, %d sets and %d records, want at most %d, %d and %d", len(tr.crashes), len(tr.sets), len(tr.log.records), maxCrashes, maxSets, maxRecords)
 		}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -31,28 +31,28 @@
 }
 
 const (
-	firstPart, deadly, otherPart Key = 1, 2, 3
+	firstPart, poison, otherPart Key = 1, 2, 3
 	// whole is the key of the first request as a whole; each further request has the next one.
 	whole Key = 1000
 )
 
 // TestFirstPartOfCrashingRequestsStaysServed guards against a verdict by count alone: the
-// first part is in as many crashes as the deadly part, but sound requests carry it too.
+// first part is in as many crashes as the poison part, but sound requests carry it too.
 func TestFirstPartOfCrashingRequestsStaysServed(t *testing.T) {
 	tr := newTestTracker()
-	begin(tr, 1, 0, whole, firstPart, deadly)
-	begin(tr, 2, time.Second, whole+1, firstPart, deadly)
+	begin(tr, 1, 0, whole, firstPart, poison)
+	begin(tr, 2, time.Second, whole+1, firstPart, poison)
 	for i, keys := range [][]Key{{whole + 2, firstPart}, {whole + 2, otherPart}} {
 		if tr.refuses(2*time.Second, keys...) {
 			t.Errorf("sound request %d is refused", i)
 		}
 	}
-	if !tr.refuses(2*time.Second, whole+2, firstPart, deadly) {
+	if !tr.refuses(2*time.Second, whole+2, firstPart, poison) {
 		t.Error("a request with the parts of both crashes is not refused")
 	}
 	tr.Answered([]Key{whole + 3, firstPart}, trackerStart.Add(3*time.Second))
-	if !tr.refuses(4*time.Second, whole+4, otherPart, deadly) {
-		t.Error("a request with the deadly part and another first part is not refused, though the first part is proven sound")
+	if !tr.refuses(4*time.Second, whole+4, otherPart, poison) {
+		t.Error("a request with the poison part and another first part is not refused, though the first part is proven sound")
 	}
 }
 
@@ -61,22 +61,22 @@
 func TestPartThatWasAnsweredBeforeIsNotBlamed(t *testing.T) {
 	tr := newTestTracker()
 	tr.Answered([]Key{firstPart}, trackerStart.Add(-time.Minute))
-	begin(tr, 1, 0, whole, firstPart, deadly)
-	begin(tr, 2, time.Second, whole+1, firstPart, deadly)
-	if !tr.refuses(2*time.Second, whole+2, otherPart, deadly) || tr.refuses(2*time.Second, whole+2, firstPart) {
-		t.Errorf("quarantined sets are %v, want the deadly part alone", tr.Sets())
+	begin(tr, 1, 0, whole, firstPart, poison)
+	begin(tr, 2, time.Second, whole+1, firstPart, poison)
+	if !tr.refuses(2*time.Second, whole+2, otherPart, poison) || tr.refuses(2*time.Second, whole+2, firstPart) {
+		t.Errorf("quarantined sets are %v, want the poison part alone", tr.Sets())
 	}
 }
 
-// TestPartThatBecomesDeadly checks that a part is quarantined although it was answered before
+// TestPartThatBecomesPoisonous checks that a part is quarantined although it was answered before
 // the first crash.
-func TestPartThatBecomesDeadly(t *testing.T) {
+func TestPartThatBecomesPoisonous(t *testing.T) {
 	tr := newTestTracker()
-	tr.Answered([]Key{firstPart, deadly}, trackerStart.Add(-time.Second))
+	tr.Answered([]Key{firstPart, poison}, trackerStart.Add(-time.Second))
 	for i := range Key(4) {
-		begin(tr, uint64(i), time.Duration(i)*time.Second, whole+i, firstPart, deadly)
+		begin(tr, uint64(i), time.Duration(i)*time.Second, whole+i, firstPart, poison)
 	}
-	if !tr.refuses(5*time.Second, whole+9, firstPart, deadly) {
+	if !tr.refuses(5*time.Second, whole+9, firstPart, poison) {
 		t.Error("the part is not quarantined after four crashes")
 	}
 }
@@ -99,7 +99,7 @@
 	tr := newTestTracker()
 	for i := range Key(5) {
 		at := time.Duration(i) * time.Second
-		begin(tr, uint64(i), at, whole+i, firstPart, deadly)
+		begin(tr, uint64(i), at, whole+i, firstPart, poison)
 		waiting(tr, uint64(i), at, whole+100+i, otherPart)
 	}
 	if tr.refuses(6*time.Second, whole+200, otherPart) {
@@ -126,28 +126,28 @@
 func TestTrialOfQuarantinedContent(t *testing.T) {
 	mine := true
 	tr := NewTracker(func(Key) bool { return mine }, func(string, Set) {})
-	begin(tr, 1, 0, whole, deadly)
-	begin(tr, 2, time.Second, whole+1, deadly)
+	begin(tr, 1, 0, whole, poison)
+	begin(tr, 2, time.Second, whole+1, poison)
 	due := tr.Sets()[0].Until().Sub(trackerStart)
-	if due != time.Second+minQuarantine || !tr.refuses(due-time.Second, whole+2, deadly) {
+	if due != time.Second+minQuarantine || !tr.refuses(due-time.Second, whole+2, poison) {
 		t.Fatalf("the trial is due after %v, want %v", due, time.Second+minQuarantine)
 	}
 	mine = false
-	if !tr.refuses(due, whole+2, deadly) {
+	if !tr.refuses(due, whole+2, poison) {
 		t.Error("a host that does not run the trial lets a request pass")
 	}
 	mine = true
-	if tr.refuses(due, whole+2, deadly) {
+	if tr.refuses(due, whole+2, poison) {
 		t.Error("no trial runs when it is due")
 	}
-	if !tr.refuses(due, whole+3, deadly) {
+	if !tr.refuses(due, whole+3, poison) {
 		t.Error("a second request passes during the trial")
 	}
-	begin(tr, 3, due+time.Second, whole+2, deadly)
+	begin(tr, 3, due+time.Second, whole+2, poison)
 	if next := tr.Sets()[0].Until().Sub(trackerStart); next < due+2*minQuarantine {
 		t.Errorf("after a crash in the trial the next one is due after %v, want twice the time", next)
 	}
-	tr.Answered([]Key{deadly}, trackerStart.Add(due+2*time.Second))
+	tr.Answered([]Key{poison}, trackerStart.Add(due+2*time.Second))
 	if sets := tr.Sets(); len(sets) != 0 {
 		t.Errorf("quarantined sets are %v after an answer, want none", sets)
 	}
@@ -157,14 +157,14 @@
 // cannot push out the evidence of others, nor use memory without bound.
 func TestEvidenceIsBounded(t *testing.T) {
 	tr := newTestTracker()
-	tr.Add(Crash{Upstream: 1, At: trackerStart, Account: 1, Begun: true, Keys: []Key{whole, deadly}})
+	tr.Add(Crash{Upstream: 1, At: trackerStart, Account: 1, Begun: true, Keys: []Key{whole, poison}})
 	for i := range 1000 {
 		at := trackerStart.Add(time.Duration(i) * 10 * time.Millisecond)
 		tr.Add(Crash{Upstream: uint64(i + 2), At: at, Account: 2, Begun: true, Keys: []Key{Key(1<<20 + i)}})
 		tr.Answered([]Key{Key(1<<30 + i)}, at)
 	}
-	tr.Add(Crash{Upstream: 5000, At: trackerStart.Add(11 * time.Second), Account: 1, Begun: true, Keys: []Key{whole + 1, deadly}})
-	if !tr.refuses(12*time.Second, whole+2, deadly) {
+	tr.Add(Crash{Upstream: 5000, At: trackerStart.Add(11 * time.Second), Account: 1, Begun: true, Keys: []Key{whole + 1, poison}})
+	if !tr.refuses(12*time.Second, whole+2, poison) {
 		t.Error("the evidence of another account was lost")
 	}
 	if crashes, sets := len(tr.crashes), len(tr.sets); crashes > maxCrashes || sets > maxSets {
@@ -196,19 +196,19 @@
 	})
 }
 
-// TestDeadlyPartIsFound plays random crashes: requests with the deadly part, companions that wait or
-// losses of upstreams from outside. It checks that the deadly
+// TestPoisonPartIsFound plays random crashes: requests with the poison part, companions that wait or
+// losses of upstreams from outside. It checks that the poison
 // part is refused soon and that no sound request is refused for long.
-func TestDeadlyPartIsFound(t *testing.T) {
+func TestPoisonPartIsFound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tr := newTestTracker()
 		parts := rapid.SliceOfN(rapid.SampledFrom([]Key{11, 12, 13, 14}), 12, 12).Draw(t, "first parts")
 		crashes, refusedSound, losses := 0, 0, 0
 		for i, first := range parts {
 			at := time.Duration(i) * time.Second
-			if !tr.refuses(at, whole+Key(i), first, deadly) {
+			if !tr.refuses(at, whole+Key(i), first, poison) {
 				crashes++
-				begin(tr, uint64(i), at, whole+Key(i), first, deadly)
+				begin(tr, uint64(i), at, whole+Key(i), first, poison)
 				waiting(tr, uint64(i), at, whole+Key(100+i), rapid.SampledFrom(parts).Draw(t, "companion"))
 			}
 			if losses < partCrashes-1 && rapid.Bool().Draw(t, "loss") {
@@ -232,13 +232,13 @@
 // at different moments are of one crash.
 func TestTwoHostsDoNotCountOneCrashTwice(t *testing.T) {
 	tr := newTestTracker()
-	begin(tr, 1, 0, whole, deadly)
-	begin(tr, 1, 400*time.Millisecond, whole+1, deadly)
-	if tr.refuses(time.Second, whole+2, deadly) {
+	begin(tr, 1, 0, whole, poison)
+	begin(tr, 1, 400*time.Millisecond, whole+1, poison)
+	if tr.refuses(time.Second, whole+2, poison) {
 		t.Error("content is quarantined after one crash")
 	}
-	begin(tr, 1, 5*time.Second, whole+2, deadly)
-	if !tr.refuses(6*time.Second, whole+3, deadly) {
+	begin(tr, 1, 5*time.Second, whole+2, poison)
+	if !tr.refuses(6*time.Second, whole+3, poison) {
 		t.Error("content is not quarantined after two crashes of the same upstream")
 	}
 }
@@ -255,7 +255,7 @@
 	for step := range seconds * 5 {
 		now := trackerStart.Add(time.Duration(step) * 200 * time.Millisecond)
 		if step%15 == 0 {
-			hosts[0].Add(Crash{Upstream: uint64(step), At: now, Begun: true, Keys: []Key{whole + Key(step), firstPart, deadly}})
+			hosts[0].Add(Crash{Upstream: uint64(step), At: now, Begun: true, Keys: []Key{whole + Key(step), firstPart, poison}})
 		}
 		for _, h := range hosts {
 			h.Answered([]Key{firstPart}, now.Add(time.Millisecond))
@@ -279,9 +279,9 @@
 		from.Receive("collector", answer, now)
 		return len(answer)
 	}
-	deadlyHost := newTestTracker()
-	begin(deadlyHost, 9001, 0, whole, deadly)
-	exchange(deadlyHost, 0)
+	poisonHost := newTestTracker()
+	begin(poisonHost, 9001, 0, whole, poison)
+	exchange(poisonHost, 0)
 	for upstream := range uint64(100) {
 		reporter := newTestTracker()
 		for waits := range Key(12) {
@@ -293,10 +293,10 @@
 	if size := exchange(host, 2*time.Second); size > maxAnswerBytes {
 		t.Errorf("the collecting host sent %d bytes to another host, want at most %d", size, maxAnswerBytes)
 	}
-	begin(deadlyHost, 9002, 3*time.Second, whole+1, deadly)
-	exchange(deadlyHost, 3*time.Second)
+	begin(poisonHost, 9002, 3*time.Second, whole+1, poison)
+	exchange(poisonHost, 3*time.Second)
 	exchange(host, 3*time.Second)
-	if !host.refuses(4*time.Second, whole+2, deadly) {
+	if !host.refuses(4*time.Second, whole+2, poison) {
 		t.Error("the evidence of a crash before the loss was pushed out")
 	}
 }
--- a/soak/deadly_test.go
+++ b/soak/poison_test.go
@@ -11,22 +11,22 @@
 )
 
 const (
-	// deadlyPart is the prompt part that crashes every upstream that begins an answer on it.
-	deadlyPart = "dead"
+	// poisonPart is the prompt part that crashes every upstream that begins an answer on it.
+	poisonPart = "dead"
 	// crashDowntime is how long an upstream refuses connections after a crash.
 	crashDowntime = 600 * time.Millisecond
-	// maxDeadlyRuns is the number of requests with deadlyPart that may reach upstreams: five
+	// maxPoisonRuns is the number of requests with poisonPart that may reach upstreams: five
 	// crashes, then three more.
-	maxDeadlyRuns = 5 + 3
-	// deadlyCalls is the number of requests with deadlyPart in one round.
-	deadlyCalls = 16
+	maxPoisonRuns = 5 + 3
+	// poisonCalls is the number of requests with poisonPart in one round.
+	poisonCalls = 16
 	// contactSpan is the time after which a host that started must refuse quarantined content.
 	contactSpan = 3 * time.Second
 )
 
 // crashOnPrompt begins an answer and ends all connections of the upstream.
 func (u *upstream) crashOnPrompt(w http.ResponseWriter) {
-	u.d.deadlyRuns.Add(1)
+	u.d.poisonRuns.Add(1)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
@@ -35,17 +35,17 @@
 	panic(http.ErrAbortHandler)
 }
 
-// checkDeadlyPart sends requests with deadlyPart, no two alike, to all hosts in turn, before and
+// checkPoisonPart sends requests with poisonPart, no two alike, to all hosts in turn, before and
 // after all hosts are killed at once. It checks how many reach upstreams, and that requests with the
 // same first part are served.
-func (d *deployment) checkDeadlyPart(t *testing.T) {
+func (d *deployment) checkPoisonPart(t *testing.T) {
 	client := newClient()
 	stream := kinds[2]
 	served := 0
 	for round := range 2 {
-		for i := range deadlyCalls {
+		for i := range poisonCalls {
 			address := d.hosts[i%len(d.hosts)].listen
-			stream.prompt = fmt.Sprintf("f1:50,%s:30,%x:20", deadlyPart, 1000*(round+1)+i)
+			stream.prompt = fmt.Sprintf("f1:50,%s:30,%x:20", poisonPart, 1000*(round+1)+i)
 			d.call(context.Background(), client, address, stream)
 			stream.prompt = fmt.Sprintf("f1:50,%x:20", 5000*(round+1)+i)
 			if d.call(context.Background(), client, address, stream) == "served" {
@@ -58,11 +58,11 @@
 			time.Sleep(contactSpan)
 		}
 	}
-	if runs := d.deadlyRuns.Load(); runs == 0 || runs > maxDeadlyRuns {
-		t.Errorf("BUDGET: %d requests with a part that crashes upstreams reached upstreams, want 1 to %d", runs, maxDeadlyRuns)
+	if runs := d.poisonRuns.Load(); runs == 0 || runs > maxPoisonRuns {
+		t.Errorf("BUDGET: %d requests with a part that crashes upstreams reached upstreams, want 1 to %d", runs, maxPoisonRuns)
 	}
-	if served < 2*deadlyCalls*9/10 {
-		t.Errorf("LOST: %d of %d sound requests with the same first part were served", served, 2*deadlyCalls)
+	if served < 2*poisonCalls*9/10 {
+		t.Errorf("LOST: %d of %d sound requests with the same first part were served", served, 2*poisonCalls)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,7 +113,7 @@
 	upstreams []*upstream
 	faults    map[string]int // number of induced faults by name
 
-	deadlyRuns atomic.Int64 // answers begun on a prompt with deadlyPart
+	poisonRuns atomic.Int64 // answers begun on a prompt with poisonPart
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -141,7 +141,7 @@
 	}
 	d.induceFaults(t, random)
 	d.checkServing(t, time.Now().Add(recoverSpan))
-	d.checkDeadlyPart(t)
+	d.checkPoisonPart(t)
 	d.checkChange(t)
 	d.checkLeaving(t)
 	d.checkStops(t)
