--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,9 +1,14 @@
-// Package quarantine identifies requests that crash the upstreams that run them, by the digest of
-// their content. Entry hosts share crash evidence as a set that only grows until entries expire, so
-// it can be merged in any order.
+// Package quarantine identifies content that crashes the upstreams that run it.
 //
-// The package reads no clock; callers pass the time. Callers add evidence only for upstreams that
-// ended without notice, so that a reclaimed upstream does not count as crashed.
+// EvidenceSet judges whole requests by the digest of their content, for requests that are
+// tried one at a time. Entry hosts share its evidence as a set that only grows until
+// entries expire, so it can be merged in any order. Tracker judges parts of requests, which
+// other requests may share: it derives from the crashes that all hosts report the content that
+// explains them. Persister keeps its verdicts in the key-value service.
+//
+// Apart from Persister the package reads no clock; callers pass the time. Callers add evidence
+// only for upstreams that ended without notice, so that a reclaimed upstream does not count as
+// crashed.
 package quarantine
 
 import (
