--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -178,10 +178,8 @@
 	if upstream.ReasonOf(err) != upstream.ReasonBroken || r.dispatcher.attempts.reportedLeaving(host.ID) {
 		return
 	}
-	for _, h := range r.dispatcher.hosts.Current().Pool(host.Pool) {
-		if h.ID == host.ID && h.State == hosts.StateLive {
-			e := quarantine.Evidence{Digest: r.Log.Digest, Upstream: host.ID, At: time.Now(), Trial: r.trial != nil}
-			r.dispatcher.isolation.report(e)
-		}
+	if _, live := r.dispatcher.hosts.Current().Live(host.Pool, host.ID); live {
+		e := quarantine.Evidence{Digest: r.Log.Digest, Upstream: host.ID, At: time.Now(), Trial: r.trial != nil}
+		r.dispatcher.isolation.report(e)
 	}
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -145,12 +145,8 @@
 	if list == nil {
 		return false
 	}
-	for _, listed := range list.Pool(h.Pool) {
-		if listed.ID == h.ID && listed.Address == h.Address {
-			return listed.State == hosts.StateLive
-		}
-	}
-	return false
+	listed, live := list.Live(h.Pool, h.ID)
+	return live && listed.Address == h.Address
 }
 
 // endChecks holds the newest checks of the ends of upstream processes, by address. The zero
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -79,3 +79,13 @@
 
 // Pool returns the live and leaving hosts of a pool.
 func (s *Snapshot) Pool(name string) []Host { return s.byPool[name] }
+
+// Live returns the live host of a pool with the given id.
+func (s *Snapshot) Live(pool, id string) (Host, bool) {
+	for _, h := range s.byPool[pool] {
+		if h.ID == id && h.State == StateLive {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
--- a/provision/keeper.go
+++ b/provision/keeper.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/cloud"
 	"github.com/cardamompier/cardamompier/config"
@@ -129,9 +128,8 @@
 		Demand: func() float64 { return k.rates.sum(pool, k.parts.Members(), time.Now()) },
 		Floor:  func() float64 { return max(minDemand, spec().floor) },
 		Warm: func(id string) bool {
-			return lo.ContainsBy(k.parts.Hosts().Pool(pool), func(h hosts.Host) bool {
-				return h.ID == id && h.State == hosts.StateLive
-			})
+			_, live := k.parts.Hosts().Live(pool, id)
+			return live
 		},
 		WarmUp:    s.warmUp,
 		MaxStarts: s.maxStarts,
