Share the restart of all hosts between the tests that play it

The soak's check of a poisoned part repeated the fault that kills all hosts, and two tests of crash evidence the same restart.

--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -82,6 +82,17 @@
 	delete(f.trackers, id)
 }
 
+// restartAll kills all hosts at once and starts them again.
+func (f *fleet) restartAll() {
+	members := f.view.Load().Members
+	for _, m := range members {
+		f.stop(m.ID)
+	}
+	for _, m := range members {
+		f.start(m.ID)
+	}
+}
+
 func (f *fleet) setMembers(members []membership.Member) {
 	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.ID, b.ID) })
 	f.view.Store(&membership.View{Members: members})
@@ -162,13 +173,7 @@
 		f.crash("front-000", 1)
 		f.crash("front-001", 2)
 		time.Sleep(inTouch)
-		members := f.view.Load().Members
-		for _, m := range members {
-			f.stop(m.ID)
-		}
-		for _, m := range members {
-			f.start(m.ID)
-		}
+		f.restartAll()
 		time.Sleep(inTouch)
 		if passing := f.passing(); len(passing) > 0 {
 			t.Errorf("hosts %v let requests pass after the restart of all hosts", passing)
@@ -184,13 +189,7 @@
 		f.crash("front-000", 1)
 		f.crash("front-001", 2)
 		time.Sleep(inTouch)
-		members := f.view.Load().Members
-		for _, m := range members {
-			f.stop(m.ID)
-		}
-		for _, m := range members {
-			f.start(m.ID)
-		}
+		f.restartAll()
 		time.Sleep(inTouch)
 		f.crash("front-002", 3)
 		time.Sleep(inTouch)
@@ -206,9 +205,12 @@
 	for _, isolatesCollector := range []bool{false, true} {
 		playFleet(t, 9, func(t *testing.T, f *fleet) {
 			time.Sleep(time.Second)
-			isolated := f.collector()
-			if !isolatesCollector {
-				isolated = map[bool]string{true: "front-000", false: "front-001"}[isolated != "front-000"]
+			collector := f.collector()
+			isolated := collector
+			for _, m := range f.view.Load().Members {
+				if !isolatesCollector && m.ID != collector {
+					isolated = m.ID
+				}
 			}
 			var others []string
 			for _, m := range f.view.Load().Members {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -33,11 +33,7 @@
 		if random.IntN(4) > 0 { // a quarter as often as the other faults
 			return
 		}
-		var all sync.WaitGroup
-		for _, h := range d.hosts {
-			all.Go(func() { h.replace(t, syscall.SIGKILL, 300*time.Millisecond) })
-		}
-		all.Wait()
+		d.killAllHosts(t)
 	},
 	"settings signal": func(t *testing.T, d *deployment, random *rand.Rand, _ time.Duration) {
 		h := d.anyHost(random)
@@ -88,6 +84,15 @@
 	return d.upstreams[random.IntN(len(d.upstreams))]
 }
 
+// killAllHosts kills all hosts at once and starts them again.
+func (d *deployment) killAllHosts(t *testing.T) {
+	var all sync.WaitGroup
+	for _, h := range d.hosts {
+		all.Go(func() { h.replace(t, syscall.SIGKILL, 300*time.Millisecond) })
+	}
+	all.Wait()
+}
+
 // replace stops the process with a signal and starts it again after a pause.
 func (h *host) replace(t *testing.T, signal syscall.Signal, pause time.Duration) {
 	h.mu.Lock()
--- a/soak/poison_test.go
+++ b/soak/poison_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -55,6 +53,9 @@
 		}
 		if round == 0 {
 			d.killAllHosts(t)
+			for _, h := range d.hosts {
+				await(t, recoverSpan, h.name+" is ready after all hosts were killed", h.isReady)
+			}
 			time.Sleep(contactSpan)
 		}
 	}
@@ -65,15 +66,3 @@
 		t.Errorf("LOST: %d of %d sound requests with the same first part were served", served, 2*poisonCalls)
 	}
 }
-
-// killAllHosts kills all hosts at once, starts them again and waits until they are ready.
-func (d *deployment) killAllHosts(t *testing.T) {
-	var all sync.WaitGroup
-	for _, h := range d.hosts {
-		all.Go(func() { h.replace(t, syscall.SIGKILL, 300*time.Millisecond) })
-	}
-	all.Wait()
-	for _, h := range d.hosts {
-		await(t, recoverSpan, h.name+" is ready after all hosts were killed", h.isReady)
-	}
-}
