Forget evidence of crashing content in time

Callers would have seen no end of a quarantine whose trial never ran, and memory kept answers and sets by number only, with no bound in time.

Cause: crashes were filtered by age where they were read, answers were evicted by count, and a set ended only by an answer or when 64 others pushed it out.

Fix: RemoveExpired, called with each check of the Persister, removes crashes, records and answers by age, and sets whose trial has been due for ten minutes without a result. Nothing changes within ten minutes of a crash.

TestEvidenceIsForgottenInTime failed with an empty RemoveExpired (1 set, 2 crashes, 3 answers, 5 records left).

--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -62,11 +62,12 @@
 // Unwrap returns the cause.
 func (e *RecordError) Unwrap() error { return e.Cause }
 
-// Run writes and reads quarantined sets until ctx ends.
+// Run writes and reads quarantined sets, and removes expired evidence, until ctx ends.
 func (p *Persister) Run(ctx context.Context) {
 	started := time.Now()
 	for wait.For(ctx, p.interval()) {
 		now := time.Now()
+		p.Tracker.RemoveExpired(now)
 		connected := p.Tracker.Connected(now) || now.Sub(started) < connectSpan
 		// The hosts that collect evidence write for all. A host that no other host reaches
 		// writes for itself.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -131,9 +131,11 @@
 	crashes  []*crash // in the order of their times
 	sets     []*Set
 	answered map[Key]time.Time // by suspected key: the newest answer on any host
-	recent   [2]map[Key]time.Time
-	log      recordLog
-	peers    map[string]*peer // by host
+	// recent holds the newest answers of this host in two generations.
+	recent    [2]map[Key]time.Time
+	rotatedAt time.Time // when the newer generation began
+	log       recordLog
+	peers     map[string]*peer // by host
 	// peerSeenAt is when the last message of another host arrived.
 	peerSeenAt time.Time
 	// collectedAt is when the last request of another host arrived.
@@ -198,7 +200,7 @@
 		t.announce(key)
 	}
 	if len(t.recent[0]) > maxAnswered {
-		t.recent = [2]map[Key]time.Time{{}, t.recent[0]}
+		t.rotateAnswers(at)
 	}
 }
 
@@ -349,7 +351,7 @@
 // evict removes expired crashes and makes room for a report: the oldest report of the same
 // client account, or the oldest crash. The caller holds t.mu.
 func (t *Tracker) evict(c Crash) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(known *crash) bool { return c.At.Sub(known.at) >= Expiry })
+	t.removeExpiredCrashes(c.At)
 	reports := 0
 	for _, known := range slices.Backward(t.crashes) {
 		for _, r := range known.reports {
@@ -375,3 +377,32 @@
 func without(keys []Key, key Key) []Key {
 	return slices.DeleteFunc(slices.Clone(keys), func(k Key) bool { return k == key })
 }
+
+// RemoveExpired removes crashes and records older than Expiry, answers older than at most twice
+// Expiry, and quarantined sets whose trial has been due for Expiry without a result.
+func (t *Tracker) RemoveExpired(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpiredCrashes(now)
+	maps.DeleteFunc(t.answered, func(_ Key, at time.Time) bool { return now.Sub(at) >= Expiry })
+	if now.Sub(t.rotatedAt) >= Expiry {
+		t.rotateAnswers(now)
+	}
+	t.log.records = slices.DeleteFunc(t.log.records, func(r logRecord) bool { return now.Sub(r.at) >= Expiry })
+	for _, s := range slices.Clone(t.sets) {
+		if now.Sub(s.Until()) >= Expiry {
+			t.drop(s)
+		}
+	}
+}
+
+// removeExpiredCrashes removes the crashes older than Expiry. The caller holds t.mu.
+func (t *Tracker) removeExpiredCrashes(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(known *crash) bool { return now.Sub(known.at) >= Expiry })
+}
+
+// rotateAnswers begins a new generation of this host's answers and forgets the one before the
+// last. The caller holds t.mu.
+func (t *Tracker) rotateAnswers(now time.Time) {
+	t.recent, t.rotatedAt = [2]map[Key]time.Time{{}, t.recent[0]}, now
+}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -300,3 +300,23 @@
 		t.Error("the evidence of a crash before the loss was pushed out")
 	}
 }
+
+// TestEvidenceIsForgottenInTime checks that no evidence is kept for ever: crashes, answers, records and a
+// quarantine whose trial has been due for long without a result.
+func TestEvidenceIsForgottenInTime(t *testing.T) {
+	tr := newTestTracker()
+	tr.Answered([]Key{firstPart, otherPart}, trackerStart)
+	begin(tr, 1, time.Second, whole, firstPart, poison)
+	begin(tr, 2, 2*time.Second, whole+1, firstPart, poison)
+	tr.Answered([]Key{firstPart}, trackerStart.Add(3*time.Second))
+	due := tr.Sets()[0].Until()
+	tr.RemoveExpired(due.Add(Expiry - time.Second))
+	if sets := len(tr.Sets()); sets != 1 {
+		t.Errorf("%d sets are left while the trial has been due for less than %v, want 1", sets, Expiry)
+	}
+	tr.RemoveExpired(due.Add(Expiry))
+	tr.RemoveExpired(due.Add(2 * Expiry))
+	if sets, crashes, answers, records := len(tr.Sets()), len(tr.crashes), len(tr.answered)+len(tr.recent[0])+len(tr.recent[1]), len(tr.log.records); sets+crashes+answers+records != 0 {
+		t.Errorf("%d sets, %d crashes, %d answers and %d records are left, want none", sets, crashes, answers, records)
+	}
+}
