Relay an upstream's error answer if quarantine forbids the repeat

Callers got 502 in place of an upstream's complete 500, and the retry budget lost an attempt that was never sent, if the content of a request was quarantined while the upstream worked on it.

Cause: the check before the repeat after a server error was a twin of mayRepeat without its look at the quarantine; the answer was given up before mayRepeat refused.

Fix: reserveServerErrorRetry asks mayRepeat. TestServerErrorOfQuarantinedContentIsRelayed failed before (502) and passes.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -257,3 +257,28 @@
 		t.Errorf("%d requests count as active, want 0", active)
 	}
 }
+
+// TestServerErrorOfQuarantinedContentIsRelayed checks that an upstream's error answer reaches the caller if
+// the request must not be repeated because its content was quarantined meanwhile.
+func TestServerErrorOfQuarantinedContentIsRelayed(t *testing.T) {
+	part, err := strconv.ParseUint(poisonPart, 16, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var f *fixture
+	f = newFixture(t, func(_ int, r receivedRequest, conn net.Conn) {
+		for upstream := range uint64(2) {
+			f.Crashes.Add(quarantine.Crash{
+				Upstream: upstream, At: time.Now(), Begun: true, Keys: []quarantine.Key{quarantine.Key(1000 + upstream), quarantine.Key(part)},
+			})
+		}
+		writeAnswer(conn, r, 500, sealHeader, "upstream body")
+	})
+	status, body, _, err := f.send(t, "/read/x", "b", "Token-Count", "150,5", "Prompt-Prefix", "f1:100,"+poisonPart+":30,f3:20")
+	if err != nil || status != http.StatusInternalServerError || body != "upstream body" {
+		t.Errorf("got status %d, body %q and error %v, want the upstream's 500", status, body, err)
+	}
+	if n := len(f.receivedRequests()); n != 1 {
+		t.Errorf("upstreams received %d requests, want 1", n)
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -99,7 +99,7 @@
 // reserveServerErrorRetry returns whether a request that an upstream answered with a
 // server error (5xx) may be repeated, and reserves the repeated attempt.
 func (e *exchange) reserveServerErrorRetry() bool {
-	e.retryReserved = e.route.Kind.Repeatable() && e.possibleRuns < e.route.MaxAttempts && e.ctx.Err() == nil && e.reserveRetry()
+	e.retryReserved = e.mayRepeat(nil)
 	return e.retryReserved
 }
 
