Drop repeated state and checks in the code for crashing content

A record held its time twice, the account's name was looked up in two ways, the key of a stored set was hashed piece by piece, two packages each had a limit of the keys of one request (24 and 20 parts beside the request; 21 now serves both, what a host sends is the same), and guard exported a function that only it calls. No behaviour changes but the names of keys in the store and the limit for received records, which no host reaches. Tests of quarantine, forward, guard and the root pass.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -24,8 +24,9 @@
 	// answeredAfter is how long a stream must go on after its first event to prove that its
 	// content does not crash the upstream.
 	answeredAfter = 100 * time.Millisecond
-	// maxPartKeys limits the prompt parts by which a request is tracked.
-	maxPartKeys = 20
+	// maxPartKeys limits the prompt parts by which a request is tracked: the last ones, beside
+	// the key of the whole request.
+	maxPartKeys = quarantine.MaxKeys - 1
 )
 
 // contentKeys returns the keys of the content that may crash upstreams: the prompt parts
@@ -45,6 +46,7 @@
 	return keys
 }
 
+// accountName returns the name of the client account; empty for none.
 func (e *exchange) accountName() string {
 	if e.account == nil {
 		return ""
@@ -56,10 +58,10 @@
 // crashes upstreams, and nil for any other request. The refusal has a status after which the
 // caller may try again, because the quarantine ends.
 func (e *exchange) quarantined() *apierr.Error {
-	now := time.Now()
 	if e.inTrial && e.possibleRuns == 0 {
 		return nil
 	}
+	now := time.Now()
 	until, refused := e.f.Crashes.Refused(e.keys, now)
 	if !refused {
 		e.inTrial = !until.IsZero()
--- a/forward/send.go
+++ b/forward/send.go
@@ -172,10 +172,7 @@
 	header := make(http.Header, len(e.r.Header)+4)
 	copyEndToEndHeaders(header, e.r.Header)
 	metadata := UpstreamMetadata{
-		Instance: t.ID, TimeLeft: time.Until(e.deadline), Priority: e.priority(), ResumeAfter: resumeAfter,
-	}
-	if e.account != nil {
-		metadata.Account = e.account.Name
+		Instance: t.ID, Account: e.accountName(), TimeLeft: time.Until(e.deadline), Priority: e.priority(), ResumeAfter: resumeAfter,
 	}
 	e.f.Codec.Encode(header, metadata)
 	if _, ok := header["User-Agent"]; !ok {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -21,8 +21,8 @@
 // Panics counts recovered panics, by component.
 var Panics = metrics.New("component_panics_total", "Recovered panics, by component.")
 
-// Do calls run. If run panics, Do logs and counts the panic and returns true.
-func Do(logger hclog.Logger, component string, run func()) (panicked bool) {
+// recovered calls run. If run panics, recovered logs and counts the panic and returns true.
+func recovered(logger hclog.Logger, component string, run func()) (panicked bool) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			panicked = true
@@ -37,7 +37,7 @@
 // Run runs a component until it returns. After a panic it starts the component again, until
 // ctx ends.
 func Run(ctx context.Context, logger hclog.Logger, component string, run func(context.Context)) {
-	for Do(logger, component, func() { run(ctx) }) {
+	for recovered(logger, component, func() { run(ctx) }) {
 		if !wait.For(ctx, restartPause) {
 			return
 		}
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -190,7 +190,7 @@
 		t.drop(slices.MinFunc(t.sets, func(a, b *Set) int { return a.At.Compare(b.At) }))
 	}
 	t.sets = append(t.sets, &set)
-	t.log.append(logRecord{kind: recordSet, crash: Crash{Keys: set.Keys}, crashes: set.Crashes, at: set.At}, source)
+	t.log.append(logRecord{kind: recordSet, crash: Crash{At: set.At, Keys: set.Keys}, crashes: set.Crashes}, source)
 	t.publish()
 	Changes.Inc(change)
 	t.changed(change, set)
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -33,9 +33,8 @@
 // logRecord is one piece of evidence in the order in which this host learned it.
 type logRecord struct {
 	kind    recordKind
-	crash   Crash // for recordAnswer and recordSet only its Keys
-	crashes int   // for recordSet
-	at      time.Time
+	crash   Crash  // for recordAnswer and recordSet only its At and Keys
+	crashes int    // for recordSet
 	number  uint64 // position in the log
 	source  uint64 // epoch of the host from which it was received
 }
@@ -63,7 +62,7 @@
 func (l *recordLog) after(number, epoch uint64, now time.Time) []wireRecord {
 	var out []wireRecord
 	for _, r := range l.records {
-		if r.number > number && (epoch == 0 || r.source != epoch) && now.Sub(r.at) < Expiry {
+		if r.number > number && (epoch == 0 || r.source != epoch) && now.Sub(r.crash.At) < Expiry {
 			out = append(out, encodeRecord(r, now))
 		}
 	}
@@ -84,7 +83,7 @@
 
 func encodeRecord(r logRecord, now time.Time) wireRecord {
 	return wireRecord{
-		Kind: r.kind, AgeMS: now.Sub(r.at).Milliseconds(), Keys: r.crash.Keys, Upstream: r.crash.Upstream,
+		Kind: r.kind, AgeMS: now.Sub(r.crash.At).Milliseconds(), Keys: r.crash.Keys, Upstream: r.crash.Upstream,
 		Account: r.crash.Account, Begun: r.crash.Begun, Crashes: r.crashes,
 	}
 }
@@ -182,7 +181,7 @@
 func (t *Tracker) receive(records []wireRecord, epoch uint64, now time.Time) {
 	for _, r := range records {
 		at := now.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
-		if len(r.Keys) == 0 || len(r.Keys) > maxKeys || now.Sub(at) >= Expiry {
+		if len(r.Keys) == 0 || len(r.Keys) > MaxKeys || now.Sub(at) >= Expiry {
 			continue
 		}
 		switch r.Kind {
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -173,14 +174,14 @@
 		}
 		set.Keys = append(set.Keys, Key(key))
 	}
-	if len(set.Keys) == 0 || len(set.Keys) > maxKeys {
+	if len(set.Keys) == 0 || len(set.Keys) > MaxKeys {
 		return Set{}, &RecordError{Key: entry.Key, Cause: errKeyCount}
 	}
 	slices.Sort(set.Keys)
 	return set, nil
 }
 
-// keyCountError reports a stored set without keys or with more than maxKeys keys.
+// keyCountError reports a stored set without keys or with more than MaxKeys keys.
 type keyCountError struct{}
 
 // Error implements error.
@@ -189,11 +190,7 @@
 var errKeyCount = keyCountError{}
 
 func storeKey(keys []Key) string {
-	digest := xxhash.New()
-	for _, text := range formatKeys(keys) {
-		_, _ = digest.WriteString(text + ",")
-	}
-	return Prefix + strconv.FormatUint(digest.Sum64(), 16)
+	return Prefix + strconv.FormatUint(xxhash.Sum64String(strings.Join(formatKeys(keys), ",")), 16)
 }
 
 func formatKeys(keys []Key) []string {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -37,6 +37,9 @@
 	Keys []Key
 }
 
+// MaxKeys limits the keys of one request.
+const MaxKeys = 21
+
 const (
 	// begunCrashes is the number of crashes after which content is quarantined if the
 	// upstreams had begun their answers to it and no answer to it ever succeeded.
@@ -65,8 +68,6 @@
 	// maxCrashes limits the crashes in memory, maxAccountReports the reports of one client
 	// account, and maxReports those of one crash.
 	maxCrashes, maxAccountReports, maxReports = 128, 96, 16
-	// maxKeys limits the keys of one request. A prompt with more parts is tracked by its last ones.
-	maxKeys = 24
 	// maxSets limits the quarantined sets in memory.
 	maxSets = 64
 	// maxAnswered is the number of keys in each of two generations for which the last
@@ -228,7 +229,7 @@
 	if !c.Begun && source != localSource && !t.repeated(c) {
 		return // too little to act on, or to tell other hosts
 	}
-	t.log.append(logRecord{kind: recordCrash, crash: c, at: c.At}, source)
+	t.log.append(logRecord{kind: recordCrash, crash: c}, source)
 	for _, key := range c.Keys {
 		t.announce(key)
 	}
@@ -304,7 +305,7 @@
 		return
 	}
 	t.answered[key] = at
-	t.log.append(logRecord{kind: recordAnswer, crash: Crash{Keys: []Key{key}}, at: at}, source)
+	t.log.append(logRecord{kind: recordAnswer, crash: Crash{At: at, Keys: []Key{key}}}, source)
 	for _, s := range slices.Clone(t.sets) {
 		if !slices.Contains(s.Keys, key) || !at.After(s.At) {
 			continue
@@ -319,7 +320,7 @@
 // merge adds a report to the crash that it belongs to and reports whether it is new. The
 // caller holds t.mu.
 func (t *Tracker) merge(c Crash) bool {
-	if len(c.Keys) == 0 || len(c.Keys) > maxKeys {
+	if len(c.Keys) == 0 || len(c.Keys) > MaxKeys {
 		return false
 	}
 	i := slices.IndexFunc(t.crashes, func(known *crash) bool {
@@ -388,7 +389,7 @@
 	if now.Sub(t.rotatedAt) >= Expiry {
 		t.rotateAnswers(now)
 	}
-	t.log.records = slices.DeleteFunc(t.log.records, func(r logRecord) bool { return now.Sub(r.at) >= Expiry })
+	t.log.records = slices.DeleteFunc(t.log.records, func(r logRecord) bool { return now.Sub(r.crash.At) >= Expiry })
 	for _, s := range slices.Clone(t.sets) {
 		if now.Sub(s.Until()) >= Expiry {
 			t.drop(s)
