Log losses that are no evidence of a crash, and what answers announce

Event 1801 was written only for what counts as a crash, so that an end of another kind and a loss of one connection left the same log: nothing. Event 1804 names the attempt, the upstream's run, how its machine reacts to a new connection, and the keys of the content. No line named what an upstream announces in the head of an answer, so that an announcement in answers alone and a late list looked the same. Event 2107 names it with the listed state.

One function sends a request for first attempts and resumed streams. No decision changes.

--- a/forward/codec.go
+++ b/forward/codec.go
@@ -57,6 +57,11 @@
 	// WrongInstance is true if the address now belongs to another upstream than the intended
 	// one.
 	WrongInstance bool
+	// Leaving is true if the upstream announces that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which an upstream that rejected the request wants no more
+	// requests from this host; zero if it names none.
+	RetryAfter time.Duration
 }
 
 // Codec decodes and encodes the HTTP headers that a deployment uses.
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -12,6 +12,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/quarantine"
+	"github.com/cardamompier/cardamompier/upstream/connpool"
 )
 
 const (
@@ -132,7 +133,12 @@
 // reportCrash adds the evidence of a crash if the upstream's process has ended without
 // notice, and returns whether it has.
 func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
-	if !f.listedLive(h) || !f.ended(h.Address) {
+	if !f.listedLive(h) {
+		f.logLoss(h, c, requestID, "")
+		return false
+	}
+	if reached := f.probe(h.Address); reached != connpool.Refused {
+		f.logLoss(h, c, requestID, reached)
 		return false
 	}
 	f.Crashes.Add(c)
@@ -140,6 +146,12 @@
 	return true
 }
 
+// logLoss logs an attempt that ended without an answer and is no evidence of a crash. reached
+// is empty if the upstream is not listed as live.
+func (f *Forwarder) logLoss(h hosts.Host, c quarantine.Crash, requestID string, reached connpool.Reachability) {
+	events.UpstreamLoss.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "reached", string(reached), "keys", c.Keys)
+}
+
 // listedLive reports whether the newest list shows this run of the upstream as live. An
 // upstream that left the list or is leaving ends by plan.
 func (f *Forwarder) listedLive(h hosts.Host) bool {
@@ -158,17 +170,17 @@
 	checks map[string]*endCheck
 }
 
-// endCheck is one check; ended is valid when done is closed.
+// endCheck is one check; reached is valid when done is closed.
 type endCheck struct {
-	done  chan struct{}
-	at    time.Time
-	ended bool
+	done    chan struct{}
+	at      time.Time
+	reached connpool.Reachability
 }
 
-// ended reports whether the machine at an address refuses connections, so that the
-// upstream's process has ended. A machine that does not answer proves nothing: the link to it
-// may be cut. Concurrent calls for one address share a check.
-func (f *Forwarder) ended(address string) bool {
+// probe returns how the machine at an address reacts to a new connection. If it refuses, the
+// upstream's process has ended. If it is silent, the link to it may be cut. Concurrent calls
+// for one address share a check.
+func (f *Forwarder) probe(address string) connpool.Reachability {
 	f.endChecks.mu.Lock()
 	check := f.endChecks.checks[address]
 	if check == nil || time.Since(check.at) > crashCheckValidity {
@@ -181,12 +193,12 @@
 			defer close(check.done)
 			ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 			defer cancel()
-			check.ended = f.conns.Refused(ctx, address)
+			check.reached = f.conns.Probe(ctx, address)
 		}()
 	}
 	f.endChecks.mu.Unlock()
 	<-check.done
-	return check.ended
+	return check.reached
 }
 
 // maxEndChecks limits the checks that are kept.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -174,17 +174,13 @@
 		if stream.lastID > 0 {
 			after = strconv.FormatInt(stream.lastID, 10)
 		}
-		answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, after), func(h http.Header) bool {
-			return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
-		})
+		answer, v, err := e.send(t, after)
 		if err != nil {
 			_, err = e.classifyFailure(t, err)
 			e.log(events.ForwardAttempt, "upstream", t.ID, "outcome", "resume_failed", "error", err)
 			e.tried = append(e.tried, t.ID)
 			continue
 		}
-		e.sends++
-		v := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
 		if answer.StatusCode != http.StatusOK || !v.Sealed {
 			answer.Close(false)
 			if !v.NotRun && !v.WrongInstance {
--- a/forward/send.go
+++ b/forward/send.go
@@ -232,16 +232,12 @@
 		t.live.End()
 	}()
 	e.headReceived = false
-	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), func(h http.Header) bool {
-		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
-	})
+	answer, verdict, err := e.send(t, resumeAfter)
 	e.waiting.Store(false)
 	if err != nil {
 		return e.classifyFailure(t, err)
 	}
-	e.sends++
 	e.headReceived = true
-	verdict := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
 	if verdict.NotRun || verdict.WrongInstance {
 		if verdict.WrongInstance {
 			t.live.Fail(time.Now())
@@ -253,6 +249,23 @@
 	return e.relay(t, answer, verdict, prefillDone)
 }
 
+// send sends the request to one upstream and returns the head of the upstream's answer.
+func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
+	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), func(h http.Header) bool {
+		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
+	})
+	if err != nil {
+		return nil, AnswerMetadata{}, err
+	}
+	e.sends++
+	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
+	if m.Leaving || m.RetryAfter > 0 {
+		e.log(events.ForwardNotice, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "listed", string(t.State),
+			"status", answer.StatusCode, "leaving", m.Leaving, "pause_ms", m.RetryAfter.Milliseconds())
+	}
+	return answer, m, nil
+}
+
 // classifyFailure returns the outcome of an attempt that ended without an answer, and
 // records the failure for the upstream.
 func (e *exchange) classifyFailure(t selectedUpstream, err error) (outcome, error) {
--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -94,15 +94,31 @@
 	}
 }
 
-// Refused reports whether the machine at address refuses a new connection, because no
-// process listens there. A connection that opens is kept for a later request.
-func (p *Pool) Refused(ctx context.Context, address string) bool {
+// Reachability is how the machine at an address reacts to a new connection.
+type Reachability string
+
+// The possible reactions.
+const (
+	// Refused means that no process listens at the address.
+	Refused Reachability = "refused"
+	// Opened means that a connection was opened. Probe keeps it for a later request.
+	Opened Reachability = "opened"
+	// Silent means that the machine did not react in time.
+	Silent Reachability = "silent"
+)
+
+// Probe opens a new connection to address and returns how the machine reacts.
+func (p *Pool) Probe(ctx context.Context, address string) Reachability {
 	c, err := dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		p.put(c)
+		return Opened
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	default:
+		return Silent
 	}
-	p.put(c)
-	return false
 }
 
 // popIdle removes and returns an idle connection to address, or nil if there is none.
