Add failing tests: requests that end upstreams without leaving evidence

Several hosts (4 and 30) with one upstream list send the same request again and again. It reaches upstreams 40 to 112 times later than 3 s after it ended the third, bound 3, where the upstreams are silent for 0.9 s, accept connections at once, or end after the first events of a stream; the case of refused connections passes.

--- /dev/null
+++ b/forward/ends_test.go
@@ -0,0 +1,148 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// maxRetriesAfterThirdEnd is the number of requests that may reach upstreams later than contactSpan
+// after a request ended its third upstream.
+const maxRetriesAfterThirdEnd = 3
+
+// fatalPath starts the paths of requests that end the upstreams that run them.
+const fatalPath = "/resume/fatal"
+
+// playFatalRequest sends one request, which ends each upstream that runs it, again and again to all
+// hosts in turn, beside sound requests. begin writes what the upstream sends before it ends, and end
+// ends it. It checks how many requests reach upstreams once every host must know, and that the sound
+// requests are served.
+func playFatalRequest(t *testing.T, entryHosts int, begin func(r receivedRequest, conn net.Conn), end func(u *simUpstream)) {
+	const upstreams, pause, span = 12, 50 * time.Millisecond, contactSpan + 2*time.Second
+	f := newFleet(t, entryHosts, upstreams, func(u *simUpstream, r receivedRequest, conn net.Conn) bool {
+		if strings.HasPrefix(r.URL.Path, fatalPath) {
+			begin(r, conn)
+			end(u)
+			return false
+		}
+		answerStream(conn, r, 2)
+		return true
+	})
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	sound, served := 0, 0
+	began := time.Now()
+	for i := 0; time.Since(began) < span+silentSpan; i++ {
+		h := f.hosts[i%len(f.hosts)]
+		calls.Go(func() { f.call(h, fatalPath, "same body") })
+		calls.Go(func() {
+			c := f.call(h, fmt.Sprintf("/resume/sound/%d", i), "b")
+			mu.Lock()
+			defer mu.Unlock()
+			if sound++; c.served() {
+				served++
+			}
+		})
+		time.Sleep(pause)
+	}
+	calls.Wait()
+	var ends, fatal []time.Time
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		ends = append(ends, u.ends...)
+		u.mu.Unlock()
+		for _, a := range u.arrived() {
+			if a.path == fatalPath {
+				fatal = append(fatal, a.at)
+			}
+		}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) < 3 {
+		t.Fatalf("%d upstreams ended, want at least 3", len(ends))
+	}
+	bound := ends[2].Add(contactSpan)
+	late := 0
+	for _, at := range fatal {
+		if at.After(bound) {
+			late++
+		}
+	}
+	if late > maxRetriesAfterThirdEnd {
+		t.Errorf("%d requests reached upstreams later than %v after the third upstream ended, want at most %d; %d ended in all",
+			late, contactSpan, maxRetriesAfterThirdEnd, len(ends))
+	}
+	if served < sound*9/10 {
+		t.Errorf("%d of %d sound requests were served, want at least nine in ten", served, sound)
+	}
+	t.Logf("%d sends, %d ends, %d of %d sound requests served", len(fatal), len(ends), served, sound)
+}
+
+// playFatalRequests runs playFatalRequest with each number of entry hosts.
+func playFatalRequests(t *testing.T, begin func(r receivedRequest, conn net.Conn), end func(u *simUpstream)) {
+	for _, n := range fleetSizes {
+		t.Run(fmt.Sprintf("hosts=%d", n), func(t *testing.T) {
+			t.Parallel()
+			playFatalRequest(t, n, begin, end)
+		})
+	}
+}
+
+func writeNothing(receivedRequest, net.Conn) {}
+
+// TestRequestThatEndsUpstreamsThatReturn guards against evidence that hangs on one way of ending:
+// processes that are silent for a while or that accept connections again at once were no
+// evidence, so that the request that ended them was sent without bound.
+func TestRequestThatEndsUpstreamsThatReturn(t *testing.T) {
+	for name, c := range map[string]struct {
+		begin func(r receivedRequest, conn net.Conn)
+		end   func(u *simUpstream)
+	}{
+		"refuses connections":              {writeNothing, endAndRefuse},
+		"silent, then back":                {writeNothing, endSilently},
+		"accepts connections at once":      {writeNothing, endAndReturn},
+		"within the head":                  {func(_ receivedRequest, conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nRequest") }, endAndReturn},
+		"between the head and first event": {func(r receivedRequest, conn net.Conn) { writeStreamHead(conn, r) }, endAndReturn},
+		"within the first event": {func(r receivedRequest, conn net.Conn) {
+			writeStreamHead(conn, r)
+			writeChunk(conn, "id: 1\nda")
+		}, endAndReturn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playFatalRequests(t, c.begin, c.end)
+		})
+	}
+}
+
+// TestRequestThatEndsUpstreamsAfterEvents guards against a request that counts as harmless from the first
+// events of its stream on, although the upstream ends before the stream does.
+func TestRequestThatEndsUpstreamsAfterEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		events int
+		pause  time.Duration
+		end    func(u *simUpstream)
+	}{
+		"after the first event, back at once": {1, 20 * time.Millisecond, endAndReturn},
+		"after the first event, refuses":      {1, 20 * time.Millisecond, endAndRefuse},
+		"after the first event, silent":       {1, 20 * time.Millisecond, endSilently},
+		"after several events, back at once":  {4, 60 * time.Millisecond, endAndReturn},
+		"after several events, refuses":       {4, 60 * time.Millisecond, endAndRefuse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playFatalRequests(t, func(r receivedRequest, conn net.Conn) {
+				writeStreamHead(conn, r)
+				for id := 1; id <= c.events; id++ {
+					writeChunk(conn, eventText(id))
+					time.Sleep(c.pause)
+				}
+			}, c.end)
+		})
+	}
+}
