--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -141,6 +141,17 @@
 	return h
 }
 
+// cutPeers cuts all links between the entry hosts.
+func (f *fleet) cutPeers() {
+	for _, a := range f.hosts {
+		for _, b := range f.hosts {
+			if a != b {
+				f.network.Cut(a.name, b.name, true)
+			}
+		}
+	}
+}
+
 // call is the result of one request to an entry host.
 type call struct {
 	status  int
