Refuse requests that are lost at upstream after upstream

Callers saw one request end up to 234 upstreams in 6 s (12 upstreams, 4 and 30 hosts), 40 to 112 of them later than 3 s after the third; bound 3.

Cause: evidence hung on one way of ending. A lost attempt counted only if the upstream refused a connection 150 ms later.

Ruled out: evidence that does not arrive. The same hosts bound the case of refused connections.

Change: each lost attempt is weak evidence, whatever its connection or its upstream does afterwards. A whole request is refused after three losses in a row at times 200 ms apart, a part that was never answered after six; any answer between the losses, on any host, refutes those before it. An upstream that is listed as another run counts as ended for certain. A silent machine is no evidence at a host that reaches no other host.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -112,7 +112,7 @@
 }
 
 // reportLoss handles an attempt that ended before a whole event or answer arrived, at the
-// given upstream. It reports the crash if the upstream's process has ended without notice.
+// given upstream. It reports the loss unless the upstream announced its end.
 // begun is whether the upstream had begun its answer; reportLoss then waits for the check and
 // returns whether the request may have caused the crash, so that it must not be sent again.
 func (e *exchange) reportLoss(t selectedUpstream, begun bool) (suspect bool) {
@@ -130,14 +130,22 @@
 	return e.f.reportCrash(t.Host, c, e.meta.RequestID) && !e.f.Crashes.Proven(e.keys[1:])
 }
 
-// reportCrash adds the evidence of a crash if the upstream's process has ended without
-// notice, and returns whether it has.
+// reportCrash adds the evidence of an attempt that was lost at an upstream that did not announce
+// its end. It returns whether the upstream's process has ended for certain: it refuses
+// connections, or another run of it is listed.
 func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
-	if !f.listedLive(h) {
+	listed, live := f.listedLive(h)
+	if !live {
 		f.logLoss(h, c, requestID, "")
 		return false
 	}
-	if reached := f.probe(h.Address); reached != connpool.Refused {
+	reached := f.probe(h.Address)
+	if reached == connpool.Silent && !f.Crashes.Connected(time.Now()) {
+		f.logLoss(h, c, requestID, reached) // the links of this host may be cut
+		return false
+	}
+	f.Crashes.AddLoss(c)
+	if reached != connpool.Refused && listed.StartedMS == h.StartedMS {
 		f.logLoss(h, c, requestID, reached)
 		return false
 	}
@@ -146,21 +154,21 @@
 	return true
 }
 
-// logLoss logs an attempt that ended without an answer and is no evidence of a crash. reached
-// is empty if the upstream is not listed as live.
+// logLoss logs an attempt that ended without an answer and is no proof of a crash. reached is
+// empty if the upstream is not listed as live.
 func (f *Forwarder) logLoss(h hosts.Host, c quarantine.Crash, requestID string, reached connpool.Reachability) {
 	events.UpstreamLoss.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "reached", string(reached), "keys", c.Keys)
 }
 
-// listedLive reports whether the newest list shows this run of the upstream as live. An
+// listedLive returns the upstream's newest record, and whether it is live at the same address. An
 // upstream that left the list or is leaving ends by plan.
-func (f *Forwarder) listedLive(h hosts.Host) bool {
+func (f *Forwarder) listedLive(h hosts.Host) (listed hosts.Host, live bool) {
 	list := f.Upstreams()
 	if list == nil {
-		return false
+		return hosts.Host{}, false
 	}
-	listed, live := list.Live(h.Pool, h.ID)
-	return live && listed.Address == h.Address
+	listed, live = list.Live(h.Pool, h.ID)
+	return listed, live && listed.Address == h.Address
 }
 
 // endChecks holds the newest checks of the ends of upstream processes, by address. The zero
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -53,6 +53,9 @@
 func (t *Tracker) evaluate(now time.Time) {
 	sets, known := t.explain(now)
 	for _, s := range slices.Clone(t.sets) {
+		if s.Lost {
+			continue
+		}
 		// A set whose evidence is known, but explained otherwise by now, was wrong.
 		complete := lo.EveryBy(s.Keys, func(k Key) bool { return known[k] >= s.Crashes })
 		if complete && !slices.ContainsFunc(sets, func(other Set) bool { return other.In(s.Keys) }) {
@@ -190,7 +193,7 @@
 		t.drop(slices.MinFunc(t.sets, func(a, b *Set) int { return a.At.Compare(b.At) }))
 	}
 	t.sets = append(t.sets, &set)
-	t.log.append(logRecord{kind: recordSet, crash: Crash{At: set.At, Keys: set.Keys}, crashes: set.Crashes}, source)
+	t.log.append(logRecord{kind: recordSet, crash: Crash{At: set.At, Keys: set.Keys}, crashes: set.Crashes, lost: set.Lost, since: set.Since}, source)
 	t.publish()
 	Changes.Inc(change)
 	t.changed(change, set)
@@ -203,6 +206,7 @@
 	}
 	merged := *known
 	merged.Crashes = max(known.Crashes, set.Crashes)
+	merged.Lost = known.Lost && set.Lost
 	merged.stored = known.stored || set.stored
 	if set.At.After(known.At) {
 		merged.At = set.At
@@ -245,7 +249,7 @@
 func (t *Tracker) extendTried(c Crash) {
 	for _, s := range slices.Clone(t.sets) {
 		if c.At.Sub(s.At) >= simultaneousSpan && s.In(c.Keys) {
-			t.extend(s, Set{Keys: s.Keys, Crashes: s.Crashes + 1, At: c.At})
+			t.extend(s, Set{Keys: s.Keys, Crashes: s.Crashes + 1, At: c.At, Lost: s.Lost})
 		}
 	}
 }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -16,6 +16,7 @@
 	recordCrash  recordKind = 1 // a report of a crash
 	recordAnswer recordKind = 2 // the newest answer to a suspected key
 	recordSet    recordKind = 3 // a quarantined set
+	recordLoss   recordKind = 4 // a report of a lost attempt
 )
 
 const (
@@ -23,6 +24,8 @@
 	localSource = 0
 	// maxRecords limits the records that are kept for hosts that have not read them yet.
 	maxRecords = 512
+	// maxLossRecords limits those of lost attempts, so that they do not displace the others.
+	maxLossRecords = 256
 	// maxPeers limits the hosts whose read positions are kept.
 	maxPeers = 8
 	// peerTimeout is how long after the last message of another host this host counts as
@@ -33,10 +36,12 @@
 // logRecord is one piece of evidence in the order in which this host learned it.
 type logRecord struct {
 	kind    recordKind
-	crash   Crash  // for recordAnswer and recordSet only its At and Keys
-	crashes int    // for recordSet
-	number  uint64 // position in the log
-	source  uint64 // epoch of the host from which it was received
+	crash   Crash     // for recordAnswer and recordSet only its At and Keys
+	crashes int       // for recordSet
+	lost    bool      // for recordSet: Set.Lost
+	since   time.Time // for recordSet: Set.Since
+	number  uint64    // position in the log
+	source  uint64    // epoch of the host from which it was received
 }
 
 // recordLog is the bounded sequence of the records that this host knows.
@@ -51,6 +56,10 @@
 func (l *recordLog) append(r logRecord, source uint64) {
 	l.last++
 	r.number, r.source = l.last, source
+	if isLoss := func(known logRecord) bool { return known.kind == recordLoss }; isLoss(r) && lo.CountBy(l.records, isLoss) >= maxLossRecords {
+		oldest := slices.IndexFunc(l.records, isLoss)
+		l.records = slices.Delete(l.records, oldest, oldest+1)
+	}
 	l.records = append(l.records, r)
 	if len(l.records) > maxRecords {
 		l.records = slices.Clone(l.records[len(l.records)-maxRecords:])
@@ -79,13 +88,20 @@
 	Account  uint64     `cbor:"5,keyasint,omitempty"`
 	Begun    bool       `cbor:"6,keyasint,omitempty"`
 	Crashes  int        `cbor:"7,keyasint,omitempty"`
+	Lost     bool       `cbor:"8,keyasint,omitempty"`
+	// SinceMS is the age of Set.Since.
+	SinceMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 func encodeRecord(r logRecord, now time.Time) wireRecord {
-	return wireRecord{
+	w := wireRecord{
 		Kind: r.kind, AgeMS: now.Sub(r.crash.At).Milliseconds(), Keys: r.crash.Keys, Upstream: r.crash.Upstream,
-		Account: r.crash.Account, Begun: r.crash.Begun, Crashes: r.crashes,
+		Account: r.crash.Account, Begun: r.crash.Begun, Crashes: r.crashes, Lost: r.lost,
+	}
+	if r.lost {
+		w.SinceMS = now.Sub(r.since).Milliseconds()
 	}
+	return w
 }
 
 // message is what two hosts send each other: a host its new records, and the position up to
@@ -187,12 +203,15 @@
 		switch r.Kind {
 		case recordCrash:
 			t.add(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Begun: r.Begun, Keys: r.Keys}, epoch)
+		case recordLoss:
+			t.addLoss(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Keys: r.Keys}, epoch)
 		case recordAnswer:
 			t.clear(r.Keys[0], at, epoch)
 		case recordSet:
 			keys := slices.Clone(r.Keys)
 			slices.Sort(keys)
-			t.imposeLive(Set{Keys: keys, Crashes: r.Crashes, At: at}, epoch)
+			since := now.Add(-time.Duration(max(r.SinceMS, 0)) * time.Millisecond)
+			t.imposeLive(Set{Keys: keys, Crashes: r.Crashes, At: at, Lost: r.Lost, Since: since}, epoch)
 		}
 	}
 }
@@ -200,7 +219,11 @@
 // imposeLive quarantines a set of another host without the keys that were answered since.
 // The caller holds t.mu.
 func (t *Tracker) imposeLive(set Set, epoch uint64) {
-	set.Keys = lo.Reject(set.Keys, func(k Key, _ int) bool { return t.lastAnswer(k).After(set.At) })
+	refuted := set.At
+	if set.Lost { // an answer between the losses refutes those before it
+		refuted = set.Since
+	}
+	set.Keys = lo.Reject(set.Keys, func(k Key, _ int) bool { return t.lastAnswer(k).After(refuted) })
 	if len(set.Keys) > 0 {
 		t.impose(set, ChangeReceived, epoch)
 	}
--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -144,6 +144,36 @@
 	}
 }
 
+// TestEachHostLosesOneAttempt checks that attempts of one request that three of many hosts lost make all
+// hosts refuse it, and that an answer at a fourth host between the losses prevents that.
+func TestEachHostLosesOneAttempt(t *testing.T) {
+	const request quarantine.Key = 500
+	for _, hosts := range []int{4, 30, 300} {
+		for _, answered := range []bool{false, true} {
+			playFleet(t, hosts, func(t *testing.T, f *fleet) {
+				time.Sleep(time.Second)
+				for i := range uint64(3) {
+					f.trackers[fmt.Sprintf("front-%03d", i)].AddLoss(quarantine.Crash{Upstream: i, At: time.Now(), Keys: []quarantine.Key{request}})
+					time.Sleep(300 * time.Millisecond)
+					if answered && i == 1 {
+						f.trackers["front-003"].Answered([]quarantine.Key{request}, time.Now())
+					}
+				}
+				time.Sleep(inTouch)
+				refusing := 0
+				for _, tracker := range f.trackers {
+					if _, refused := tracker.Refused([]quarantine.Key{request, 9}, time.Now()); refused {
+						refusing++
+					}
+				}
+				if want := map[bool]int{false: hosts, true: 0}[answered]; refusing != want {
+					t.Errorf("answered %v: %d of %d hosts refuse the request, want %d", answered, refusing, hosts, want)
+				}
+			})
+		}
+	}
+}
+
 // TestCollectorOfEvidenceIsLost kills the host that collects the evidence between two crashes. The
 // first host that saw a crash still knows it, and a host that starts learns it.
 func TestCollectorOfEvidenceIsLost(t *testing.T) {
--- /dev/null
+++ b/quarantine/losses.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+const (
+	// requestLosses and partLosses are the numbers of attempts, lost one after the other, after
+	// which a whole request and a part that was never answered are quarantined without proof that
+	// an upstream ended. A link or a connection fails regardless of the content that it carries.
+	requestLosses, partLosses = 3, 6
+	// sharedRequestLosses and sharedPartLosses are the numbers of losses from which they are shared
+	// with all hosts, so that these tell when they answered the content.
+	sharedRequestLosses, sharedPartLosses = 2, 3
+	// maxLostKeys limits the keys with losses in each of two generations.
+	maxLostKeys = 4096
+	// maxLossTimes limits the losses of one key: more than the number that quarantines it.
+	maxLossTimes = 2 * partLosses
+	// maxLossSets limits the quarantined sets that follow from losses alone.
+	maxLossSets = maxSets / 2
+)
+
+// loss is an attempt that ended without a complete answer.
+type loss struct {
+	upstream uint64
+	at       time.Time
+}
+
+// lossRecord holds the attempts with a key that were lost since the last answer to it.
+type lossRecord struct {
+	part   bool   // whether the key is that of a part in some request
+	losses []loss // in the order of their times
+}
+
+// lossTable holds losses by key in two generations, the newer one first. The zero value is ready
+// to use.
+type lossTable struct {
+	generations [2]map[Key]*lossRecord
+	rotatedAt   time.Time
+}
+
+func (l *lossTable) get(key Key) *lossRecord {
+	for _, generation := range l.generations {
+		if r := generation[key]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// add records a loss and returns false if it is known.
+func (l *lossTable) add(key Key, part bool, lost loss) bool {
+	r := l.get(key)
+	if r == nil {
+		r = &lossRecord{}
+	}
+	if slices.ContainsFunc(r.losses, func(known loss) bool {
+		return known.upstream == lost.upstream && known.at.Sub(lost.at).Abs() < sameCrashSpan
+	}) {
+		return false
+	}
+	r.part = r.part || part
+	r.losses = append(r.losses, lost)
+	slices.SortStableFunc(r.losses, func(a, b loss) int { return a.at.Compare(b.at) })
+	r.losses = r.losses[max(0, len(r.losses)-maxLossTimes):]
+	if l.generations[0] == nil || len(l.generations[0]) >= maxLostKeys {
+		l.rotate(lost.at)
+	}
+	delete(l.generations[1], key)
+	l.generations[0][key] = r
+	return true
+}
+
+// rotate begins a new generation and forgets the one before the last.
+func (l *lossTable) rotate(now time.Time) {
+	l.generations, l.rotatedAt = [2]map[Key]*lossRecord{{}, l.generations[0]}, now
+}
+
+// clear removes the losses of a key up to the time of an answer to it.
+func (l *lossTable) clear(key Key, answeredAt time.Time) {
+	r := l.get(key)
+	if r == nil {
+		return
+	}
+	r.losses = lo.Filter(r.losses, func(known loss, _ int) bool { return known.at.After(answeredAt) })
+	if len(r.losses) == 0 {
+		delete(l.generations[0], key)
+		delete(l.generations[1], key)
+	}
+}
+
+// newest returns the time of the newest loss of a key; zero if there is none.
+func (l *lossTable) newest(key Key) time.Time {
+	if r := l.get(key); r != nil {
+		return r.losses[len(r.losses)-1].at
+	}
+	return time.Time{}
+}
+
+// count returns the number of losses of a key, counting those within simultaneousSpan as one, and
+// whether the key is that of a part.
+func (l *lossTable) count(key Key) (n int, part bool) {
+	r := l.get(key)
+	if r == nil {
+		return 0, false
+	}
+	var last time.Time
+	for _, known := range r.losses {
+		if n == 0 || known.at.Sub(last) >= simultaneousSpan {
+			n, last = n+1, known.at
+		}
+	}
+	return n, r.part
+}
+
+// AddLoss records an attempt of this host that ended without a complete answer. It is weaker evidence
+// than Add: the upstream may have ended, or only the connection to it. Begun is not used.
+func (t *Tracker) AddLoss(c Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(c.Keys) == 0 {
+		return
+	}
+	c.Begun = false
+	c.Keys = append(c.Keys[:1:1], lo.Filter(c.Keys[1:], func(k Key, _ int) bool { return t.lastAnswer(k).IsZero() })...)
+	t.addLoss(c, localSource)
+}
+
+// addLoss merges a loss of a host and updates the quarantined sets. The caller holds t.mu.
+func (t *Tracker) addLoss(c Crash, source uint64) {
+	isNew := false
+	for i, key := range c.Keys {
+		isNew = t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At}) || isNew
+	}
+	if !isNew || source != localSource && !t.lostRepeatedly(c.Keys) {
+		return // known, or too little to tell other hosts
+	}
+	t.log.append(logRecord{kind: recordLoss, crash: c}, source)
+	for _, key := range c.Keys {
+		t.announce(key)
+	}
+	t.extendTried(c)
+	for _, key := range c.Keys {
+		t.judgeLosses(key)
+	}
+}
+
+// lostRepeatedly reports whether one of the keys was lost so often that all hosts must know. The
+// caller holds t.mu.
+func (t *Tracker) lostRepeatedly(keys []Key) bool {
+	return slices.ContainsFunc(keys, func(key Key) bool {
+		n, part := t.losses.count(key)
+		if part {
+			return n >= sharedPartLosses && t.lastAnswer(key).IsZero()
+		}
+		return n >= sharedRequestLosses
+	})
+}
+
+// judgeLosses quarantines a key that was lost often enough since its last answer. The caller holds
+// t.mu.
+func (t *Tracker) judgeLosses(key Key) {
+	n, sufficient := t.lossVerdict(key)
+	if !sufficient {
+		return
+	}
+	t.makeRoomForLossSet()
+	losses := t.losses.get(key).losses
+	t.impose(Set{Keys: []Key{key}, Crashes: n, At: losses[len(losses)-1].at, Lost: true, Since: losses[0].at}, ChangeImposed, localSource)
+}
+
+// lossVerdict returns the number of losses of a key and whether they suffice for quarantine. The
+// caller holds t.mu.
+func (t *Tracker) lossVerdict(key Key) (n int, sufficient bool) {
+	n, part := t.losses.count(key)
+	if part {
+		return n, n >= partLosses && t.lastAnswer(key).IsZero()
+	}
+	return n, n >= requestLosses
+}
+
+// makeRoomForLossSet lifts the oldest set that follows from losses alone if there are too many of
+// them. The caller holds t.mu.
+func (t *Tracker) makeRoomForLossSet() {
+	lost := lo.Filter(t.sets, func(s *Set, _ int) bool { return s.Lost })
+	if len(lost) >= maxLossSets {
+		t.drop(slices.MinFunc(lost, func(a, b *Set) int { return a.At.Compare(b.At) }))
+	}
+}
+
+// clearLosses removes the losses of a key that an answer refutes, and lifts the quarantine that rests
+// on them. The caller holds t.mu.
+func (t *Tracker) clearLosses(key Key, answeredAt time.Time) {
+	t.losses.clear(key, answeredAt)
+	if _, sufficient := t.lossVerdict(key); sufficient {
+		return
+	}
+	for _, s := range slices.Clone(t.sets) {
+		if s.Lost && slices.Equal(s.Keys, []Key{key}) && answeredAt.After(s.Since) {
+			t.drop(s)
+		}
+	}
+}
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -49,6 +49,7 @@
 type storedSet struct {
 	Keys    []string `json:"keys"`
 	Crashes int      `json:"crashes"`
+	Lost    bool     `json:"lost,omitempty"`
 }
 
 // RecordError reports a stored set that cannot be encoded or decoded.
@@ -124,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	key := storeKey(s.Keys)
-	value, err := json.Marshal(storedSet{Keys: formatKeys(s.Keys), Crashes: s.Crashes})
+	value, err := json.Marshal(storedSet{Keys: formatKeys(s.Keys), Crashes: s.Crashes, Lost: s.Lost})
 	if err != nil {
 		return &RecordError{Key: key, Cause: err}
 	}
@@ -166,7 +167,7 @@
 	if err := json.Unmarshal(entry.Value, &stored); err != nil {
 		return Set{}, &RecordError{Key: entry.Key, Cause: err}
 	}
-	set := Set{Crashes: stored.Crashes, stored: true}
+	set := Set{Crashes: stored.Crashes, Lost: stored.Lost, stored: true}
 	for _, text := range stored.Keys {
 		key, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
@@ -240,7 +241,7 @@
 		if slices.ContainsFunc(set.Keys, func(k Key) bool { return !t.lastAnswer(k).IsZero() }) {
 			continue // answered since it was stored
 		}
-		set.At = now
+		set.At, set.Since = now, now
 		t.impose(set, ChangeLoaded, localSource)
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -94,6 +94,10 @@
 	Crashes int
 	// At is the time of the newest of these crashes.
 	At time.Time
+	// Lost reports that the evidence is lost attempts, without proof that upstreams ended.
+	Lost bool
+	// Since is the time of the first of these losses; set only if Lost is true.
+	Since time.Time
 
 	stored  bool // whether the key-value service holds the set
 	trialAt time.Time
@@ -101,7 +105,11 @@
 
 // Until returns when a trial of the content is due.
 func (s *Set) Until() time.Time {
-	span := minQuarantine << min(max(s.Crashes-begunCrashes, 0), 16)
+	fewest := begunCrashes
+	if s.Lost {
+		fewest = requestLosses
+	}
+	span := minQuarantine << min(max(s.Crashes-fewest, 0), 16)
 	return s.At.Add(min(span, Expiry))
 }
 
@@ -130,6 +138,7 @@
 
 	mu       sync.Mutex
 	crashes  []*crash // in the order of their times
+	losses   lossTable
 	sets     []*Set
 	answered map[Key]time.Time // by suspected key: the newest answer on any host
 	// recent holds the newest answers of this host in two generations.
@@ -284,6 +293,9 @@
 			newest = c.at
 		}
 	}
+	if lost := t.losses.newest(key); lost.After(newest) {
+		newest = lost
+	}
 	if !newest.After(since) {
 		return time.Time{}
 	}
@@ -306,6 +318,7 @@
 	}
 	t.answered[key] = at
 	t.log.append(logRecord{kind: recordAnswer, crash: Crash{At: at, Keys: []Key{key}}}, source)
+	t.clearLosses(key, at)
 	for _, s := range slices.Clone(t.sets) {
 		if !slices.Contains(s.Keys, key) || !at.After(s.At) {
 			continue
@@ -389,6 +402,9 @@
 	if now.Sub(t.rotatedAt) >= Expiry {
 		t.rotateAnswers(now)
 	}
+	if now.Sub(t.losses.rotatedAt) >= Expiry {
+		t.losses.rotate(now)
+	}
 	t.log.records = slices.DeleteFunc(t.log.records, func(r logRecord) bool { return now.Sub(r.crash.At) >= Expiry })
 	for _, s := range slices.Clone(t.sets) {
 		if now.Sub(s.Until()) >= Expiry {
