Count answers that break off as losses of their request

Cause: a stream that broke off after an event reported nothing, and 100 ms after its first event the whole request counted as answered, which refuted all earlier evidence against it.

Change: only a complete answer clears the request as a whole; its prompt parts are cleared at 100 ms as before, so that they are not blamed for companions. An answer that breaks off after a part of it was relayed is a loss.

Ruled out on the way: counting such breaks as crashes at an answer's start. They would displace the requests that only wait as suspects of a crash, so that a part that ends upstreams before the head would be found later.

The stand-in of the test opened its listener twice at once (data race); repaired.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -102,15 +102,19 @@
 // way or due at another host.
 const minTrialRetryAfter = time.Second
 
-// reportAnswered reports, once per request, that an upstream has begun an answer at the
-// given time and did not crash.
-func (e *exchange) reportAnswered(at time.Time) {
-	if !e.answeredReported {
-		e.answeredReported = true
-		e.f.Crashes.Answered(e.keys, at)
+// reportBegun reports, once per request, that an upstream has begun an answer at the given time
+// and did not crash, so that the prompt parts are not the cause of earlier crashes. The request
+// as a whole may still end the upstream before its answer is complete.
+func (e *exchange) reportBegun(at time.Time) {
+	if !e.begunReported {
+		e.begunReported = true
+		e.f.Crashes.Answered(e.keys[1:], at)
 	}
 }
 
+// reportAnswered reports that an upstream's answer is complete.
+func (e *exchange) reportAnswered() { e.f.Crashes.Answered(e.keys, time.Now()) }
+
 // reportLoss handles an attempt that ended before a whole event or answer arrived, at the
 // given upstream. It reports the loss unless the upstream announced its end.
 // begun is whether the upstream had begun its answer; reportLoss then waits for the check and
@@ -119,10 +123,8 @@
 	if e.r.Context().Err() != nil || e.ctx.Err() != nil {
 		return false
 	}
-	c := quarantine.Crash{
-		Upstream: xxhash.Sum64String(upstreamKey(t.Host)), At: time.Now(),
-		Account: xxhash.Sum64String(e.accountName()), Begun: begun, Keys: e.keys,
-	}
+	c := e.crashAt(t)
+	c.Begun = begun
 	if !begun {
 		go e.f.reportCrash(t.Host, c, e.meta.RequestID)
 		return false
@@ -130,23 +132,39 @@
 	return e.f.reportCrash(t.Host, c, e.meta.RequestID) && !e.f.Crashes.Proven(e.keys[1:])
 }
 
-// reportCrash adds the evidence of an attempt that was lost at an upstream that did not announce
-// its end. It returns whether the upstream's process has ended for certain: it refuses
-// connections, or another run of it is listed.
-func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
-	listed, live := f.listedLive(h)
-	if !live {
-		f.logLoss(h, c, requestID, "")
-		return false
+// reportBroken reports an answer that broke off after a part of it was relayed. It does not block.
+// Other requests, at the start of their answers, are likelier causes of a crash, so that it counts as
+// a loss only.
+func (e *exchange) reportBroken(t selectedUpstream) {
+	if e.r.Context().Err() != nil || e.ctx.Err() != nil {
+		return
 	}
-	reached := f.probe(h.Address)
-	if reached == connpool.Silent && !f.Crashes.Connected(time.Now()) {
-		f.logLoss(h, c, requestID, reached) // the links of this host may be cut
-		return false
+	c := e.crashAt(t)
+	go func() {
+		reached, _, counts := e.f.examine(t.Host)
+		if counts {
+			e.f.Crashes.AddLoss(c)
+		}
+		e.f.logLoss(t.Host, c, e.meta.RequestID, reached, counts)
+	}()
+}
+
+// crashAt returns the evidence that an attempt at an upstream ended now.
+func (e *exchange) crashAt(t selectedUpstream) quarantine.Crash {
+	return quarantine.Crash{
+		Upstream: xxhash.Sum64String(upstreamKey(t.Host)), At: time.Now(), Account: xxhash.Sum64String(e.accountName()), Keys: e.keys,
 	}
-	f.Crashes.AddLoss(c)
-	if reached != connpool.Refused && listed.StartedMS == h.StartedMS {
-		f.logLoss(h, c, requestID, reached)
+}
+
+// reportCrash adds the evidence of a lost attempt and returns whether the upstream's process has
+// ended for certain.
+func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
+	reached, ended, counts := f.examine(h)
+	if counts {
+		f.Crashes.AddLoss(c)
+	}
+	if !ended {
+		f.logLoss(h, c, requestID, reached, counts)
 		return false
 	}
 	f.Crashes.Add(c)
@@ -154,10 +172,26 @@
 	return true
 }
 
+// examine checks an upstream at which an attempt was lost. reached is how its machine reacts to a new
+// connection; empty if the upstream has announced its end. ended is whether its process has ended for
+// certain: it refuses connections, or another run of it is listed. counts is whether the loss may have
+// been caused by the request.
+func (f *Forwarder) examine(h hosts.Host) (reached connpool.Reachability, ended, counts bool) {
+	listed, live := f.listedLive(h)
+	if !live {
+		return "", false, false
+	}
+	reached = f.probe(h.Address)
+	if reached == connpool.Silent && !f.Crashes.Connected(time.Now()) {
+		return reached, false, false // the links of this host may be cut
+	}
+	return reached, reached == connpool.Refused || listed.StartedMS != h.StartedMS, true
+}
+
 // logLoss logs an attempt that ended without an answer and is no proof of a crash. reached is
 // empty if the upstream is not listed as live.
-func (f *Forwarder) logLoss(h hosts.Host, c quarantine.Crash, requestID string, reached connpool.Reachability) {
-	events.UpstreamLoss.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "reached", string(reached), "keys", c.Keys)
+func (f *Forwarder) logLoss(h hosts.Host, c quarantine.Crash, requestID string, reached connpool.Reachability, counts bool) {
+	events.UpstreamLoss.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "reached", string(reached), "counts", counts, "keys", c.Keys)
 }
 
 // listedLive returns the upstream's newest record, and whether it is live at the same address. An
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// TestRequestThatEndsUpstreamsWithinALongAnswer is TestRequestThatEndsUpstreamsAfterEvents for an answer that
+// is no stream and of which a part was relayed before the upstream ended.
+func TestRequestThatEndsUpstreamsWithinALongAnswer(t *testing.T) {
+	playFatalRequests(t, func(r receivedRequest, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 404 X\r\nRequest-Id: %s\r\nContent-Length: 100000\r\n%s\r\n%s",
+			r.Header.Get("Request-Id"), sealHeader, strings.Repeat("x", 50000))
+		time.Sleep(20 * time.Millisecond)
+	}, endAndReturn)
+}
+
 // TestRequestThatEndsUpstreamsAfterEvents guards against a request that counts as harmless from the first
 // events of its stream on, although the upstream ends before the stream does.
 func TestRequestThatEndsUpstreamsAfterEvents(t *testing.T) {
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -120,7 +120,7 @@
 	p.lastWriteAt = now
 	beginAnswer()
 	if now.Sub(p.e.firstByteAt) >= answeredAfter {
-		p.e.reportAnswered(p.e.firstByteAt)
+		p.e.reportBegun(p.e.firstByteAt)
 	}
 	if _, err := p.e.w.Write(out); err != nil {
 		p.callerWriteFailed = true
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -232,12 +232,12 @@
 
 // listen opens the listener, after the first time at the address of the first time.
 func (u *simUpstream) listen() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	listener, err := net.Listen("tcp", u.address)
 	if err != nil {
 		return err
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.listener, u.address = listener, listener.Addr().String()
 	go func() {
 		for {
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -38,19 +38,19 @@
 	cachedOn      []string // upstreams that processed the shared prompt parts, most recent first
 	cachedOnKnown bool     // whether the lookup of cachedOn succeeded
 
-	cost             float64 // cost charged to the client account's limit
-	limitDecidedBy   string  // host that decided whether the client account is within its limit
-	sends            int     // attempts whose request may have reached an upstream
-	possibleRuns     int     // attempts whose request an upstream may have run
-	tried            []string
-	headReceived     bool          // whether the current attempt received the head of an answer
-	answerBegun      bool          // whether a part of the answer was sent to the caller
-	inTrial          bool          // whether the request tries quarantined content again
-	answeredReported bool          // whether the request's content was reported as answered
-	startReported    bool          // whether Config.OnStarted was called for this request
-	firstByteAt      time.Time     // when the first byte of the answer was sent to the caller
-	maxEventGap      time.Duration // longest time between two writes of events to the caller
-	retryReserved    bool          // whether the retry budget was already charged for the next attempt
+	cost           float64 // cost charged to the client account's limit
+	limitDecidedBy string  // host that decided whether the client account is within its limit
+	sends          int     // attempts whose request may have reached an upstream
+	possibleRuns   int     // attempts whose request an upstream may have run
+	tried          []string
+	headReceived   bool          // whether the current attempt received the head of an answer
+	answerBegun    bool          // whether a part of the answer was sent to the caller
+	inTrial        bool          // whether the request tries quarantined content again
+	begunReported  bool          // whether the prompt parts were reported as harmless
+	startReported  bool          // whether Config.OnStarted was called for this request
+	firstByteAt    time.Time     // when the first byte of the answer was sent to the caller
+	maxEventGap    time.Duration // longest time between two writes of events to the caller
+	retryReserved  bool          // whether the retry budget was already charged for the next attempt
 }
 
 const (
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -72,7 +72,9 @@
 	if !failed {
 		t.live.Succeed()
 	}
-	e.reportAnswered(time.Now())
+	if !exceedsBuffer {
+		e.reportAnswered()
+	}
 	e.copyAnswerHeaders(a)
 	if !exceedsBuffer && e.r.Method != http.MethodHead {
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -88,8 +90,10 @@
 	if exceedsBuffer {
 		if _, err := io.Copy(e.w, a.Body); err != nil {
 			a.Close(false)
+			e.reportBroken(t)
 			e.abortAnswer(t, err)
 		}
+		e.reportAnswered()
 	}
 	a.Close(true)
 	e.recordFinished(t, a.StatusCode)
@@ -129,7 +133,7 @@
 			beginAnswer() // begins the answer even if the stream has no events
 			t.live.Succeed()
 			if a.Framed() {
-				e.reportAnswered(e.firstByteAt)
+				e.reportAnswered()
 			}
 			e.recordFinished(t, status)
 			return attemptDone, nil
@@ -145,6 +149,7 @@
 		if !e.answerBegun {
 			return attemptFailed, e.lossError(t, err)
 		}
+		e.reportBroken(t)
 		next, answer, ok := e.resume(t, stream, err)
 		if !ok {
 			e.abortAnswer(t, e.contextCause(err))
