Send nothing to upstreams that announce in their answers that they leave

Callers' requests reached an upstream later than 2 s after it had announced in its answers that it leaves, from hosts that had passed such an answer on.

Cause: leaving was read from the list of upstreams alone, whose record may stay live or arrive late. No header of an answer but "not run" and "another instance" was read.

Change: upstream/condition keeps what upstreams announce, by run of their process, beside health and load. Each head of an answer is read, whatever its status. Routing does not choose an upstream that takes no requests, and the check is repeated when a connection is open, before the first byte, at the one place by which requests reach upstreams. Hosts tell each other with the load digests, so that those that have not heard send nothing either. The end of an upstream that announced it is no crash.

--- a/events/forward.go
+++ b/events/forward.go
@@ -11,7 +11,7 @@
 	ForwardGone     = define(2104, "caller gone", hclog.Info, "The caller disconnected before the answer was complete; the request at the upstream was cancelled.")
 	ForwardResumed  = define(2105, "stream resumed elsewhere", hclog.Info, "A stream was resumed at another upstream, after the last event that was sent to the caller.")
 	ForwardPanicked = define(2106, "forward panicked", hclog.Error, "This host panicked while it handled a request, a fault of this program; the caller's connection was closed.")
-	ForwardNotice   = define(2107, "upstream announcement", hclog.Info, "An upstream's answer announced that it leaves, or for how long it wants no requests from this host; listed is the state of its record.")
+	ForwardNotice   = define(2107, "upstream announcement", hclog.Info, "An upstream has announced that it leaves; listed is the state of its record, and source is how this host learned it.")
 	ForwardTable    = define(2110, "route table in force", hclog.Info, "This host now routes requests by this version of the route table.")
 	ForwardUnread   = define(2111, "route table unreadable", hclog.Error, "A route table cannot be decoded; the current one remains in force.")
 	ForwardHosts    = define(2112, "upstream list changed", hclog.Info, "The list of upstreams changed.")
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -11,6 +11,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/routing"
+	"github.com/cardamompier/cardamompier/upstream/condition"
 )
 
 // poolState is the state of one upstream pool at this host.
@@ -28,6 +29,7 @@
 	source    *hosts.Snapshot
 	hosts     []hosts.Host
 	liveByKey map[string]*routing.UpstreamStats
+	startedMS map[string]int64 // start of the listed run by upstream id
 	snapshot  *routing.Snapshot
 }
 
@@ -62,7 +64,7 @@
 	if old != nil && old.source == list {
 		return old
 	}
-	v := &poolView{source: list, hosts: list.Pool(name), liveByKey: map[string]*routing.UpstreamStats{}}
+	v := &poolView{source: list, hosts: list.Pool(name), liveByKey: map[string]*routing.UpstreamStats{}, startedMS: map[string]int64{}}
 	upstreams := make([]routing.Upstream, 0, len(v.hosts))
 	for _, h := range v.hosts {
 		key := upstreamKey(h)
@@ -71,6 +73,7 @@
 			live = old.liveByKey[key]
 		}
 		v.liveByKey[key] = live
+		v.startedMS[h.ID] = h.StartedMS
 		upstreams = append(upstreams, routing.Upstream{
 			ID: h.ID, FailureDomain: h.FailureDomain, Leaving: h.State != hosts.StateLive, Slots: h.Slots, Live: live,
 		})
@@ -96,6 +99,9 @@
 	if e.sharedPrompt != 0 {
 		req.Blocks = []uint64{e.sharedPrompt}
 	}
+	if !e.f.conditions.Empty() {
+		req.Closed = func(id string) bool { return e.f.closed(condition.Run{ID: id, StartedMS: v.startedMS[id]}) }
+	}
 	choice := e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
 	if choice.Index < 0 {
 		return selectedUpstream{}, false
@@ -154,6 +160,7 @@
 // and the prompt processing speed of each upstream pool.
 func (f *Forwarder) LocalLoads() []loadshare.Load {
 	var out []loadshare.Load
+	leaving := int64(0)
 	now := time.Now()
 	f.eachLive(func(h hosts.Host, live *routing.UpstreamStats) {
 		outcomes := live.Outcomes(now)
@@ -164,7 +171,14 @@
 		if l != (loadshare.Load{Upstream: l.Upstream}) {
 			out = append(out, l)
 		}
+		if f.conditions.Leaving(runOf(h)) {
+			out = append(out, loadshare.Load{Upstream: leavingKey(h), InFlight: 1})
+			leaving++
+		}
 	})
+	if leaving > 0 {
+		out = append(out, loadshare.Load{Upstream: anyLeavingKey, InFlight: leaving})
+	}
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
 		if rate := int64(demand.rate(now)); rate > 0 {
@@ -186,9 +200,13 @@
 		byKey[l.Upstream] = l
 	}
 	f.refreshViews()
+	someLeave := byKey[anyLeavingKey].InFlight > 0
 	f.eachLive(func(h hosts.Host, live *routing.UpstreamStats) {
 		l := byKey[loadshare.UpstreamHash(h.ID)]
 		live.SetOthers(l.PendingPromptTokens, l.InFlight, routing.Outcomes{Ended: float64(l.Ended) / outcomeScale, Failed: float64(l.Failed) / outcomeScale})
+		if someLeave && byKey[leavingKey(h)].InFlight > 0 {
+			f.noteLeaving(h, sourcePeers)
+		}
 	})
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -178,7 +178,7 @@
 // been caused by the request.
 func (f *Forwarder) examine(h hosts.Host) (reached connpool.Reachability, ended, counts bool) {
 	listed, live := f.listedLive(h)
-	if !live {
+	if !live || f.conditions.Leaving(runOf(h)) {
 		return "", false, false
 	}
 	reached = f.probe(h.Address)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
+	"github.com/cardamompier/cardamompier/upstream/condition"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
 )
 
@@ -91,6 +92,7 @@
 	draining     atomic.Pointer[drainPeriod]
 	active       atomic.Int64
 	endChecks    endChecks
+	conditions   condition.Table
 	exchanges    sync.Map // *exchange to nil: the requests that may wait at an upstream
 }
 
@@ -105,14 +107,16 @@
 const idleCheckInterval = 500 * time.Millisecond
 
 // Run closes idle connections to upstreams that are no longer live, and connections
-// that were idle for too long, until ctx ends. Then it closes all idle connections.
+// that were idle for too long, and forgets conditions that have ended, until ctx ends. Then
+// it closes all idle connections.
 func (f *Forwarder) Run(ctx context.Context) {
 	ticker := time.NewTicker(idleCheckInterval)
 	defer ticker.Stop()
 	defer f.conns.Close()
 	for {
 		select {
-		case <-ticker.C:
+		case now := <-ticker.C:
+			f.conditions.RemoveExpired(now)
 		case <-ctx.Done():
 			return
 		}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
 )
@@ -180,6 +182,10 @@
 			after = strconv.FormatInt(stream.lastID, 10)
 		}
 		answer, v, err := e.send(t, after)
+		if errors.Is(err, errClosed) {
+			e.retryReserved = true
+			continue
+		}
 		if err != nil {
 			_, err = e.classifyFailure(t, err)
 			e.log(events.ForwardAttempt, "upstream", t.ID, "outcome", "resume_failed", "error", err)
--- a/forward/send.go
+++ b/forward/send.go
@@ -234,6 +234,9 @@
 	e.headReceived = false
 	answer, verdict, err := e.send(t, resumeAfter)
 	e.waiting.Store(false)
+	if errors.Is(err, errClosed) {
+		return attemptUnsent, err
+	}
 	if err != nil {
 		return e.classifyFailure(t, err)
 	}
@@ -249,9 +252,17 @@
 	return e.relay(t, answer, verdict, prefillDone)
 }
 
-// send sends the request to one upstream and returns the head of the upstream's answer.
+// send sends the request to one upstream and returns the head of the upstream's answer. It is the
+// only way by which requests reach upstreams. If the upstream takes no requests any more since it was
+// chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
-	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), func(h http.Header) bool {
+	open := func() error {
+		if e.f.closed(runOf(t.Host)) {
+			return errClosed
+		}
+		return nil
+	}
+	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), open, func(h http.Header) bool {
 		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
 	})
 	if err != nil {
@@ -259,10 +270,7 @@
 	}
 	e.sends++
 	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
-	if m.Leaving || m.RetryAfter > 0 {
-		e.log(events.ForwardNotice, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "listed", string(t.State),
-			"status", answer.StatusCode, "leaving", m.Leaving, "pause_ms", m.RetryAfter.Milliseconds())
-	}
+	e.f.noteAnnouncements(t.Host, m)
 	return answer, m, nil
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -107,6 +107,8 @@
 	Long bool
 	// Tried holds the IDs of upstreams that must not be chosen again.
 	Tried []string
+	// Closed reports whether an upstream takes no requests now; nil means that none is closed.
+	Closed func(id string) bool
 	// AvoidDomain is a failure domain that is avoided while another one has room.
 	AvoidDomain string
 	// Sequence is the number of this request in the order of this host's
@@ -153,8 +155,10 @@
 }
 
 // allowed reports whether the upstream may be chosen at all: it is not leaving
-// the pool and the request has not tried it.
-func allowed(u *Upstream, r *Request) bool { return !u.Leaving && !r.tried(u.ID) }
+// the pool, it is not closed and the request has not tried it.
+func allowed(u *Upstream, r *Request) bool {
+	return !u.Leaving && !r.tried(u.ID) && (r.Closed == nil || !r.Closed(u.ID))
+}
 
 // nextRandom advances a SplitMix64 state and returns the next random number.
 func nextRandom(random *uint64) uint64 {
--- /dev/null
+++ b/upstream/condition/condition_test.go
@@ -0,0 +1,50 @@
+package condition
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(10000, 0)
+
+// TestLeavingBindsOneRun checks that leaving is never revoked for a run, that it binds an older record of the
+// upstream in a lagging list, and that it does not bind the next run under the same id.
+func TestLeavingBindsOneRun(t *testing.T) {
+	var table Table
+	if !table.Empty() || table.Leaving(Run{ID: "u", StartedMS: 5}) {
+		t.Error("an empty table has a condition")
+	}
+	if !table.Leave(Run{ID: "u", StartedMS: 5}, start) || table.Leave(Run{ID: "u", StartedMS: 5}, start) {
+		t.Error("only the first announcement is news")
+	}
+	for run, want := range map[Run]bool{
+		{ID: "u", StartedMS: 5}: true, {ID: "u", StartedMS: 4}: true, {ID: "u", StartedMS: 6}: false, {ID: "v", StartedMS: 5}: false,
+	} {
+		if got := table.Leaving(run); got != want {
+			t.Errorf("run %+v leaves: %v, want %v", run, got, want)
+		}
+	}
+	table.Leave(Run{ID: "u", StartedMS: 7}, start)
+	if table.Leave(Run{ID: "u", StartedMS: 6}, start) {
+		t.Error("a late announcement of an earlier run is news")
+	}
+}
+
+// TestConditionsAreBounded checks the number of upstreams and the time for which conditions are kept.
+func TestConditionsAreBounded(t *testing.T) {
+	var table Table
+	for i := range maxUpstreams + 200 {
+		table.Leave(Run{ID: fmt.Sprint(i), StartedMS: 1}, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	if n := len(*table.states.Load()); n != maxUpstreams {
+		t.Errorf("%d upstreams have conditions, want %d", n, maxUpstreams)
+	}
+	if !table.Leaving(Run{ID: fmt.Sprint(maxUpstreams+199), StartedMS: 1}) {
+		t.Error("the newest condition was evicted")
+	}
+	table.RemoveExpired(start.Add(2 * retention))
+	if !table.Empty() {
+		t.Error("conditions outlive their retention")
+	}
+}
--- a/upstream/connpool/connpool_test.go
+++ b/upstream/connpool/connpool_test.go
@@ -62,7 +62,7 @@
 
 // exchange sends one request to address and returns the body of its response.
 func exchange(p *Pool, address, id string) (string, error) {
-	response, err := p.Exchange(context.Background(), address, request(id, "x"), func(h http.Header) bool { return h.Get("Id") == id })
+	response, err := p.Exchange(context.Background(), address, request(id, "x"), noCheck, func(h http.Header) bool { return h.Get("Id") == id })
 	if err != nil {
 		return "", err
 	}
@@ -169,7 +169,7 @@
 	var pool Pool
 	defer pool.Close()
 	longBody := strings.Repeat("x", 64<<20)
-	response, err := pool.Exchange(context.Background(), address, request("a", longBody), func(h http.Header) bool { return h.Get("Id") == "a" })
+	response, err := pool.Exchange(context.Background(), address, request("a", longBody), noCheck, func(h http.Header) bool { return h.Get("Id") == "a" })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -192,8 +192,37 @@
 	var pool Pool
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	if _, err := pool.Exchange(ctx, address, request("a", "x"), func(http.Header) bool { return true }); err == nil {
+	if _, err := pool.Exchange(ctx, address, request("a", "x"), noCheck, func(http.Header) bool { return true }); err == nil {
 		t.Error("the exchange returned no error after its context was cancelled")
 	}
 	<-closed
 }
+
+func noCheck() error { return nil }
+
+// TestCheckBeforeTheFirstByte checks that nothing is sent if the check fails after the connection was opened,
+// and that the connection is kept.
+func TestCheckBeforeTheFirstByte(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var pool Pool
+	defer pool.Close()
+	failed := &HeadError{}
+	_, err = pool.Exchange(t.Context(), listener.Addr().String(), request("a", "x"), func() error { return failed }, func(http.Header) bool { return true })
+	var exchange *Error
+	if !errors.As(err, &exchange) || exchange.Stage != StageUnsent || !errors.Is(err, failed) {
+		t.Errorf("got error %v, want the check's at stage unsent", err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || errors.Is(err, io.EOF) {
+		t.Errorf("the upstream read %d bytes, error %v, want an open connection without bytes", n, err)
+	}
+}
--- a/upstream/connpool/exchange.go
+++ b/upstream/connpool/exchange.go
@@ -70,15 +70,20 @@
 	return w.Writer.Write(p)
 }
 
-// Exchange sends a request and reads the head of its response. matches reports
-// whether a response with the given header belongs to the request. The connection is
-// closed as soon as ctx is done, even while the body is being read. Errors are of type
-// *Error.
-func (p *Pool) Exchange(ctx context.Context, address string, req *http.Request, matches func(http.Header) bool) (*Answer, error) {
+// Exchange sends a request and reads the head of its response. check is called when a
+// connection is open, before any byte is written; if it returns an error, nothing is sent.
+// matches reports whether a response with the given header belongs to the request. The
+// connection is closed as soon as ctx is done, even while the body is being read. Errors
+// are of type *Error.
+func (p *Pool) Exchange(ctx context.Context, address string, req *http.Request, check func() error, matches func(http.Header) bool) (*Answer, error) {
 	conn, err := p.Get(ctx, address)
 	if err != nil {
 		return nil, &Error{Address: address, Stage: StageConnect, Cause: err}
 	}
+	if err := check(); err != nil {
+		p.put(conn)
+		return nil, &Error{Address: address, Stage: StageUnsent, Cause: err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	writer := &writeTracker{Writer: conn}
 	sent := make(chan struct{})
