Look at the list of upstreams again before the first byte

Change: the check before the first byte also looks at the list if it has changed since the choice, and another upstream is chosen.

TestListChangesBetweenChoiceAndSending fails without the check (the request is sent to the upstream that leaves) and passes with it.

--- a/forward/announce_test.go
+++ b/forward/announce_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cardamompier/cardamompier/hosts"
 )
 
 // drainSpan is the time after an announcement within which requests may still reach the upstream
@@ -215,3 +217,23 @@
 	}
 	return total
 }
+
+// TestListChangesBetweenChoiceAndSending guards against a request for an upstream that the list shows as leaving
+// since the upstream was chosen: while a connection is opened, the list may change.
+func TestListChangesBetweenChoiceAndSending(t *testing.T) {
+	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) { writeAnswer(conn, r, 200, sealHeader, "ok") })
+	listed := f.snapshot.Load().Hosts
+	onlyFirst := []hosts.Host{listed[0], listed[1]}
+	onlyFirst[1].State = hosts.StateLeaving
+	onlySecond := []hosts.Host{listed[0], listed[1]}
+	onlySecond[0].State = hosts.StateLeaving
+	f.setUpstreams(onlyFirst)
+	f.onChoice = func() { f.setUpstreams(onlySecond) }
+	status, _, _, err := f.send(t, "/read/x", "b", "Token-Count", "1500,5", "Prompt-Prefix", "f1:1000,f2:500")
+	if err != nil || status != http.StatusOK {
+		t.Errorf("got status %d and error %v, want 200", status, err)
+	}
+	if got := f.receivedRequests(); len(got) != 1 || got[0].upstream != listed[1].ID {
+		t.Errorf("upstreams received %d requests, the first one at %s, want 1 at %s", len(got), got[0].upstream, listed[1].ID)
+	}
+}
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -34,6 +34,17 @@
 // now.
 func (f *Forwarder) closed(r condition.Run) bool { return f.conditions.Leaving(r) }
 
+// stillListed reports whether the upstream is still listed as live if the list has changed since it
+// was chosen.
+func (f *Forwarder) stillListed(t selectedUpstream) bool {
+	list := f.Upstreams()
+	if list == t.list || list == nil {
+		return true
+	}
+	listed, live := list.Live(t.Pool, t.ID)
+	return live && listed.Address == t.Address
+}
+
 // noteAnnouncements records what an upstream announces in the head of an answer.
 func (f *Forwarder) noteAnnouncements(h hosts.Host, m AnswerMetadata) {
 	if m.Leaving {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -39,6 +39,8 @@
 
 	answer   atomic.Pointer[answerFunc]
 	snapshot atomic.Pointer[hosts.Snapshot]
+	// onChoice is called when an upstream was chosen for a request with a shared prompt; may be nil.
+	onChoice func()
 	// limitsPanic makes the limits panic.
 	limitsPanic atomic.Bool
 
@@ -66,7 +68,11 @@
 func (f *fixture) Upstreams(context.Context, uint64) ([]string, bool) { return nil, false }
 
 // Sent implements forward.Prompts.
-func (f *fixture) Sent(uint64, string) {}
+func (f *fixture) Sent(uint64, string) {
+	if f.onChoice != nil {
+		f.onChoice()
+	}
+}
 
 // Refund implements forward.Limits.
 func (f *fixture) Refund(_ string, cost float64) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -257,7 +257,7 @@
 // chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
 	open := func() error {
-		if e.f.closed(runOf(t.Host)) {
+		if e.f.closed(runOf(t.Host)) || !e.f.stillListed(t) {
 			return errClosed
 		}
 		return nil
