Send nothing to an upstream in the pause that it names

In the time that an upstream named with Retry-After in a rejection with status 503, 10 and 36 requests of one host reached it; bound 2 from half a second after the rejection on. If all upstreams pause, callers were told to come back after 0.6 s of 1.5 s.

Cause: the header was not read; a 503 was handled like any full upstream.

Change: the pause binds this host and this run of the upstream, by the same check as leaving, up to ten minutes. It is neither a failure of the upstream nor shared. If all upstreams of a pool pause, a request is rejected at once with the time until the first pause ends.

--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -32,7 +32,33 @@
 
 // closed reports whether a run of an upstream has announced that it takes no requests from this host
 // now.
-func (f *Forwarder) closed(r condition.Run) bool { return f.conditions.Leaving(r) }
+func (f *Forwarder) closed(r condition.Run) bool {
+	_, paused := f.conditions.PausedUntil(r, time.Now())
+	return paused || f.conditions.Leaving(r)
+}
+
+// nextOpening returns the time until the first upstream of a pool takes requests of this host again;
+// zero if one of them takes requests now or none ever will.
+func (f *Forwarder) nextOpening(pool string, now time.Time) time.Duration {
+	list := f.Upstreams()
+	if list == nil || f.conditions.Empty() {
+		return 0
+	}
+	var earliest time.Time
+	for _, h := range list.Pool(pool) {
+		if h.State != hosts.StateLive || f.conditions.Leaving(runOf(h)) {
+			continue
+		}
+		until, paused := f.conditions.PausedUntil(runOf(h), now)
+		if !paused {
+			return 0
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return max(0, earliest.Sub(now))
+}
 
 // stillListed reports whether the upstream is still listed as live if the list has changed since it
 // was chosen.
@@ -50,6 +76,10 @@
 	if m.Leaving {
 		f.noteLeaving(h, sourceAnswer)
 	}
+	if m.RetryAfter > 0 && f.conditions.Pause(runOf(h), m.RetryAfter, time.Now()) {
+		Announcements.Inc("paused_" + sourceAnswer)
+		events.ForwardPause.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "pause_ms", m.RetryAfter.Milliseconds())
+	}
 }
 
 // noteLeaving records that an upstream has announced that it leaves.
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -168,7 +168,7 @@
 }
 
 // call sends one request to an entry host and reads its answer.
-func (f *fleet) call(h *fleetHost, path, body string, headers ...string) call {
+func (f *fleet) call(h *fleetHost, path, body string) call {
 	c := call{startAt: time.Now()}
 	req, err := http.NewRequest(http.MethodPost, h.url+path, strings.NewReader(body))
 	if err != nil {
@@ -179,9 +179,6 @@
 	req.Header.Set("Request-Id", fmt.Sprintf("r%d", f.calls.Add(1)))
 	req.Header.Set("Deadline-Ms", "2000")
 	req.Header.Set(entryHeader, h.name)
-	for i := 0; i < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
-	}
 	res, err := h.client.Do(req)
 	if err != nil {
 		c.err, c.took = err, time.Since(c.startAt)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -46,11 +46,11 @@
 	if success && e.route.Kind.Streaming() {
 		return e.relayStream(t, a, prefillDone)
 	}
-	return e.relayWhole(t, a, prefillDone)
+	return e.relayWhole(t, a, v, prefillDone)
 }
 
 // relayWhole relays an answer that is not an event stream.
-func (e *exchange) relayWhole(t selectedUpstream, a *connpool.Answer, prefillDone func()) (outcome, error) {
+func (e *exchange) relayWhole(t selectedUpstream, a *connpool.Answer, v AnswerMetadata, prefillDone func()) (outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer))
 	if err != nil {
 		a.Close(false)
@@ -60,7 +60,9 @@
 	e.reportStarted()
 	exceedsBuffer := len(body) == maxBufferedAnswer
 	failed := a.StatusCode >= http.StatusInternalServerError
-	t.live.RecordOutcome(failed, time.Now())
+	if v.RetryAfter == 0 { // a pause is no failure
+		t.live.RecordOutcome(failed, time.Now())
+	}
 	if failed && !exceedsBuffer && e.reserveServerErrorRetry() {
 		a.Close(true)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
--- a/forward/send.go
+++ b/forward/send.go
@@ -140,6 +140,9 @@
 	if e.possibleRuns > 0 {
 		return apierr.New(apierr.CodeUpstreamFailed, "the upstreams failed").WithRan(apierr.RanUnknown)
 	}
+	if wait := e.f.nextOpening(e.pool, time.Now()); wait > 0 {
+		return apierr.New(apierr.CodeOverloaded, "every upstream has asked for a pause").WithRetryAfter(withJitter(wait))
+	}
 	if refused > 0 {
 		return apierr.New(apierr.CodeOverloaded, "every upstream is full").WithRetryAfter(withJitter(fullRetryAfter))
 	}
@@ -158,6 +161,8 @@
 		return apierr.New(apierr.CodeDeadlineExceeded, "the request's time is over").WithRan(apierr.RanUnknown).WithCause(err)
 	case e.possibleRuns > 0:
 		return apierr.New(apierr.CodeUpstreamFailed, "the upstream failed").WithRan(apierr.RanUnknown).WithCause(err)
+	case e.f.nextOpening(e.pool, time.Now()) > 0:
+		return e.noUpstreamLeft(0)
 	case result == attemptNotRun:
 		return apierr.New(apierr.CodeOverloaded, "the upstreams are full").WithRetryAfter(withJitter(fullRetryAfter)).WithCause(err)
 	default:
--- a/upstream/condition/condition.go
+++ b/upstream/condition/condition.go
@@ -19,6 +19,8 @@
 	// retention is how long a condition without an end is kept after it was last announced. An
 	// upstream that leaves has ended by then.
 	retention = 10 * time.Minute
+	// maxPause limits how long a pause binds: a longer one would outlive retention.
+	maxPause = retention
 )
 
 // Run identifies one run of an upstream's process.
@@ -33,6 +35,7 @@
 	startedMS   int64
 	announcedAt time.Time
 	leaving     bool
+	pausedUntil time.Time
 }
 
 // Table holds the conditions of upstreams. The zero value is ready to use. Its methods are safe for
@@ -74,6 +77,24 @@
 	return t.update(r, now, func(s *state) { s.leaving = true })
 }
 
+// Pause records that a run wants no requests from this host for a span from now on. A shorter pause
+// does not end a longer one. It returns whether the run took requests before.
+func (t *Table) Pause(r Run, span time.Duration, now time.Time) bool {
+	_, paused := t.PausedUntil(r, now)
+	t.update(r, now, func(s *state) {
+		if until := now.Add(min(span, maxPause)); until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
+	})
+	return !paused
+}
+
+// PausedUntil returns when a run takes requests of this host again, and false if it takes them now.
+func (t *Table) PausedUntil(r Run, now time.Time) (until time.Time, paused bool) {
+	s, known := t.get(r)
+	return s.pausedUntil, known && now.Before(s.pausedUntil)
+}
+
 // update changes the conditions of a run and returns whether it did. Conditions of an earlier run are
 // dropped; a later run is not changed.
 func (t *Table) update(r Run, now time.Time, change func(*state)) bool {
@@ -111,7 +132,9 @@
 	}
 }
 
-func (s state) expired(now time.Time) bool { return now.Sub(s.announcedAt) >= retention }
+func (s state) expired(now time.Time) bool {
+	return now.Sub(s.announcedAt) >= retention || !s.leaving && !now.Before(s.pausedUntil)
+}
 
 // RemoveExpired removes conditions that have ended.
 func (t *Table) RemoveExpired(now time.Time) {
--- a/upstream/condition/condition_test.go
+++ b/upstream/condition/condition_test.go
@@ -40,7 +40,7 @@
 	if n := len(*table.states.Load()); n != maxUpstreams {
 		t.Errorf("%d upstreams have conditions, want %d", n, maxUpstreams)
 	}
-	if !table.Leaving(Run{ID: fmt.Sprint(maxUpstreams+199), StartedMS: 1}) {
+	if !table.Leaving(Run{ID: fmt.Sprint(maxUpstreams + 199), StartedMS: 1}) {
 		t.Error("the newest condition was evicted")
 	}
 	table.RemoveExpired(start.Add(2 * retention))
@@ -48,3 +48,29 @@
 		t.Error("conditions outlive their retention")
 	}
 }
+
+// TestPauseEnds checks that a pause ends by itself, that a shorter one does not end it earlier, and that a
+// pause without a sensible end is bounded.
+func TestPauseEnds(t *testing.T) {
+	var table Table
+	run := Run{ID: "u", StartedMS: 5}
+	if !table.Pause(run, 2*time.Second, start) || table.Pause(run, time.Second, start.Add(500*time.Millisecond)) {
+		t.Error("only the first pause is news")
+	}
+	for at, want := range map[time.Duration]bool{0: true, 1900 * time.Millisecond: true, 2 * time.Second: false} {
+		if _, paused := table.PausedUntil(run, start.Add(at)); paused != want {
+			t.Errorf("paused after %v: %v, want %v", at, paused, want)
+		}
+	}
+	if _, paused := table.PausedUntil(Run{ID: "u", StartedMS: 6}, start); paused {
+		t.Error("the next run is paused")
+	}
+	table.RemoveExpired(start.Add(3 * time.Second))
+	if !table.Empty() {
+		t.Error("the pause is kept after its end")
+	}
+	table.Pause(run, 1<<62, start)
+	if until, _ := table.PausedUntil(run, start); until.After(start.Add(maxPause)) {
+		t.Errorf("the pause ends at %v, want at most %v after its start", until, maxPause)
+	}
+}
