Soak: upstreams that announce leaving and pauses, and end in every way

Callers name the entry host, and the upstream stand-in checks each arrival against what it has announced to that host: leaving in answers while its record stays ready, and pauses with a 503. Both are faults of the storm, which overlap with the others. Requests that end upstreams in four ways (refuses connections, returns at once, silent, after events) are sent beside each other. Resumable streams are a kind of request.

--- /dev/null
+++ b/soak/announce_test.go
@@ -0,0 +1,180 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// entryHeader names the entry host to which a caller sent a request, and upstreamHeader the
+	// upstream that answered.
+	entryHeader, upstreamHeader = "X-Entry", "X-Upstream"
+	leavingHeader               = "Server-Leaving"
+	// pauseStart is the time after a rejection from which the pause that it names binds the host,
+	// and maxInPause the number of requests of the host that may reach the upstream until its end.
+	pauseStart, maxInPause = 500 * time.Millisecond, 2
+	// leavingSpan is how long an upstream serves after it began to announce that it leaves.
+	leavingSpan = 4 * time.Second
+)
+
+// heardNotices records which entry hosts passed an answer on in which an upstream announced that it
+// leaves.
+type heardNotices struct {
+	mu      sync.Mutex
+	leaving map[[2]string]time.Time // by entry host and upstream: the first such answer
+}
+
+// record records the announcements in an answer that a caller received through an entry host.
+func (n *heardNotices) record(entry string, h http.Header) {
+	if h.Get(leavingHeader) == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving == nil {
+		n.leaving = map[[2]string]time.Time{}
+	}
+	if key := [2]string{entry, h.Get(upstreamHeader)}; n.leaving[key].IsZero() {
+		n.leaving[key] = time.Now()
+	}
+}
+
+// leavingHeardAt returns when an entry host first passed on that an upstream leaves; zero if never.
+func (n *heardNotices) leavingHeardAt(entry, upstream string) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving[[2]string{entry, upstream}]
+}
+
+// disturb records that the host's process was paused, stopped or started.
+func (h *host) disturb() { h.disturbedAt.Store(time.Now().UnixNano()) }
+
+// disturbedSince reports whether an entry host was disturbed after a time.
+func (d *deployment) disturbedSince(entry string, since time.Time) bool {
+	for _, h := range d.hosts {
+		if h.listen == entry {
+			return h.disturbedAt.Load() > since.UnixNano()
+		}
+	}
+	return true
+}
+
+// pause is the time in which an upstream wants no requests of one entry host.
+type pause struct {
+	from, until time.Time
+	arrived     int // requests between from and until
+}
+
+// rejectForPause rejects the request if the upstream wants a pause from the entry host and has not told
+// it so yet.
+func (u *upstream) rejectForPause(w http.ResponseWriter, entry string) bool {
+	span := time.Duration(u.pauseSpan.Load())
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pauses[entry]; span == 0 || p != nil && time.Now().Before(p.until) {
+		return false
+	}
+	if u.pauses == nil {
+		u.pauses = map[string]*pause{}
+	}
+	u.pauses[entry] = &pause{from: time.Now(), until: time.Now().Add(span)}
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// checkAnnouncements checks a request that has arrived against what the upstream has announced to the entry
+// host before.
+func (u *upstream) checkAnnouncements(r *http.Request, sentAt time.Time) {
+	entry := r.Header.Get(entryHeader)
+	if heard := u.d.heard.leavingHeardAt(entry, u.id); !heard.IsZero() && sentAt.Sub(heard) > applySpan && !u.d.disturbedSince(entry, heard) {
+		u.d.log.violate("DRAIN: %s reached %s, sent %v after %s had passed on that it leaves", r.Header.Get("Request-Id"), u.id, sentAt.Sub(heard), entry)
+	}
+	now := time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pauses[entry]
+	if p == nil || now.Sub(p.from) < pauseStart || now.After(p.until) || u.d.disturbedSince(entry, p.from) || u.proxy.disturbedSince(p.from) {
+		return
+	}
+	if p.arrived++; p.arrived > maxInPause {
+		u.d.log.violate("BUDGET: %s is request %d of %s that reached %s in its pause", r.Header.Get("Request-Id"), p.arrived, entry, u.id)
+	}
+}
+
+// pauseFor lets the upstream reject requests with a pause for a span.
+func (u *upstream) pauseFor(pause, span time.Duration) {
+	u.pauseSpan.Store(int64(pause))
+	time.Sleep(span)
+	u.pauseSpan.Store(0)
+}
+
+// wayOfEnding is how an upstream ends while it runs a request.
+type wayOfEnding struct {
+	name   string
+	events int // events of the stream before the end
+	end    func(u *upstream)
+}
+
+// waysOfEnding are the ways in which a fatal request ends upstreams.
+var waysOfEnding = []wayOfEnding{
+	{"refuses", 0, func(u *upstream) { u.proxy.refuse(crashDowntime) }},
+	{"returns", 0, func(u *upstream) { u.proxy.reset() }},
+	{"silent", 0, func(u *upstream) {
+		u.proxy.impair(impairment{blockTo: true, blockFrom: true})
+		time.Sleep(silentSpan)
+		u.proxy.reset()
+		u.proxy.impair(impairment{})
+	}},
+	{"after-events", 2, func(u *upstream) { u.proxy.reset() }},
+}
+
+const (
+	// silentSpan is how long an upstream that ends silently sends nothing.
+	silentSpan = 900 * time.Millisecond
+	// fatalPrefix starts the paths of requests that end the upstreams that run them.
+	fatalPrefix = "/resume/fatal-"
+	// maxRetriesAfterThirdEnd is the number of fatal requests that may reach upstreams later than
+	// contactSpan after a request ended its third upstream.
+	maxRetriesAfterThirdEnd = 3
+)
+
+// fatalRuns records the times at which fatal requests reached upstreams, by path.
+type fatalRuns struct {
+	mu   sync.Mutex
+	runs map[string][]time.Time
+}
+
+func (f *fatalRuns) add(path string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.runs == nil {
+		f.runs = map[string][]time.Time{}
+	}
+	f.runs[path] = append(f.runs[path], time.Now())
+}
+
+func (f *fatalRuns) of(path string) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[path]
+}
+
+// endOn begins the answer to a fatal request and ends the upstream.
+func (u *upstream) endOn(w http.ResponseWriter, r *http.Request, way wayOfEnding) {
+	u.d.fatal.add(r.URL.Path)
+	if way.events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := 1; n <= way.events; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, answerOf(r.Header.Get("Request-Id")))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(eventInterval)
+		}
+	}
+	way.end(u)
+	panic(http.ErrAbortHandler)
+}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -28,8 +28,12 @@
 	{name: "order", method: http.MethodPost, prefix: "/order/"},
 	{name: "read", method: http.MethodGet, prefix: "/read/", idempotent: true},
 	{name: "stream", method: http.MethodPost, prefix: "/stream/", streams: true},
+	resumable,
 }
 
+// resumable is the kind of a stream that another upstream may continue.
+var resumable = kind{name: "resume", method: http.MethodPost, prefix: "/resume/", idempotent: true, streams: true}
+
 const (
 	requestTimeout = 2500 * time.Millisecond
 	routeHost      = "h.example"
@@ -40,6 +44,7 @@
 type request struct {
 	kind               kind
 	method, path, body string
+	sentAt             time.Time
 	runs               int  // number of executions at upstreams
 	notRun             bool // a response stated that the request has not run and will not run
 }
@@ -71,6 +76,16 @@
 	return *r, true
 }
 
+// sentAt returns when a caller sent a request; the current time for a request that none sent.
+func (l *requestLog) sentAt(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		return r.sentAt
+	}
+	return time.Now()
+}
+
 // recordNotRun records a response that states that the request has not run.
 func (l *requestLog) recordNotRun(id string) {
 	l.mu.Lock()
@@ -114,7 +129,7 @@
 		body = "body of " + id
 	}
 	d.log.mu.Lock()
-	d.log.requests[id] = &request{kind: k, method: k.method, path: path, body: body}
+	d.log.requests[id] = &request{kind: k, method: k.method, path: path, body: body, sentAt: time.Now()}
 	d.log.mu.Unlock()
 	outcome := d.exchange(ctx, client, address, k, id, path, body)
 	d.log.count(k.name + " " + outcome)
@@ -136,6 +151,7 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Authorization", "Bearer "+accountKey)
 	req.Header.Set("Tenant-Id", "forged")
+	req.Header.Set(entryHeader, address)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
 	if k.prompt != "" {
 		req.Header.Set("Prompt-Prefix", k.prompt)
@@ -146,6 +162,7 @@
 		return "no answer"
 	}
 	defer func() { _ = res.Body.Close() }()
+	d.heard.record(address, res.Header)
 	switch res.StatusCode {
 	case http.StatusOK:
 		return d.checkAnswer(res, k, id)
--- /dev/null
+++ b/soak/fatal_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// fatalPause is the pause between two fatal requests, and fatalCalls the number of those sent
+	// after every host must refuse them.
+	fatalPause, fatalCalls = 100 * time.Millisecond, 16
+	// maxFatalSpan bounds the time until a request has ended three upstreams.
+	maxFatalSpan = 10 * time.Second
+)
+
+// checkFatalRequests sends requests that end the upstreams that run them, each in another way, again and
+// again to all hosts in turn. It checks how many reach upstreams once every host must know.
+func (d *deployment) checkFatalRequests(t *testing.T) {
+	var ways sync.WaitGroup
+	for _, way := range waysOfEnding {
+		ways.Go(func() { d.checkFatalRequest(t, way) })
+	}
+	ways.Wait()
+}
+
+// checkFatalRequest is checkFatalRequests for one way of ending.
+func (d *deployment) checkFatalRequest(t *testing.T, way wayOfEnding) {
+	path := fatalPrefix + way.name
+	client := newClient()
+	i := 0
+	send := func() {
+		go d.callFatal(client, d.hosts[i%len(d.hosts)].listen, path)
+		i++
+		time.Sleep(fatalPause)
+	}
+	for began := time.Now(); len(d.fatal.of(path)) < 3 && time.Since(began) < maxFatalSpan; {
+		send()
+	}
+	runs := d.fatal.of(path)
+	if len(runs) < 3 {
+		t.Errorf("%s: only %d fatal requests reached upstreams", way.name, len(runs))
+		return
+	}
+	bound := runs[2].Add(contactSpan)
+	for time.Now().Before(bound) {
+		send()
+	}
+	for range fatalCalls {
+		send()
+	}
+	late := 0
+	for _, at := range d.fatal.of(path) {
+		if at.After(bound) {
+			late++
+		}
+	}
+	if late > maxRetriesAfterThirdEnd {
+		t.Errorf("BUDGET: %s: %d requests reached upstreams later than %v after the third upstream ended, want at most %d",
+			way.name, late, contactSpan, maxRetriesAfterThirdEnd)
+	}
+}
+
+// callFatal sends a fatal request, which is the same but for its id.
+func (d *deployment) callFatal(client *http.Client, address, path string) {
+	id := fmt.Sprintf("r%d", d.nextID.Add(1))
+	k := resumable
+	d.log.mu.Lock()
+	d.log.requests[id] = &request{kind: k, method: k.method, path: path, body: "fatal", sentAt: time.Now()}
+	d.log.mu.Unlock()
+	d.exchange(context.Background(), client, address, k, id, path, "fatal")
+}
+
+// wayOf returns the way in which a request ends upstreams; false if it is sound.
+func wayOf(path string) (wayOfEnding, bool) {
+	for _, way := range waysOfEnding {
+		if strings.HasPrefix(path, fatalPrefix+way.name) {
+			return way, true
+		}
+	}
+	return wayOfEnding{}, false
+}
+
+// checkAnnouncedLeaving lets an upstream announce in its answers, and not in the store, that it leaves, while
+// callers go on. Each request is checked as it arrives.
+func (d *deployment) checkAnnouncedLeaving(t *testing.T) {
+	u := d.upstreams[1]
+	u.announcesLeaving.Store(true)
+	time.Sleep(applySpan + time.Second)
+	d.heard.mu.Lock()
+	defer d.heard.mu.Unlock()
+	told := 0
+	for key := range d.heard.leaving {
+		if key[1] == u.id {
+			told++
+		}
+	}
+	if told == 0 {
+		t.Error("no host passed an answer on in which the upstream announced that it leaves")
+	}
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,8 +19,10 @@
 		h := d.anyHost(random)
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.disturb()
 		_ = h.command.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(span)
+		h.disturb()
 		_ = h.command.Process.Signal(syscall.SIGCONT)
 	},
 	"host killed": func(t *testing.T, d *deployment, random *rand.Rand, span time.Duration) {
@@ -63,6 +65,19 @@
 	"upstream fails": func(_ *testing.T, d *deployment, random *rand.Rand, span time.Duration) {
 		d.anyUpstream(random).fail(answersErrors, span)
 	},
+	"upstream leaves by its answers": func(t *testing.T, d *deployment, random *rand.Rand, _ time.Duration) {
+		d.mu.Lock()
+		i := random.IntN(len(d.upstreams))
+		old := d.upstreams[i]
+		d.upstreams[i] = d.startUpstream(t)
+		d.mu.Unlock()
+		old.announcesLeaving.Store(true)
+		time.Sleep(leavingSpan)
+		old.crash()
+	},
+	"upstream pauses": func(_ *testing.T, d *deployment, random *rand.Rand, span time.Duration) {
+		d.anyUpstream(random).pauseFor(time.Duration(random.Int64N(int64(2500*time.Millisecond))), span)
+	},
 	"upstream replaced": func(t *testing.T, d *deployment, random *rand.Rand, _ time.Duration) {
 		d.mu.Lock()
 		i := random.IntN(len(d.upstreams))
@@ -97,6 +112,7 @@
 func (h *host) replace(t *testing.T, signal syscall.Signal, pause time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.disturb()
 	_ = h.command.Process.Signal(signal)
 	select {
 	case <-h.exited:
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -26,6 +26,8 @@
 	current impairment
 	open    map[net.Conn]struct{}
 	closed  bool
+	// disturbedAt is when the proxy was last impaired, relieved or reset.
+	disturbedAt time.Time
 }
 
 // newProxy starts a proxy to the target address and closes it at the end of the test.
@@ -142,14 +144,22 @@
 func (p *proxy) impair(i impairment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.current = i
+	p.current, p.disturbedAt = i, time.Now()
 	p.changed.Broadcast()
 }
 
+// disturbedSince reports whether the proxy was impaired, relieved or reset after a time, or is impaired.
+func (p *proxy) disturbedSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disturbedAt.After(since) || p.current != impairment{}
+}
+
 // reset closes all open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.disturbedAt = time.Now()
 	for conn := range p.open {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,6 +114,8 @@
 	faults    map[string]int // number of induced faults by name
 
 	poisonRuns atomic.Int64 // answers begun on a prompt with poisonPart
+	fatal      fatalRuns
+	heard      heardNotices
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -122,6 +124,7 @@
 	listen, ready, inner string
 	settings             string
 	store                *proxy
+	disturbedAt          atomic.Int64 // when the process was last paused, stopped or started, in Unix ns
 
 	mu      sync.Mutex // held while the process is stopped and restarted
 	command *exec.Cmd
@@ -142,7 +145,9 @@
 	d.induceFaults(t, random)
 	d.checkServing(t, time.Now().Add(recoverSpan))
 	d.checkPoisonPart(t)
+	d.checkFatalRequests(t)
 	d.checkChange(t)
+	d.checkAnnouncedLeaving(t)
 	d.checkLeaving(t)
 	d.checkStops(t)
 	endCalls()
@@ -209,6 +214,8 @@
 	add("order", "non_idempotent", "/order/", 2)
 	add("read", "idempotent", "/read/", 3)
 	add("stream", "stream", "/stream/", 2)
+	add("resume", "stream", resumable.prefix, 3)
+	routes[len(routes)-1]["resumable"] = true
 	add("new", "idempotent", newPrefix(version), 2)
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": []map[string]any{{"name": "desk", "max_conns": 100}},
@@ -285,6 +292,7 @@
 
 // start starts the process and appends its output to the host's log file.
 func (h *host) start(t *testing.T) {
+	h.disturb()
 	log, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Error(err)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -47,9 +47,14 @@
 	// store has confirmed the record with state draining, it is the time of the confirmation in
 	// Unix ns.
 	leaves atomic.Int64
+	// announcesLeaving is whether answers announce that the upstream leaves.
+	announcesLeaving atomic.Bool
+	// pauseSpan is the pause in ns that rejections name; 0 if the upstream rejects nothing.
+	pauseSpan atomic.Int64
 
 	mu      sync.Mutex
-	arrived []time.Time // times at which requests arrived
+	arrived []time.Time       // times at which requests arrived
+	pauses  map[string]*pause // newest pause by entry host
 }
 
 // startUpstream starts an upstream behind a proxy and registers it in the store.
@@ -129,6 +134,14 @@
 	u.mu.Lock()
 	u.arrived = append(u.arrived, time.Now())
 	u.mu.Unlock()
+	w.Header().Set(upstreamHeader, u.id)
+	u.checkAnnouncements(r, u.d.log.sentAt(id))
+	if u.announcesLeaving.Load() {
+		w.Header().Set(leavingHeader, "1")
+	}
+	if u.rejectForPause(w, r.Header.Get(entryHeader)) {
+		return
+	}
 	sent, known := u.d.log.recordRun(id)
 	switch {
 	case !known:
@@ -142,6 +155,9 @@
 	if strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart+":") {
 		u.crashOnPrompt(w)
 	}
+	if way, fatal := wayOf(r.URL.Path); fatal {
+		u.endOn(w, r, way)
+	}
 	switch u.mode.Load() {
 	case losesAnswers:
 		panic(http.ErrAbortHandler)
@@ -154,7 +170,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= streamEvents; n++ {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= streamEvents; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, answerOf(id))
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(eventInterval)
