--- a/forward/codec.go
+++ b/forward/codec.go
@@ -62,6 +62,10 @@
 	// RetryAfter is the time for which an upstream that rejected the request wants no more
 	// requests from this host; zero if it names none.
 	RetryAfter time.Duration
+	// Limited is true if the upstream names a limit: the requests per second, RateLimit, that it
+	// takes from all hosts together.
+	Limited   bool
+	RateLimit float64
 }
 
 // Codec decodes and encodes the HTTP headers that a deployment uses.
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -76,6 +76,9 @@
 	if m.Leaving {
 		f.noteLeaving(h, sourceAnswer)
 	}
+	if m.Limited {
+		events.ForwardLimit.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "per_s", m.RateLimit, "source", sourceAnswer)
+	}
 	if m.RetryAfter > 0 && f.conditions.Pause(runOf(h), m.RetryAfter, time.Now()) {
 		Announcements.Inc("paused_" + sourceAnswer)
 		events.ForwardPause.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "pause_ms", m.RetryAfter.Milliseconds())
