Keep the limits that upstreams name, over all hosts together

Cause: the limit was not read; nothing bounded what all hosts together send to one upstream.

Change: upstream/condition keeps limits by run: as an upstream names them in answers to this host, until an answer without one to a request that was sent later, a new run, or a silence of four answers (5 to 30 s); and as other hosts report them with the load digests, for 2 s. A request to a limited upstream needs a permit. quota.Pacer grants it at one host for each upstream (rendezvous hashing), from a bucket of 0.1 s, at least one request, that starts empty. While that host does not respond the next one grants 0.4 of the limit, so that both together stay within 1.5 times; one that has just joined grants nothing for 1.5 s. A host without a permit takes another upstream, and asks again after a time that spreads the hosts over the permits to come; if all upstreams are closed, the caller is rejected at once with that time.

Weighed: a share for each host (30 hosts at 1 a second: one request in half a minute each, 30 at once when the limit is named), and the even share that accounts get while their owner is unreachable (30 requests at once).

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -39,6 +39,9 @@
 	return taken
 }
 
+// Shortfall returns the number of tokens that are missing for want tokens; zero if none is.
+func (b *Bucket) Shortfall(want float64) float64 { return math.Max(0, want-b.tokens) }
+
 // Charge removes n tokens from the bucket and may leave a negative balance. A
 // negative n adds tokens.
 func (b *Bucket) Charge(n float64) { b.tokens -= n }
--- a/events/forward.go
+++ b/events/forward.go
@@ -13,7 +13,7 @@
 	ForwardPanicked = define(2106, "forward panicked", hclog.Error, "This host panicked while it handled a request, a fault of this program; the caller's connection was closed.")
 	ForwardNotice   = define(2107, "upstream announcement", hclog.Info, "An upstream has announced that it leaves; listed is the state of its record, and source is how this host learned it.")
 	ForwardPause    = define(2108, "upstream pauses", hclog.Info, "An upstream has rejected a request and wants no requests from this host for a while; this host sends it none until then.")
-	ForwardLimit    = define(2109, "upstream names a limit", hclog.Info, "An upstream names the requests per second (per_s) that it takes from all hosts together; source is how this host learned it.")
+	ForwardLimit    = define(2109, "upstream names a limit", hclog.Info, "An upstream names the requests per second (per_s) that it takes from all hosts together, or, with limited false, no limit any more.")
 	ForwardTable    = define(2110, "route table in force", hclog.Info, "This host now routes requests by this version of the route table.")
 	ForwardUnread   = define(2111, "route table unreadable", hclog.Error, "A route table cannot be decoded; the current one remains in force.")
 	ForwardHosts    = define(2112, "upstream list changed", hclog.Info, "The list of upstreams changed.")
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -100,7 +100,10 @@
 		req.Blocks = []uint64{e.sharedPrompt}
 	}
 	if !e.f.conditions.Empty() {
-		req.Closed = func(id string) bool { return e.f.closed(condition.Run{ID: id, StartedMS: v.startedMS[id]}) }
+		req.Closed = func(id string) bool {
+			_, closed := e.f.conditions.ClosedUntil(condition.Run{ID: id, StartedMS: v.startedMS[id]}, now)
+			return closed
+		}
 	}
 	choice := e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
 	if choice.Index < 0 {
@@ -160,7 +163,6 @@
 // and the prompt processing speed of each upstream pool.
 func (f *Forwarder) LocalLoads() []loadshare.Load {
 	var out []loadshare.Load
-	leaving := int64(0)
 	now := time.Now()
 	f.eachLive(func(h hosts.Host, live *routing.UpstreamStats) {
 		outcomes := live.Outcomes(now)
@@ -171,14 +173,8 @@
 		if l != (loadshare.Load{Upstream: l.Upstream}) {
 			out = append(out, l)
 		}
-		if f.conditions.Leaving(runOf(h)) {
-			out = append(out, loadshare.Load{Upstream: leavingKey(h), InFlight: 1})
-			leaving++
-		}
 	})
-	if leaving > 0 {
-		out = append(out, loadshare.Load{Upstream: anyLeavingKey, InFlight: leaving})
-	}
+	out = append(out, f.localConditions(now)...)
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
 		if rate := int64(demand.rate(now)); rate > 0 {
@@ -200,14 +196,11 @@
 		byKey[l.Upstream] = l
 	}
 	f.refreshViews()
-	someLeave := byKey[anyLeavingKey].InFlight > 0
 	f.eachLive(func(h hosts.Host, live *routing.UpstreamStats) {
 		l := byKey[loadshare.UpstreamHash(h.ID)]
 		live.SetOthers(l.PendingPromptTokens, l.InFlight, routing.Outcomes{Ended: float64(l.Ended) / outcomeScale, Failed: float64(l.Failed) / outcomeScale})
-		if someLeave && byKey[leavingKey(h)].InFlight > 0 {
-			f.noteLeaving(h, sourcePeers)
-		}
 	})
+	f.applyPeerConditions(byKey)
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
 		demand.peerDemand.Store(byKey[demandKey(name.(string))].PendingPromptTokens)
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -8,6 +8,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/routing"
 	"github.com/cardamompier/cardamompier/upstream/condition"
 )
 
@@ -30,13 +31,6 @@
 
 func runOf(h hosts.Host) condition.Run { return condition.Run{ID: h.ID, StartedMS: h.StartedMS} }
 
-// closed reports whether a run of an upstream has announced that it takes no requests from this host
-// now.
-func (f *Forwarder) closed(r condition.Run) bool {
-	_, paused := f.conditions.PausedUntil(r, time.Now())
-	return paused || f.conditions.Leaving(r)
-}
-
 // nextOpening returns the time until the first upstream of a pool takes requests of this host again;
 // zero if one of them takes requests now or none ever will.
 func (f *Forwarder) nextOpening(pool string, now time.Time) time.Duration {
@@ -49,8 +43,8 @@
 		if h.State != hosts.StateLive || f.conditions.Leaving(runOf(h)) {
 			continue
 		}
-		until, paused := f.conditions.PausedUntil(runOf(h), now)
-		if !paused {
+		until, closed := f.conditions.ClosedUntil(runOf(h), now)
+		if !closed {
 			return 0
 		}
 		if earliest.IsZero() || until.Before(earliest) {
@@ -71,15 +65,49 @@
 	return live && listed.Address == t.Address
 }
 
-// noteAnnouncements records what an upstream announces in the head of an answer.
-func (f *Forwarder) noteAnnouncements(h hosts.Host, m AnswerMetadata) {
+// admits reports whether a request to an upstream may be sent now. permitted is whether it has a permit,
+// if the upstream names a limit.
+func (f *Forwarder) admits(t selectedUpstream, permitted bool) bool {
+	run, now := runOf(t.Host), time.Now()
+	if _, limited := f.conditions.LimitOf(run, now); limited && !permitted {
+		return false
+	}
+	_, paused := f.conditions.PausedUntil(run, now)
+	return !paused && !f.conditions.Leaving(run) && f.stillListed(t)
+}
+
+// takePermit asks for a permit if the upstream names a limit. It returns false if the request must not be
+// sent; until the host may ask again, the upstream is closed.
+func (e *exchange) takePermit(h hosts.Host) (permitted, ok bool) {
+	rate, limited := e.f.conditions.LimitOf(runOf(h), time.Now())
+	if !limited {
+		return false, true
+	}
+	retryAfter, ok := e.f.Permits.Permit(e.ctx, h.ID+"/"+strconv.FormatInt(h.StartedMS, 10), rate)
+	if !ok {
+		now := time.Now()
+		e.f.conditions.Defer(runOf(h), now.Add(retryAfter), now)
+	}
+	return ok, ok
+}
+
+// noteAnnouncements records what an upstream announces in the head of an answer to a request that was
+// sent at the given time.
+func (f *Forwarder) noteAnnouncements(h hosts.Host, m AnswerMetadata, sentAt time.Time) {
 	if m.Leaving {
 		f.noteLeaving(h, sourceAnswer)
 	}
-	if m.Limited {
-		events.ForwardLimit.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "per_s", m.RateLimit, "source", sourceAnswer)
+	run, now := runOf(h), time.Now()
+	switch {
+	case m.Limited:
+		if f.conditions.Limit(run, m.RateLimit, now) {
+			Announcements.Inc("limited_" + sourceAnswer)
+			events.ForwardLimit.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "limited", true, "per_s", m.RateLimit)
+		}
+	case f.conditions.EndLimit(run, sentAt, now):
+		events.ForwardLimit.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "limited", false)
 	}
-	if m.RetryAfter > 0 && f.conditions.Pause(runOf(h), m.RetryAfter, time.Now()) {
+	if m.RetryAfter > 0 && f.conditions.Pause(run, m.RetryAfter, now) {
 		Announcements.Inc("paused_" + sourceAnswer)
 		events.ForwardPause.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "pause_ms", m.RetryAfter.Milliseconds())
 	}
@@ -94,10 +122,61 @@
 	events.ForwardNotice.Log(f.Logger, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "condition", "leaving", "listed", string(h.State), "source", source)
 }
 
-// anyLeavingKey is the key under which hosts share the number of upstreams that leave.
-var anyLeavingKey = loadshare.UpstreamHash("leaving")
+// Keys under which hosts share the numbers of upstreams with conditions.
+var (
+	anyLeavingKey = loadshare.UpstreamHash("leaving")
+	anyLimitKey   = loadshare.UpstreamHash("limit")
+)
+
+// rateScale converts limits to thousandths, the unit in which hosts exchange them.
+const rateScale = 1000
 
-// leavingKey is the key under which hosts share that a run of an upstream leaves.
-func leavingKey(h hosts.Host) uint32 {
-	return loadshare.UpstreamHash("leaving/" + h.ID + "/" + strconv.FormatInt(h.StartedMS, 10))
+// conditionKey is the key under which hosts share a condition of a run of an upstream.
+func conditionKey(condition string, h hosts.Host) uint32 {
+	return loadshare.UpstreamHash(condition + "/" + h.ID + "/" + strconv.FormatInt(h.StartedMS, 10))
+}
+
+// localConditions returns the conditions that this host shares with the others, encoded as loads: which
+// upstreams leave, and the limits that they named in answers to this host.
+func (f *Forwarder) localConditions(now time.Time) []loadshare.Load {
+	if f.conditions.Empty() {
+		return nil
+	}
+	var out []loadshare.Load
+	leaving, limited := int64(0), int64(0)
+	f.eachLive(func(h hosts.Host, _ *routing.UpstreamStats) {
+		if f.conditions.Leaving(runOf(h)) {
+			leaving++
+			out = append(out, loadshare.Load{Upstream: conditionKey("leaving", h), InFlight: 1})
+		}
+		if rate, ok := f.conditions.OwnLimit(runOf(h), now); ok {
+			limited++
+			out = append(out, loadshare.Load{Upstream: conditionKey("limit", h), PendingPromptTokens: int64(rate * rateScale), InFlight: 1})
+		}
+	})
+	if leaving > 0 {
+		out = append(out, loadshare.Load{Upstream: anyLeavingKey, InFlight: leaving})
+	}
+	if limited > 0 {
+		out = append(out, loadshare.Load{Upstream: anyLimitKey, InFlight: limited})
+	}
+	return out
+}
+
+// applyPeerConditions records the conditions that other hosts share. Of different limits for one upstream, the
+// mean is used.
+func (f *Forwarder) applyPeerConditions(byKey map[uint32]loadshare.Load) {
+	someLeave, someLimited := byKey[anyLeavingKey].InFlight > 0, byKey[anyLimitKey].InFlight > 0
+	if !someLeave && !someLimited {
+		return
+	}
+	now := time.Now()
+	f.eachLive(func(h hosts.Host, _ *routing.UpstreamStats) {
+		if byKey[conditionKey("leaving", h)].InFlight > 0 {
+			f.noteLeaving(h, sourcePeers)
+		}
+		if l := byKey[conditionKey("limit", h)]; l.InFlight > 0 {
+			f.conditions.ShareLimit(runOf(h), float64(l.PendingPromptTokens)/float64(l.InFlight)/rateScale, now)
+		}
+	})
 }
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/quarantine"
+	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
 )
@@ -111,6 +112,9 @@
 		},
 		Pools: []*routes.Pool{{Name: "p"}},
 	})
+	server := inner.NewServer()
+	hosts := func() *membership.View { return view }
+	pacer := quota.NewPacer(name, f.network.Client(name), server, hosts)
 	tracker := quarantine.NewTracker(func(quarantine.Key) bool { return name == "h0" }, func(change string, set quarantine.Set) {
 		if change != quarantine.ChangeLifted {
 			h.Withdraw(set)
@@ -120,11 +124,10 @@
 		Domain: "d", Codec: platform.Headers{}, Limits: noLimits{}, Prompts: noPrompts{}, Hosts: func() int { return len(view.Members) },
 		Table: func() *routes.Table { return table }, Upstreams: f.snapshot.Load, OnStarted: func(string) {},
 		Retries: retry.Bound{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
-		Crashes: tracker, Logger: hclog.NewNullLogger(),
+		Permits: pacer, Crashes: tracker, Logger: hclog.NewNullLogger(),
 	})
-	server := inner.NewServer()
 	f.network.Serve(name, server)
-	sharer := loadshare.New(name, f.network.Client(name), server, func() *membership.View { return view }, h.LocalLoads, h.SetPeerLoads)
+	sharer := loadshare.New(name, f.network.Client(name), server, hosts, h.LocalLoads, h.SetPeerLoads)
 	sharer.Attach(tracker)
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -56,6 +56,8 @@
 	// LimitSlack is how far a client account may exceed its limit, in tokens.
 	LimitSlack float64
 	Retries    retry.Bound
+	// Permits paces the requests of all hosts to upstreams that name a limit.
+	Permits Permits
 	// Crashes decides which content is refused because it crashes upstreams.
 	Crashes *quarantine.Tracker
 	Logger  hclog.Logger
@@ -72,6 +74,13 @@
 	Refund(account string, cost float64)
 }
 
+// Permits paces the requests that all hosts together send to an upstream that names a limit.
+type Permits interface {
+	// Permit asks for a permit to send one request to an upstream that takes rate requests per second
+	// from all hosts together. If it is refused, retryAfter is the time after which to ask again.
+	Permit(ctx context.Context, upstream string, rate float64) (retryAfter time.Duration, ok bool)
+}
+
 // Prompts records which upstreams have processed a prompt that several requests share.
 // A prompt is identified by its digest.
 type Prompts interface {
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -68,21 +68,30 @@
 	return true
 }
 
-// largestWindow returns the largest number of requests that reached an upstream in a window that began
-// after a time, from hosts that had heard its limit.
-func (l *limits) largestWindow(u *simUpstream, since time.Time) int {
+// windows returns the largest number of requests that reached an upstream in a window that began after a
+// time: from hosts that had heard its limit, and from all hosts.
+func (l *limits) windows(u *simUpstream, since time.Time) (told, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var counted []time.Time
+	var fromTold, fromAll []time.Time
 	for _, a := range u.arrived() {
-		if told := l.told[[2]string{u.id, a.entry}]; !told.IsZero() && a.at.Sub(told) >= toldSpan && a.at.After(since) {
-			counted = append(counted, a.at)
+		if !a.at.After(since) {
+			continue
+		}
+		fromAll = append(fromAll, a.at)
+		if told := l.told[[2]string{u.id, a.entry}]; !told.IsZero() && a.at.Sub(told) >= toldSpan {
+			fromTold = append(fromTold, a.at)
 		}
 	}
-	slices.SortFunc(counted, time.Time.Compare)
+	return largestWindow(fromTold), largestWindow(fromAll)
+}
+
+// largestWindow returns the largest number of times within limitWindow.
+func largestWindow(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
 	largest := 0
-	for i, j := 0, 0; j < len(counted); j++ {
-		for counted[j].Sub(counted[i]) >= limitWindow {
+	for i, j := 0, 0; j < len(times); j++ {
+		for times[j].Sub(times[i]) >= limitWindow {
 			i++
 		}
 		largest = max(largest, j-i+1)
@@ -117,12 +126,12 @@
 				l.set("u0", rate)
 				since := time.Now().Add(contactSpan)
 				calls := f.flood(contactSpan+limitWindow+2*time.Second, 5*time.Millisecond)
-				got := l.largestWindow(f.upstreams[0], since)
-				if got > maxInWindow(rate) {
-					t.Errorf("the upstream got %d requests in %v, want at most %d", got, limitWindow, maxInWindow(rate))
+				told, all := l.windows(f.upstreams[0], since)
+				if told > maxInWindow(rate) {
+					t.Errorf("the upstream got %d requests in %v, want at most %d", told, limitWindow, maxInWindow(rate))
 				}
-				if least := int(rate * limitWindow.Seconds() / 2); got < least {
-					t.Errorf("the upstream got %d requests in %v, want at least %d: half of what its limit allows", got, limitWindow, least)
+				if least := int(rate * limitWindow.Seconds() / 2); all < least {
+					t.Errorf("the upstream got %d requests in %v, want at least %d: half of what its limit allows", all, limitWindow, least)
 				}
 				if share := servedShare(calls); share < 0.99 {
 					t.Errorf("%.3f of the requests were served, want 0.99", share)
@@ -147,8 +156,9 @@
 			since := time.Now().Add(contactSpan)
 			calls := f.flood(contactSpan+limitWindow+2*time.Second, 5*time.Millisecond)
 			for _, u := range f.upstreams {
-				if got := l.largestWindow(u, since); got > maxInWindow(rate) || got < rate*int(limitWindow.Seconds())/2 {
-					t.Errorf("%s got %d requests in %v, want at most %d and at least half of the limit", u.id, got, limitWindow, maxInWindow(rate))
+				if told, all := l.windows(u, since); told > maxInWindow(rate) || all < rate*int(limitWindow.Seconds())/2 {
+					t.Errorf("%s got %d requests in %v, %d of them from hosts that were told, want at most %d and at least half of the limit",
+						u.id, all, limitWindow, told, maxInWindow(rate))
 				}
 			}
 			checkRejectedAtOnce(t, calls)
--- a/forward/send.go
+++ b/forward/send.go
@@ -38,6 +38,7 @@
 // rejection.
 const (
 	repeatUnsent       = "unsent"
+	repeatClosed       = "closed"
 	repeatNotRun       = "not_run"
 	repeatFailed       = "failed"
 	repeatResumed      = "resumed"
@@ -50,6 +51,9 @@
 	// maxUnsentAttempts limits the attempts of one request that end before a byte is
 	// sent. Each may last as long as a dial.
 	maxUnsentAttempts = 4
+	// maxClosedAttempts limits the attempts of one request that are not sent because the
+	// upstream takes no requests.
+	maxClosedAttempts = 8
 	// maxNotRunAttempts limits the upstreams that may reject one request without
 	// running it. After two full upstreams, a third is likely to be full too.
 	maxNotRunAttempts = 2
@@ -67,7 +71,7 @@
 // serve sends the request to one upstream after another until the caller has an answer
 // or the request is rejected.
 func (e *exchange) serve() {
-	unsent, refused := 0, 0
+	unsent, refused, closed := 0, 0, 0
 	for {
 		t, ok := e.choose(time.Now())
 		if !ok {
@@ -86,6 +90,12 @@
 		repeat, reason := false, ""
 		switch result {
 		case attemptUnsent:
+			if errors.Is(err, errClosed) {
+				if closed++; closed < maxClosedAttempts && e.ctx.Err() == nil {
+					Repeats.Inc(repeatClosed)
+					continue // the upstream was not tried
+				}
+			}
 			unsent++
 			repeat, reason = unsent < maxUnsentAttempts && e.ctx.Err() == nil, repeatUnsent
 		case attemptNotRun:
@@ -141,7 +151,7 @@
 		return apierr.New(apierr.CodeUpstreamFailed, "the upstreams failed").WithRan(apierr.RanUnknown)
 	}
 	if wait := e.f.nextOpening(e.pool, time.Now()); wait > 0 {
-		return apierr.New(apierr.CodeOverloaded, "every upstream has asked for a pause").WithRetryAfter(withJitter(wait))
+		return apierr.New(apierr.CodeOverloaded, "no upstream takes requests now").WithRetryAfter(withJitter(wait))
 	}
 	if refused > 0 {
 		return apierr.New(apierr.CodeOverloaded, "every upstream is full").WithRetryAfter(withJitter(fullRetryAfter))
@@ -259,12 +269,18 @@
 
 // send sends the request to one upstream and returns the head of the upstream's answer. It is the
 // only way by which requests reach upstreams. If the upstream takes no requests any more since it was
-// chosen, nothing is sent and the cause of the error is errClosed.
+// chosen, or there is no permit within its limit, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
+	permitted, ok := e.takePermit(t.Host)
+	if !ok {
+		return nil, AnswerMetadata{}, errClosed
+	}
+	var sentAt time.Time
 	open := func() error {
-		if e.f.closed(runOf(t.Host)) || !e.f.stillListed(t) {
+		if !e.f.admits(t, permitted) {
 			return errClosed
 		}
+		sentAt = time.Now()
 		return nil
 	}
 	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), open, func(h http.Header) bool {
@@ -275,7 +291,7 @@
 	}
 	e.sends++
 	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
-	e.f.noteAnnouncements(t.Host, m)
+	e.f.noteAnnouncements(t.Host, m, sentAt)
 	return answer, m, nil
 }
 
--- a/forwarding.go
+++ b/forwarding.go
@@ -97,6 +97,7 @@
 	presence                 *presence.Presence
 	forwarder                *forward.Forwarder
 	limits                   *quota.Owners
+	pacer                    *quota.Pacer
 	counter                  *usage.Counter
 	sharer                   *loadshare.Sharer
 	crashes                  *quarantine.Tracker
@@ -152,13 +153,14 @@
 	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.LeaseValid)
+	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.hosts)
 	f.trackCrashes()
 	f.forwarder = forward.New(forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Crashes: f.crashes,
-		Logger:  logger.Named("forward"),
+		Permits: f.pacer, Crashes: f.crashes,
+		Logger: logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
 		f.forwarder.LocalLoads, f.forwarder.SetPeerLoads)
@@ -310,7 +312,7 @@
 	for component, run := range map[string]func(context.Context){
 		"routes": f.afterMembersRead(f.routes.Run), "upstreams": f.afterMembersRead(f.runners.Run), "members": f.members.Run,
 		"presence": f.presence.Run, "forward": f.forwarder.Run, "upstream list": f.refreshUpstreams, "usage": f.counter.Run,
-		"loadshare": f.sharer.Run, "limits": f.limits.Run, "quarantine": f.persister.Run,
+		"loadshare": f.sharer.Run, "limits": f.limits.Run, "pacer": f.pacer.Run, "quarantine": f.persister.Run,
 	} {
 		parts.Go(func() { guard.Run(background, f.logger, component, run) })
 	}
--- a/inner/message.go
+++ b/inner/message.go
@@ -48,6 +48,9 @@
 	// KindQuotaTake consumes part of a client account's limit at the host that
 	// owns the limit.
 	KindQuotaTake MessageKind = 301
+	// KindPacePermit asks the host that paces the requests to an upstream for a
+	// permit for one request.
+	KindPacePermit MessageKind = 302
 	// KindReplicaRead is the message of package replica, which has the numbers
 	// 500 to 599.
 	KindReplicaRead MessageKind = 500
--- a/upstream/condition/condition_test.go
+++ b/upstream/condition/condition_test.go
@@ -74,3 +74,62 @@
 		t.Errorf("the pause ends at %v, want at most %v after its start", until, maxPause)
 	}
 }
+
+// TestLimitLastsWhileItIsNamed checks when a limit begins, changes and ends, at this host and as other hosts report
+// it.
+func TestLimitLastsWhileItIsNamed(t *testing.T) {
+	var table Table
+	run := Run{ID: "u", StartedMS: 5}
+	limitAt := func(at time.Duration) float64 {
+		rate, limited := table.LimitOf(run, start.Add(at))
+		if !limited {
+			return -1
+		}
+		return rate
+	}
+	check := func(what string, at time.Duration, want float64) {
+		t.Helper()
+		if got := limitAt(at); got != want {
+			t.Errorf("%s: limit %v after %v, want %v (-1 for none)", what, got, at, want)
+		}
+	}
+	if !table.Limit(run, 10, start) || table.Limit(run, 10, start.Add(time.Second)) || !table.Limit(run, 2, start.Add(2*time.Second)) {
+		t.Error("only new and changed limits are news")
+	}
+	check("changed limit", 2*time.Second, 2)
+	if table.EndLimit(run, start.Add(1900*time.Millisecond), start.Add(3*time.Second)) {
+		t.Error("an answer to a request from before the limit was named ends it")
+	}
+	check("after a late answer", 3*time.Second, 2)
+	if !table.EndLimit(run, start.Add(2100*time.Millisecond), start.Add(3*time.Second)) {
+		t.Error("an answer without a limit does not end it")
+	}
+	check("after an answer without a limit", 3*time.Second, -1)
+	table.Limit(run, 0.5, start.Add(4*time.Second))
+	check("between two answers of a slow upstream", 11*time.Second, 0.5)
+	check("after a long silence", 40*time.Second, -1)
+	table.Limit(run, 0, start.Add(50*time.Second))
+	check("a limit of zero", 60*time.Second, 0)
+	table.ShareLimit(run, 3, start.Add(100*time.Second))
+	check("reported by others", 101*time.Second, 3)
+	check("no more reported", 103*time.Second, -1)
+}
+
+// TestDeferralEndsWithItsLimit checks that a host without a permit sends nothing until it may ask again, or until the
+// upstream names no limit any more.
+func TestDeferralEndsWithItsLimit(t *testing.T) {
+	var table Table
+	run := Run{ID: "u", StartedMS: 5}
+	table.Limit(run, 1, start)
+	table.Defer(run, start.Add(time.Second), start)
+	if _, closed := table.ClosedUntil(run, start.Add(500*time.Millisecond)); !closed {
+		t.Error("the upstream is open before the host may ask again")
+	}
+	if _, closed := table.ClosedUntil(run, start.Add(time.Second)); closed {
+		t.Error("the upstream is closed although the host may ask again")
+	}
+	table.EndLimit(run, start.Add(100*time.Millisecond), start.Add(200*time.Millisecond))
+	if _, closed := table.ClosedUntil(run, start.Add(500*time.Millisecond)); closed {
+		t.Error("the upstream is closed although it has no limit")
+	}
+}
