Ignore the announcements of another upstream at an address

Suspected, seen in no play: an address may belong to another upstream a moment later. Its rejection (421) of a request that was meant for the former one could announce that it leaves, which closed the former one for good.

TestAnnouncementOfAnotherUpstream fails without the change (503) and passes with it.

--- a/forward/announce_test.go
+++ b/forward/announce_test.go
@@ -237,3 +237,19 @@
 		t.Errorf("upstreams received %d requests, the first one at %s, want 1 at %s", len(got), got[0].upstream, listed[1].ID)
 	}
 }
+
+// TestAnnouncementOfAnotherUpstream guards against closing an upstream for what another one announces at its former
+// address, which rejects requests that are meant for the former.
+func TestAnnouncementOfAnotherUpstream(t *testing.T) {
+	f := newFixture(t, func(n int, r receivedRequest, conn net.Conn) {
+		if n < 2 {
+			writeAnswer(conn, r, http.StatusMisdirectedRequest, "Not-Executed: 1\r\n"+leavingHeader, "")
+			return
+		}
+		writeAnswer(conn, r, 200, sealHeader, "ok")
+	})
+	_, _, _, _ = f.send(t, "/read/x", "b")
+	if status, body, _, err := f.send(t, "/read/x", "b"); err != nil || status != http.StatusOK {
+		t.Errorf("got status %d, body %s and error %v, want 200", status, body, err)
+	}
+}
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -94,6 +94,9 @@
 // noteAnnouncements records what an upstream announces in the head of an answer to a request that was
 // sent at the given time.
 func (f *Forwarder) noteAnnouncements(h hosts.Host, m AnswerMetadata, sentAt time.Time) {
+	if m.WrongInstance {
+		return // the answer of another upstream
+	}
 	if m.Leaving {
 		f.noteLeaving(h, sourceAnswer)
 	}
