Use no connection again for a request that was rejected on it

Reported by other operators: a faulty upstream writes an earlier refusal once more on a kept connection, as the next request arrives.

Cause: an answer is matched by the request's id alone. That proves nothing if the same id comes twice on one connection.

Change: a connection remembers the ids of the requests that were rejected on it and is not used for them again; after 16 it is closed. Closing it after each rejection would also do, at the price of a new connection for each one under overload.

--- a/forward/send.go
+++ b/forward/send.go
@@ -260,7 +260,7 @@
 		if verdict.WrongInstance {
 			t.live.Fail(time.Now())
 		}
-		answer.Close(drainBody(answer))
+		answer.CloseRejected(e.meta.RequestID, drainBody(answer))
 		return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
 	}
 	e.possibleRuns++
@@ -283,8 +283,9 @@
 		sentAt = time.Now()
 		return nil
 	}
-	answer, err := e.f.conns.Exchange(e.ctx, t.Address, e.newRequest(t, resumeAfter), open, func(h http.Header) bool {
-		return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID
+	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
+		Address: t.Address, Request: e.newRequest(t, resumeAfter), ID: e.meta.RequestID, Check: open,
+		Matches: func(h http.Header) bool { return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID },
 	})
 	if err != nil {
 		return nil, AnswerMetadata{}, err
--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,19 +65,26 @@
 	idleLimit time.Duration
 	// Reused reports whether the connection carried an earlier request.
 	Reused bool
+	// rejected holds the ids of the requests that the upstream rejected on this connection.
+	rejected []string
 }
 
+// maxRejected is how many requests an upstream may reject on a connection that is reused.
+const maxRejected = 16
+
 // Pool holds idle connections by address. The zero value is ready to use.
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
 }
 
-// Get returns an idle connection to address or opens a new one. If Get returns an
-// error, no byte was sent.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns an idle connection to address or opens a new one, for the request with the
+// given id. A connection on which that request was rejected before is not used: a faulty
+// upstream may write the rejection once more, which would be taken for the new answer. If
+// Get returns an error, no byte was sent.
+func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return dial(ctx, address)
 		}
@@ -121,17 +129,19 @@
 	}
 }
 
-// popIdle removes and returns an idle connection to address, or nil if there is none.
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle removes and returns the most recently used idle connection to address that suits
+// the request with the given id, or nil if there is none.
+func (p *Pool) popIdle(address, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(c.rejected, id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1] // the most recently used connection
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // put adds a connection to the idle connections, or closes it if maxIdlePerHost are idle.
--- a/upstream/connpool/connpool_test.go
+++ b/upstream/connpool/connpool_test.go
@@ -62,7 +62,7 @@
 
 // exchange sends one request to address and returns the body of its response.
 func exchange(p *Pool, address, id string) (string, error) {
-	response, err := p.Exchange(context.Background(), address, request(id, "x"), noCheck, func(h http.Header) bool { return h.Get("Id") == id })
+	response, err := p.Exchange(context.Background(), Call{Address: address, Request: request(id, "x"), ID: id, Check: noCheck, Matches: func(h http.Header) bool { return h.Get("Id") == id }})
 	if err != nil {
 		return "", err
 	}
@@ -169,7 +169,7 @@
 	var pool Pool
 	defer pool.Close()
 	longBody := strings.Repeat("x", 64<<20)
-	response, err := pool.Exchange(context.Background(), address, request("a", longBody), noCheck, func(h http.Header) bool { return h.Get("Id") == "a" })
+	response, err := pool.Exchange(context.Background(), Call{Address: address, Request: request("a", longBody), ID: "a", Check: noCheck, Matches: func(h http.Header) bool { return h.Get("Id") == "a" }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -192,7 +192,7 @@
 	var pool Pool
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	if _, err := pool.Exchange(ctx, address, request("a", "x"), noCheck, func(http.Header) bool { return true }); err == nil {
+	if _, err := pool.Exchange(ctx, Call{Address: address, Request: request("a", "x"), ID: "a", Check: noCheck, Matches: func(http.Header) bool { return true }}); err == nil {
 		t.Error("the exchange returned no error after its context was cancelled")
 	}
 	<-closed
@@ -211,7 +211,7 @@
 	var pool Pool
 	defer pool.Close()
 	failed := &HeadError{}
-	_, err = pool.Exchange(t.Context(), listener.Addr().String(), request("a", "x"), func() error { return failed }, func(http.Header) bool { return true })
+	_, err = pool.Exchange(t.Context(), Call{Address: listener.Addr().String(), Request: request("a", "x"), ID: "a", Check: func() error { return failed }, Matches: func(http.Header) bool { return true }})
 	var exchange *Error
 	if !errors.As(err, &exchange) || exchange.Stage != StageUnsent || !errors.Is(err, failed) {
 		t.Errorf("got error %v, want the check's at stage unsent", err)
--- a/upstream/connpool/exchange.go
+++ b/upstream/connpool/exchange.go
@@ -70,17 +70,28 @@
 	return w.Writer.Write(p)
 }
 
-// Exchange sends a request and reads the head of its response. check is called when a
-// connection is open, before any byte is written; if it returns an error, nothing is sent.
-// matches reports whether a response with the given header belongs to the request. The
-// connection is closed as soon as ctx is done, even while the body is being read. Errors
-// are of type *Error.
-func (p *Pool) Exchange(ctx context.Context, address string, req *http.Request, check func() error, matches func(http.Header) bool) (*Answer, error) {
-	conn, err := p.Get(ctx, address)
+// Call is a request for Exchange. All fields are required.
+type Call struct {
+	Address string
+	Request *http.Request
+	// ID identifies the request.
+	ID string
+	// Check is called when a connection is open, before any byte is written. If it returns
+	// an error, nothing is sent.
+	Check func() error
+	// Matches reports whether a response with the given header belongs to the request.
+	Matches func(http.Header) bool
+}
+
+// Exchange sends a request and reads the head of its response. The connection is closed
+// as soon as ctx is done, even while the body is being read. Errors are of type *Error.
+func (p *Pool) Exchange(ctx context.Context, call Call) (*Answer, error) {
+	address, req := call.Address, call.Request
+	conn, err := p.Get(ctx, address, call.ID)
 	if err != nil {
 		return nil, &Error{Address: address, Stage: StageConnect, Cause: err}
 	}
-	if err := check(); err != nil {
+	if err := call.Check(); err != nil {
 		p.put(conn)
 		return nil, &Error{Address: address, Stage: StageUnsent, Cause: err}
 	}
@@ -97,7 +108,7 @@
 		}
 		writeErr <- err
 	}()
-	res, err := conn.readResponse(req, matches)
+	res, err := conn.readResponse(req, call.Matches)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -157,6 +168,13 @@
 // of any other response is the end of its connection.
 func (a *Answer) Framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
 
+// CloseRejected is Close for a response with which the upstream rejected the request with the
+// given id.
+func (a *Answer) CloseRejected(id string, complete bool) {
+	a.conn.rejected = append(a.conn.rejected, id)
+	a.Close(complete && len(a.conn.rejected) < maxRejected)
+}
+
 // Close ends the exchange. complete reports whether the body was read to its end. If
 // complete is false, Close closes the connection instead of returning it to the pool.
 func (a *Answer) Close(complete bool) {
