Test that an answer cut within its head is never relayed as complete

Reported by other operators: an upstream that stops within the head of its answer and closes; clients got a 200 with an empty or short body. It cannot happen here: a head is parsed only once it is buffered whole.

--- a/forward/report_test.go
+++ b/forward/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,3 +83,23 @@
 		answer(req, earlier)
 	}
 }
+
+// TestHeadCutAtEachByte guards against an answer that is relayed as complete although its upstream stopped within
+// the head: the caller gets 502 wherever the head ends.
+func TestHeadCutAtEachByte(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + sealHeader + framing + "\r\n"
+		var sent atomic.Int64
+		f := newFixture(t, func(_ int, _ receivedRequest, conn net.Conn) {
+			_, _ = io.WriteString(conn, head[:sent.Load()])
+		})
+		for n := range len(head) {
+			sent.Store(int64(n))
+			for _, path := range []string{"/order/x", "/stream/x"} {
+				if status, body, _, err := f.send(t, path+fmt.Sprint(n), "b"); err != nil || status != http.StatusBadGateway {
+					t.Fatalf("head cut after %d bytes %q: %s got status %d, body %q and error %v, want 502", n, head[:n], path, status, body, err)
+				}
+			}
+		}
+	}
+}
