Relay the events before a gap of a stream

Found while tracing the report on continued streams: if an upstream left an event out, those before the gap that arrived in the same read were not written to the caller but counted as relayed, so that the upstream that continued the stream left them out too (ORDER: event 3 of 6 missing).

Change: what precedes an event that cannot be relayed is written first.

TestGapBehindAnEvent failed before in both cases and passes.

--- a/forward/continued_test.go
+++ b/forward/continued_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // streamPiece is a part of the body of a continued stream, after events 1 and 2.
@@ -139,3 +140,32 @@
 		t.Errorf("%s: the stream ended as complete with body %q", name, body)
 	}
 }
+
+// TestGapBehindAnEvent guards against an event that is lost because the upstream leaves out the one after it: the
+// events before a gap must reach the caller before another upstream continues the stream.
+func TestGapBehindAnEvent(t *testing.T) {
+	for name, bad := range map[string]string{"gap": eventText(5), "no event": "upstream failed\n\n"} {
+		f := newFixture(t, func(n int, r receivedRequest, conn net.Conn) {
+			writeStreamHead(conn, r)
+			if n == 0 {
+				writeChunk(conn, eventText(1)+eventText(2))
+				time.Sleep(30 * time.Millisecond) // so that the first events are relayed before
+				writeChunk(conn, eventText(3)+bad)
+				return
+			}
+			after := 0
+			_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &after)
+			for id := after + 1; id <= 6; id++ {
+				writeChunk(conn, eventText(id))
+			}
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		})
+		want := ""
+		for id := 1; id <= 6; id++ {
+			want += eventText(id)
+		}
+		if status, body, _, err := f.send(t, "/resume/x", "b"); err != nil || status != http.StatusOK || body != want {
+			t.Errorf("%s: got status %d, body %q and error %v, want events 1 to 6", name, status, body, err)
+		}
+	}
+}
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -104,19 +104,29 @@
 	}
 }
 
-// writeEvents writes whole events to the caller and flushes them.
+// writeEvents writes whole events to the caller and flushes them. Those before an event that cannot be
+// relayed are written too, as their ids count as relayed.
 func (p *eventRelay) writeEvents(events []byte, beginAnswer func()) error {
-	var out []byte
+	out, invalid := p.relayable(events)
+	if err := p.write(out, beginAnswer); err != nil {
+		return err
+	}
+	return invalid
+}
+
+// relayable returns the events that are to be relayed, up to the first one that cannot be, and the error of
+// that one.
+func (p *eventRelay) relayable(events []byte) (out []byte, err error) {
 	for len(events) > 0 {
 		end := firstEventLen(events)
 		id, ok := eventID(events[:end])
 		p.received++
 		switch {
 		case p.dedupe && !wellFormed(events[:end]):
-			return malformedEventError{}
+			return out, malformedEventError{}
 		case ok && p.dedupe && id <= p.lastID:
 		case ok && p.dedupe && p.lastID > 0 && id != p.lastID+1:
-			return &eventGapError{last: p.lastID, next: id}
+			return out, &eventGapError{last: p.lastID, next: id}
 		default:
 			out = append(out, events[:end]...)
 		}
@@ -125,6 +135,11 @@
 		}
 		events = events[end:]
 	}
+	return out, nil
+}
+
+// write writes events to the caller and flushes them.
+func (p *eventRelay) write(out []byte, beginAnswer func()) error {
 	if len(out) == 0 {
 		return nil
 	}
