Ask for a permit when an upstream is chosen

A request that got no permit for a limited upstream counted its prompt as sent there, and as demand, before another upstream was chosen: later requests followed the prompt to the limited upstream, and the planner saw more demand than there was.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -42,6 +42,8 @@
 	// process, without those that its prompt cache is expected to hold.
 	prefillTokens int
 	list          *hosts.Snapshot
+	// permitted is whether the request has a permit, because the upstream names a limit.
+	permitted bool
 }
 
 func (f *Forwarder) pool(name string) *poolState {
@@ -87,9 +89,28 @@
 // restarts at another address gets a new key.
 func upstreamKey(h hosts.Host) string { return h.ID + "@" + h.Address }
 
-// choose selects an upstream that this request has not tried yet. It returns false if
-// no such upstream is available.
+// choose selects an upstream that this request has not tried yet and that takes it now. It
+// returns false if no such upstream is available.
 func (e *exchange) choose(now time.Time) (selectedUpstream, bool) {
+	for range maxClosedAttempts {
+		t, ok := e.pick(now)
+		if !ok {
+			return selectedUpstream{}, false
+		}
+		if t.permitted, ok = e.takePermit(t.Host); !ok {
+			continue
+		}
+		if e.sharedPrompt != 0 {
+			e.f.pool(e.pool).memory.Sent(e.sharedPrompt, t.ID, now)
+			e.f.Prompts.Sent(e.sharedPrompt, t.ID)
+		}
+		return t, true
+	}
+	return selectedUpstream{}, false
+}
+
+// pick returns the upstream that the routing policy selects. It returns false if none is allowed.
+func (e *exchange) pick(now time.Time) (selectedUpstream, bool) {
 	list := e.f.Upstreams()
 	if list == nil {
 		return selectedUpstream{}, false
@@ -110,10 +131,6 @@
 		return selectedUpstream{}, false
 	}
 	host := v.hosts[choice.Index]
-	if e.sharedPrompt != 0 {
-		e.f.pool(e.pool).memory.Sent(e.sharedPrompt, host.ID, now)
-		e.f.Prompts.Sent(e.sharedPrompt, host.ID)
-	}
 	return selectedUpstream{Host: host, live: v.liveByKey[upstreamKey(host)], reason: choice.Reason, prefillTokens: choice.PrefillTokens, list: list}, true
 }
 
--- a/forward/conditions.go
+++ b/forward/conditions.go
@@ -65,11 +65,10 @@
 	return live && listed.Address == t.Address
 }
 
-// admits reports whether a request to an upstream may be sent now. permitted is whether it has a permit,
-// if the upstream names a limit.
-func (f *Forwarder) admits(t selectedUpstream, permitted bool) bool {
+// admits reports whether a request to an upstream that was chosen may be sent now.
+func (f *Forwarder) admits(t selectedUpstream) bool {
 	run, now := runOf(t.Host), time.Now()
-	if _, limited := f.conditions.LimitOf(run, now); limited && !permitted {
+	if _, limited := f.conditions.LimitOf(run, now); limited && !t.permitted {
 		return false
 	}
 	_, paused := f.conditions.PausedUntil(run, now)
--- a/forward/send.go
+++ b/forward/send.go
@@ -269,15 +269,11 @@
 
 // send sends the request to one upstream and returns the head of the upstream's answer. It is the
 // only way by which requests reach upstreams. If the upstream takes no requests any more since it was
-// chosen, or there is no permit within its limit, nothing is sent and the cause of the error is errClosed.
+// chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
-	permitted, ok := e.takePermit(t.Host)
-	if !ok {
-		return nil, AnswerMetadata{}, errClosed
-	}
 	var sentAt time.Time
 	open := func() error {
-		if !e.f.admits(t, permitted) {
+		if !e.f.admits(t) {
 			return errClosed
 		}
 		sentAt = time.Now()
