Count attempts that are abandoned at a silent upstream as losses

Cause: evidence was dropped with the request. Once its deadline had passed or its caller had left, a lost attempt was reported no more.

Ruled out: counting each abandoned attempt. The upstream of one may be slow, and under overload many are; three in a row would refuse sound requests.

Change: an abandoned attempt is a loss if the upstream has sent nothing to it for 500 ms and its machine refuses or does not open a new connection.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -22,6 +22,9 @@
 	// crashCheckValidity is how long the result of a check is used for other requests at
 	// the same upstream.
 	crashCheckValidity = 500 * time.Millisecond
+	// minSilence is how long an upstream must have sent nothing when an attempt is abandoned for the
+	// upstream to be checked.
+	minSilence = 500 * time.Millisecond
 	// answeredAfter is how long a stream must go on after its first event to prove that its
 	// content does not crash the upstream.
 	answeredAfter = 100 * time.Millisecond
@@ -120,7 +123,8 @@
 // begun is whether the upstream had begun its answer; reportLoss then waits for the check and
 // returns whether the request may have caused the crash, so that it must not be sent again.
 func (e *exchange) reportLoss(t selectedUpstream, begun bool) (suspect bool) {
-	if e.r.Context().Err() != nil || e.ctx.Err() != nil {
+	if e.abandoned() {
+		e.reportBroken(t)
 		return false
 	}
 	c := e.crashAt(t)
@@ -132,16 +136,19 @@
 	return e.f.reportCrash(t.Host, c, e.meta.RequestID) && !e.f.Crashes.Proven(e.keys[1:])
 }
 
-// reportBroken reports an answer that broke off after a part of it was relayed. It does not block.
-// Other requests, at the start of their answers, are likelier causes of a crash, so that it counts as
-// a loss only.
+// reportBroken reports an answer that broke off after a part of it was relayed, and an attempt that was
+// abandoned while the upstream was silent. It does not block. Other requests, at the start of their
+// answers, are likelier causes of a crash, so that it counts as a loss only. The upstream of an
+// abandoned attempt may be slow: it counts only if its machine opens no connection either.
 func (e *exchange) reportBroken(t selectedUpstream) {
-	if e.r.Context().Err() != nil || e.ctx.Err() != nil {
+	abandoned := e.abandoned()
+	if abandoned && (e.withdrawn() || time.Since(e.heardAt) < minSilence) {
 		return
 	}
 	c := e.crashAt(t)
 	go func() {
 		reached, _, counts := e.f.examine(t.Host)
+		counts = counts && !(abandoned && reached == connpool.Opened)
 		if counts {
 			e.f.Crashes.AddLoss(c)
 		}
@@ -149,6 +156,9 @@
 	}()
 }
 
+// abandoned reports whether the request ended by its deadline, by its caller or by a quarantine.
+func (e *exchange) abandoned() bool { return e.ctx.Err() != nil }
+
 // crashAt returns the evidence that an attempt at an upstream ended now.
 func (e *exchange) crashAt(t selectedUpstream) quarantine.Crash {
 	return quarantine.Crash{
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -172,3 +172,16 @@
 		})
 	}
 }
+
+// TestRequestThatEndsUpstreamsForLongerThanItsTime guards against evidence that is dropped with the request: its
+// time ended, or its caller left, before the upstream was known to have ended.
+func TestRequestThatEndsUpstreamsForLongerThanItsTime(t *testing.T) {
+	for name, end := range map[string]func(u *simUpstream){
+		"silent": endOutlasting, "refuses connections": endOutlastingAndRefuse,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playFatalRequests(t, writeNothing, end)
+		})
+	}
+}
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -147,7 +147,7 @@
 	if !p.lastWriteAt.IsZero() {
 		p.e.maxEventGap = max(p.e.maxEventGap, now.Sub(p.lastWriteAt))
 	}
-	p.lastWriteAt = now
+	p.lastWriteAt, p.e.heardAt = now, now
 	beginAnswer()
 	if now.Sub(p.e.firstByteAt) >= answeredAfter {
 		p.e.reportBegun(p.e.firstByteAt)
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -155,6 +156,9 @@
 	}
 }
 
+// callDeadline is the time within which callers want an answer.
+const callDeadline = 2 * time.Second
+
 // call is the result of one request to an entry host.
 type call struct {
 	status  int
@@ -180,7 +184,7 @@
 	}
 	req.Host = "h.example"
 	req.Header.Set("Request-Id", fmt.Sprintf("r%d", f.calls.Add(1)))
-	req.Header.Set("Deadline-Ms", "2000")
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	req.Header.Set(entryHeader, h.name)
 	res, err := h.client.Do(req)
 	if err != nil {
@@ -332,7 +336,25 @@
 const silentSpan = 900 * time.Millisecond
 
 // endSilently ends the process without a packet; when it is back, its connections are reset.
-func endSilently(u *simUpstream) {
+func endSilently(u *simUpstream) { u.endSilentlyFor(silentSpan) }
+
+// outlastingSilence is a silence that outlasts the time of the requests that met it.
+const outlastingSilence = callDeadline + 500*time.Millisecond
+
+// endOutlasting is endSilently with a silence that outlasts the time of the callers.
+func endOutlasting(u *simUpstream) { u.endSilentlyFor(outlastingSilence) }
+
+// endOutlastingAndRefuse is endOutlasting for a process whose machine refuses new connections.
+func endOutlastingAndRefuse(u *simUpstream) {
+	u.mu.Lock()
+	_ = u.listener.Close()
+	u.mu.Unlock()
+	u.endSilentlyFor(outlastingSilence)
+	_ = u.listen()
+}
+
+// endSilentlyFor is endSilently for a silence of a given length.
+func (u *simUpstream) endSilentlyFor(span time.Duration) {
 	u.recordEnd()
 	silence := make(chan struct{})
 	u.mu.Lock()
@@ -342,7 +364,7 @@
 	}
 	u.silence = silence
 	u.mu.Unlock()
-	time.Sleep(silentSpan)
+	time.Sleep(span)
 	u.reset()
 	u.mu.Lock()
 	u.silence = nil
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -143,6 +143,9 @@
 			return attemptDone, nil
 		}
 		if e.r.Context().Err() != nil || stream.callerWriteFailed {
+			if !stream.callerWriteFailed {
+				e.reportBroken(t)
+			}
 			e.recordCallerGone()
 			return attemptDone, nil
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -277,6 +277,7 @@
 			return errClosed
 		}
 		sentAt = time.Now()
+		e.heardAt = sentAt
 		return nil
 	}
 	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
@@ -287,6 +288,7 @@
 		return nil, AnswerMetadata{}, err
 	}
 	e.sends++
+	e.heardAt = time.Now()
 	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
 	e.f.noteAnnouncements(t.Host, m, sentAt)
 	return answer, m, nil
