Soak: upstreams that name a limit

Upstreams name a limit in their answers as a fault that overlaps with the others, and once more in the checks at the end. Each arrival from a host that had passed such an answer on half a second before counts; more than 1.5 times what 4 s allow, plus 5, is a finding. At the end a limit of 5 a second must be used by half.

--- a/soak/announce_test.go
+++ b/soak/announce_test.go
@@ -13,6 +13,7 @@
 	// upstream that answered.
 	entryHeader, upstreamHeader = "X-Entry", "X-Upstream"
 	leavingHeader               = "Server-Leaving"
+	limitHeader                 = "Server-Limit"
 	// pauseStart is the time after a rejection from which the pause that it names binds the host,
 	// and maxInPause the number of requests of the host that may reach the upstream until its end.
 	pauseStart, maxInPause = 500 * time.Millisecond, 2
@@ -20,33 +21,35 @@
 	leavingSpan = 4 * time.Second
 )
 
-// heardNotices records which entry hosts passed an answer on in which an upstream announced that it
-// leaves.
+// heardNotices records when entry hosts first passed on an answer in which an upstream announced that it
+// leaves, or named a limit.
 type heardNotices struct {
-	mu      sync.Mutex
-	leaving map[[2]string]time.Time // by entry host and upstream: the first such answer
+	mu sync.Mutex
+	at map[[3]string]time.Time // by header, entry host and upstream
 }
 
 // record records the announcements in an answer that a caller received through an entry host.
 func (n *heardNotices) record(entry string, h http.Header) {
-	if h.Get(leavingHeader) == "" {
-		return
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.leaving == nil {
-		n.leaving = map[[2]string]time.Time{}
-	}
-	if key := [2]string{entry, h.Get(upstreamHeader)}; n.leaving[key].IsZero() {
-		n.leaving[key] = time.Now()
+	for _, header := range []string{leavingHeader, limitHeader} {
+		key := [3]string{header, entry, h.Get(upstreamHeader)}
+		if h.Get(header) == "" || !n.at[key].IsZero() {
+			continue
+		}
+		if n.at == nil {
+			n.at = map[[3]string]time.Time{}
+		}
+		n.at[key] = time.Now()
 	}
 }
 
-// leavingHeardAt returns when an entry host first passed on that an upstream leaves; zero if never.
-func (n *heardNotices) leavingHeardAt(entry, upstream string) time.Time {
+// heardAt returns when an entry host first passed on an answer of an upstream with a header; zero if
+// never.
+func (n *heardNotices) heardAt(header, entry, upstream string) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leaving[[2]string{entry, upstream}]
+	return n.at[[3]string{header, entry, upstream}]
 }
 
 // disturb records that the host's process was paused, stopped or started.
@@ -91,7 +94,7 @@
 // host before.
 func (u *upstream) checkAnnouncements(r *http.Request, sentAt time.Time) {
 	entry := r.Header.Get(entryHeader)
-	if heard := u.d.heard.leavingHeardAt(entry, u.id); !heard.IsZero() && sentAt.Sub(heard) > applySpan && !u.d.disturbedSince(entry, heard) {
+	if heard := u.d.heard.heardAt(leavingHeader, entry, u.id); !heard.IsZero() && sentAt.Sub(heard) > applySpan && !u.d.disturbedSince(entry, heard) {
 		u.d.log.violate("DRAIN: %s reached %s, sent %v after %s had passed on that it leaves", r.Header.Get("Request-Id"), u.id, sentAt.Sub(heard), entry)
 	}
 	now := time.Now()
@@ -106,6 +109,58 @@
 	}
 }
 
+const (
+	// limitWindow is the span over which the requests of a limited upstream are counted, and limitExcess
+	// and limitSlack bound them: the limit times limitExcess, plus limitSlack.
+	limitWindow             = 4 * time.Second
+	limitExcess, limitSlack = 1.5, 5
+	// toldSpan is the time after which the requests of a host that has heard the limit count.
+	toldSpan = 500 * time.Millisecond
+	// limitSpan is how long an upstream names a limit.
+	limitSpan = contactSpan + limitWindow + time.Second
+)
+
+// namedLimit is the limit that an upstream names in its answers.
+type namedLimit struct {
+	rate    float64 // requests per second; zero for no limit
+	from    time.Time
+	counted []time.Time // arrivals from hosts that had heard the limit
+}
+
+// checkLimit checks a request that has arrived against the limit that the upstream names, and names it in
+// the answer. A new upstream names one under a new id, so that no answer of before counts.
+func (u *upstream) checkLimit(w http.ResponseWriter, entry string) {
+	heard := u.d.heard.heardAt(limitHeader, entry, u.id)
+	now := time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit.rate == 0 {
+		return
+	}
+	w.Header().Set(limitHeader, strconv.FormatFloat(u.limit.rate, 'f', -1, 64))
+	if heard.IsZero() || now.Sub(heard) < toldSpan || now.Sub(u.limit.from) < contactSpan ||
+		u.d.disturbedSince(entry, now.Add(-limitWindow-contactSpan)) || u.proxy.disturbedSince(now.Add(-limitWindow)) {
+		return
+	}
+	u.limit.counted = append(u.limit.counted, now)
+	n := 0
+	for _, at := range u.limit.counted {
+		if now.Sub(at) < limitWindow {
+			n++
+		}
+	}
+	if bound := int(limitExcess*u.limit.rate*limitWindow.Seconds() + limitSlack); n > bound {
+		u.d.log.violate("LIMIT: %s got %d requests in %v, its limit of %v a second allows %d", u.id, n, limitWindow, u.limit.rate, bound)
+	}
+}
+
+// nameLimit lets the upstream name a limit from now on.
+func (u *upstream) nameLimit(rate float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = namedLimit{rate: rate, from: time.Now()}
+}
+
 // pauseFor lets the upstream reject requests with a pause for a span.
 func (u *upstream) pauseFor(pause, span time.Duration) {
 	u.pauseSpan.Store(int64(pause))
--- a/soak/fatal_test.go
+++ b/soak/fatal_test.go
@@ -100,6 +100,27 @@
 	return wayOfEnding{}, false
 }
 
+// checkLimit lets an upstream name a limit while callers go on. Each request is checked as it arrives; the
+// limit must also be used.
+func (d *deployment) checkLimit(t *testing.T) {
+	const rate = 5
+	u := d.upstreams[2]
+	u.nameLimit(rate)
+	time.Sleep(limitSpan)
+	u.mu.Lock()
+	arrived := 0
+	for _, at := range u.arrived {
+		if time.Since(at) < limitWindow {
+			arrived++
+		}
+	}
+	u.mu.Unlock()
+	if least := rate * int(limitWindow.Seconds()) / 2; arrived < least {
+		t.Errorf("%s got %d requests in %v, want at least %d: half of its limit", u.id, arrived, limitWindow, least)
+	}
+	u.nameLimit(0)
+}
+
 // checkAnnouncedLeaving lets an upstream announce in its answers, and not in the store, that it leaves, while
 // callers go on. Each request is checked as it arrives.
 func (d *deployment) checkAnnouncedLeaving(t *testing.T) {
@@ -109,8 +130,8 @@
 	d.heard.mu.Lock()
 	defer d.heard.mu.Unlock()
 	told := 0
-	for key := range d.heard.leaving {
-		if key[1] == u.id {
+	for key := range d.heard.at {
+		if key[0] == leavingHeader && key[2] == u.id {
 			told++
 		}
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -75,6 +75,12 @@
 		time.Sleep(leavingSpan)
 		old.crash()
 	},
+	"upstream names a limit": func(_ *testing.T, d *deployment, random *rand.Rand, _ time.Duration) {
+		u := d.anyUpstream(random)
+		u.nameLimit(0.5 + 20*random.Float64()*random.Float64())
+		time.Sleep(limitSpan)
+		u.nameLimit(0)
+	},
 	"upstream pauses": func(_ *testing.T, d *deployment, random *rand.Rand, span time.Duration) {
 		d.anyUpstream(random).pauseFor(time.Duration(random.Int64N(int64(2500*time.Millisecond))), span)
 	},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,6 +147,7 @@
 	d.checkPoisonPart(t)
 	d.checkFatalRequests(t)
 	d.checkChange(t)
+	d.checkLimit(t)
 	d.checkAnnouncedLeaving(t)
 	d.checkLeaving(t)
 	d.checkStops(t)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -55,6 +55,7 @@
 	mu      sync.Mutex
 	arrived []time.Time       // times at which requests arrived
 	pauses  map[string]*pause // newest pause by entry host
+	limit   namedLimit
 }
 
 // startUpstream starts an upstream behind a proxy and registers it in the store.
@@ -136,6 +137,7 @@
 	u.mu.Unlock()
 	w.Header().Set(upstreamHeader, u.id)
 	u.checkAnnouncements(r, u.d.log.sentAt(id))
+	u.checkLimit(w, r.Header.Get(entryHeader))
 	if u.announcesLeaving.Load() {
 		w.Header().Set(leavingHeader, "1")
 	}
