Let a further loss of refused content displace no other set

Content that ends upstreams was let through until it was lost three times again.

Change: room is made only for a key without a set.

--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -167,7 +167,7 @@
 	if !sufficient {
 		return
 	}
-	t.makeRoomForLossSet()
+	t.makeRoomForLossSet(key)
 	losses := t.losses.get(key).losses
 	t.impose(Set{Keys: []Key{key}, Crashes: n, At: losses[len(losses)-1].at, Lost: true, Since: losses[0].at}, ChangeImposed, localSource)
 }
@@ -183,10 +183,11 @@
 }
 
 // makeRoomForLossSet lifts the oldest set that follows from losses alone if there are too many of
-// them. The caller holds t.mu.
-func (t *Tracker) makeRoomForLossSet() {
+// them and the key is in none yet. The caller holds t.mu.
+func (t *Tracker) makeRoomForLossSet(key Key) {
 	lost := lo.Filter(t.sets, func(s *Set, _ int) bool { return s.Lost })
-	if len(lost) >= maxLossSets {
+	isKnown := lo.SomeBy(lost, func(s *Set) bool { return slices.Equal(s.Keys, []Key{key}) })
+	if len(lost) >= maxLossSets && !isKnown {
 		t.drop(slices.MinFunc(lost, func(a, b *Set) int { return a.At.Compare(b.At) }))
 	}
 }
--- a/quarantine/losses_test.go
+++ b/quarantine/losses_test.go
@@ -116,3 +116,20 @@
 		t.Errorf("quarantined sets are %+v, want one whose quarantine has doubled", tr.Sets())
 	}
 }
+
+// TestFurtherLossDisplacesNoOtherSet guards against refused content that is let through because another content,
+// refused already, was lost once more while as many sets as are kept follow from losses.
+func TestFurtherLossDisplacesNoOtherSet(t *testing.T) {
+	tr := newTestTracker()
+	for i := range Key(maxLossSets) {
+		for j := range 3 {
+			lose(tr, uint64(j), time.Duration(j)*time.Second, whole+i)
+		}
+	}
+	for i := range 4 {
+		lose(tr, uint64(3+i), time.Duration(3+i)*time.Second, whole+maxLossSets-1)
+	}
+	if n := len(tr.Sets()); n != maxLossSets {
+		t.Errorf("%d sets are kept, want %d", n, maxLossSets)
+	}
+}
