Keep the limit of a run apart from that of the run before

A limit that an upstream named again within 250 ms of its start under the same id was taken for known and not recorded until its next answer.

Change: the look-up returns no conditions of another run.

--- a/upstream/condition/condition.go
+++ b/upstream/condition/condition.go
@@ -77,8 +77,10 @@
 	if states == nil {
 		return state{}, false
 	}
-	s, known := (*states)[r.ID]
-	return s, known && r.StartedMS <= s.startedMS
+	if s, known := (*states)[r.ID]; known && r.StartedMS <= s.startedMS {
+		return s, true
+	}
+	return state{}, false
 }
 
 // Leaving reports whether a run has announced that it leaves.
--- a/upstream/condition/condition_test.go
+++ b/upstream/condition/condition_test.go
@@ -133,3 +133,17 @@
 		t.Error("the upstream is closed although it has no limit")
 	}
 }
+
+// TestNextRunNamesTheSameLimit guards against a limit that is dropped because the run before named the same one a
+// moment ago: an upstream that starts again under its id has limits of its own.
+func TestNextRunNamesTheSameLimit(t *testing.T) {
+	var table Table
+	table.Limit(Run{ID: "u", StartedMS: 5}, 1, start)
+	next := Run{ID: "u", StartedMS: 6}
+	if !table.Limit(next, 1, start.Add(limitRefresh/2)) {
+		t.Error("the limit of the next run is no news")
+	}
+	if rate, limited := table.LimitOf(next, start.Add(limitRefresh/2)); !limited || rate != 1 {
+		t.Errorf("the next run has limit %v, %v, want 1", rate, limited)
+	}
+}
