--- a/forward/crash.go
+++ b/forward/crash.go
@@ -148,7 +148,7 @@
 	c := e.crashAt(t)
 	go func() {
 		reached, _, counts := e.f.examine(t.Host)
-		counts = counts && !(abandoned && reached == connpool.Opened)
+		counts = counts && (!abandoned || reached != connpool.Opened)
 		if counts {
 			e.f.Crashes.AddLoss(c)
 		}
