Count losses at upstreams whose records changed or expired

A loss counted only while the upstream's record was listed as live, at the same address; anything else was taken for a planned end. But the record of a run that ended may be replaced at once, and expires after a silence.

Ruled out: counting all losses at upstreams that are not listed. One that was listed as leaving before its removal ends by plan, with requests cut.

Change: the list remembers for a minute which runs were listed as leaving when they were removed. Only those, and those that announce it, end by plan. Another run under the id proves the end; a record that is gone makes the loss a weak one, of which three in a row without an answer are needed, because some upstreams leave without an announcement.

TestHostsThatDepartedAsAnnounced is new.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -187,34 +187,30 @@
 // certain: it refuses connections, or another run of it is listed. counts is whether the loss may have
 // been caused by the request.
 func (f *Forwarder) examine(h hosts.Host) (reached connpool.Reachability, ended, counts bool) {
-	listed, live := f.listedLive(h)
-	if !live || f.conditions.Leaving(runOf(h)) {
+	list := f.Upstreams()
+	if list == nil || list.Departed(h) || f.conditions.Leaving(runOf(h)) {
+		return "", false, false
+	}
+	record, listed := list.Find(h.Pool, h.ID)
+	restarted := listed && record.StartedMS != h.StartedMS
+	if listed && !restarted && record.State == hosts.StateLeaving {
 		return "", false, false
 	}
 	reached = f.probe(h.Address)
 	if reached == connpool.Silent && !f.Crashes.Connected(time.Now()) {
 		return reached, false, false // the links of this host may be cut
 	}
-	return reached, reached == connpool.Refused || listed.StartedMS != h.StartedMS, true
+	// The record of an upstream that is not listed any more has expired, or the upstream leaves without
+	// having announced it.
+	return reached, restarted || listed && reached == connpool.Refused, true
 }
 
 // logLoss logs an attempt that ended without an answer and is no proof of a crash. reached is
-// empty if the upstream is not listed as live.
+// empty if the upstream has announced its end.
 func (f *Forwarder) logLoss(h hosts.Host, c quarantine.Crash, requestID string, reached connpool.Reachability, counts bool) {
 	events.UpstreamLoss.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "reached", string(reached), "counts", counts, "keys", c.Keys)
 }
 
-// listedLive returns the upstream's newest record, and whether it is live at the same address. An
-// upstream that left the list or is leaving ends by plan.
-func (f *Forwarder) listedLive(h hosts.Host) (listed hosts.Host, live bool) {
-	list := f.Upstreams()
-	if list == nil {
-		return hosts.Host{}, false
-	}
-	listed, live = list.Live(h.Pool, h.ID)
-	return listed, live && listed.Address == h.Address
-}
-
 // endChecks holds the newest checks of the ends of upstream processes, by address. The zero
 // value is ready to use.
 type endChecks struct {
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -22,12 +22,13 @@
 // hosts in turn, beside sound requests. begin writes what the upstream sends before it ends, and end
 // ends it. It checks how many requests reach upstreams once every host must know, that the sound
 // requests are served from then on, and that none is ever refused for its content.
-func playFatalRequest(t *testing.T, entryHosts int, begin func(r receivedRequest, conn net.Conn), end func(u *simUpstream)) {
+func playFatalRequest(t *testing.T, entryHosts int, begin func(r receivedRequest, conn net.Conn), end func(f *fleet, u *simUpstream)) {
 	const upstreams, pause, span = 12, 50 * time.Millisecond, contactSpan + 2*time.Second
-	f := newFleet(t, entryHosts, upstreams, func(u *simUpstream, r receivedRequest, conn net.Conn) bool {
+	var f *fleet
+	f = newFleet(t, entryHosts, upstreams, func(u *simUpstream, r receivedRequest, conn net.Conn) bool {
 		if strings.HasPrefix(r.URL.Path, fatalPath) {
 			begin(r, conn)
-			end(u)
+			end(f, u)
 			return false
 		}
 		answerStream(conn, r, 2)
@@ -100,7 +101,7 @@
 }
 
 // playFatalRequests runs playFatalRequest with each number of entry hosts.
-func playFatalRequests(t *testing.T, begin func(r receivedRequest, conn net.Conn), end func(u *simUpstream)) {
+func playFatalRequests(t *testing.T, begin func(r receivedRequest, conn net.Conn), end func(f *fleet, u *simUpstream)) {
 	for _, n := range fleetSizes {
 		t.Run(fmt.Sprintf("hosts=%d", n), func(t *testing.T) {
 			t.Parallel()
@@ -112,16 +113,18 @@
 func writeNothing(receivedRequest, net.Conn) {}
 
 // TestRequestThatEndsUpstreamsThatReturn guards against evidence that hangs on one way of ending:
-// processes that are silent for a while or that accept connections again at once were no
-// evidence, so that the request that ended them was sent without bound.
+// processes that are silent for a while, that accept connections again at once, or whose records in the
+// list change were no evidence, so that the request that ended them was sent without bound.
 func TestRequestThatEndsUpstreamsThatReturn(t *testing.T) {
 	for name, c := range map[string]struct {
 		begin func(r receivedRequest, conn net.Conn)
-		end   func(u *simUpstream)
+		end   func(f *fleet, u *simUpstream)
 	}{
 		"refuses connections":              {writeNothing, endAndRefuse},
 		"silent, then back":                {writeNothing, endSilently},
 		"accepts connections at once":      {writeNothing, endAndReturn},
+		"listed at another address":        {writeNothing, endAndMove},
+		"listed under another id":          {writeNothing, endAndReplace},
 		"within the head":                  {func(_ receivedRequest, conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nRequest") }, endAndReturn},
 		"between the head and first event": {func(r receivedRequest, conn net.Conn) { writeStreamHead(conn, r) }, endAndReturn},
 		"within the first event": {func(r receivedRequest, conn net.Conn) {
@@ -152,7 +155,7 @@
 	for name, c := range map[string]struct {
 		events int
 		pause  time.Duration
-		end    func(u *simUpstream)
+		end    func(f *fleet, u *simUpstream)
 	}{
 		"after the first event, back at once": {1, 20 * time.Millisecond, endAndReturn},
 		"after the first event, refuses":      {1, 20 * time.Millisecond, endAndRefuse},
@@ -176,8 +179,8 @@
 // TestRequestThatEndsUpstreamsForLongerThanItsTime guards against evidence that is dropped with the request: its
 // time ended, or its caller left, before the upstream was known to have ended.
 func TestRequestThatEndsUpstreamsForLongerThanItsTime(t *testing.T) {
-	for name, end := range map[string]func(u *simUpstream){
-		"silent": endOutlasting, "refuses connections": endOutlastingAndRefuse,
+	for name, end := range map[string]func(f *fleet, u *simUpstream){
+		"silent": endOutlasting, "refuses connections": endOutlastingAndRefuse, "its record expires": endAndExpire,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,7 @@
 	hosts     []*fleetHost
 	upstreams []*simUpstream
 	network   *innermem.Network
+	listMu    sync.Mutex // serializes changes of snapshot
 	snapshot  atomic.Pointer[hosts.Snapshot]
 	calls     atomic.Int64
 }
@@ -87,9 +89,7 @@
 	for i := range upstreams {
 		u := startSimUpstream(t, fmt.Sprintf("u%d", i), answer)
 		f.upstreams = append(f.upstreams, u)
-		list = append(list, hosts.Host{
-			ID: u.id, Address: u.address, FailureDomain: "d", Pool: "p", State: hosts.StateLive, Slots: 64, StartedMS: 1,
-		})
+		list = append(list, listed(u.id, u.address))
 	}
 	f.snapshot.Store(hosts.NewSnapshot(list, time.Now()))
 	view := &membership.View{}
@@ -234,7 +234,12 @@
 	return u
 }
 
-// listen opens the listener, after the first time at the address of the first time.
+// listed returns the record of a live upstream.
+func listed(id, address string) hosts.Host {
+	return hosts.Host{ID: id, Address: address, FailureDomain: "d", Pool: "p", State: hosts.StateLive, Slots: 64, StartedMS: 1}
+}
+
+// listen opens the listener at the address of the upstream.
 func (u *simUpstream) listen() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -317,7 +322,7 @@
 }
 
 // endAndRefuse ends the process; its address refuses connections for a while.
-func endAndRefuse(u *simUpstream) {
+func endAndRefuse(_ *fleet, u *simUpstream) {
 	u.recordEnd()
 	u.mu.Lock()
 	_ = u.listener.Close()
@@ -327,7 +332,7 @@
 }
 
 // endAndReturn ends the process; another one accepts connections at once.
-func endAndReturn(u *simUpstream) {
+func endAndReturn(_ *fleet, u *simUpstream) {
 	u.recordEnd()
 	u.reset()
 }
@@ -336,16 +341,16 @@
 const silentSpan = 900 * time.Millisecond
 
 // endSilently ends the process without a packet; when it is back, its connections are reset.
-func endSilently(u *simUpstream) { u.endSilentlyFor(silentSpan) }
+func endSilently(_ *fleet, u *simUpstream) { u.endSilentlyFor(silentSpan) }
 
 // outlastingSilence is a silence that outlasts the time of the requests that met it.
 const outlastingSilence = callDeadline + 500*time.Millisecond
 
 // endOutlasting is endSilently with a silence that outlasts the time of the callers.
-func endOutlasting(u *simUpstream) { u.endSilentlyFor(outlastingSilence) }
+func endOutlasting(_ *fleet, u *simUpstream) { u.endSilentlyFor(outlastingSilence) }
 
 // endOutlastingAndRefuse is endOutlasting for a process whose machine refuses new connections.
-func endOutlastingAndRefuse(u *simUpstream) {
+func endOutlastingAndRefuse(_ *fleet, u *simUpstream) {
 	u.mu.Lock()
 	_ = u.listener.Close()
 	u.mu.Unlock()
@@ -353,7 +358,56 @@
 	_ = u.listen()
 }
 
-// endSilentlyFor is endSilently for a silence of a given length.
+// listedSilence is how long the record of a silent process stays listed.
+const listedSilence = time.Second
+
+// endAndExpire is endOutlastingAndRefuse for a process whose record expires; the next run of the
+// upstream is listed under another id.
+func endAndExpire(f *fleet, u *simUpstream) {
+	time.AfterFunc(listedSilence, func() { f.changeList(u, "") })
+	endOutlastingAndRefuse(f, u)
+	f.changeList(u, fmt.Sprintf("%s-%d", u.id, time.Now().UnixNano()))
+}
+
+// endAndMove ends the process; the next run of the upstream is listed under its id at another address.
+func endAndMove(f *fleet, u *simUpstream) { u.endAndStartAs(f, u.id) }
+
+// endAndReplace ends the process; the next run of the upstream is listed under another id instead.
+func endAndReplace(f *fleet, u *simUpstream) {
+	u.endAndStartAs(f, fmt.Sprintf("%s-%d", u.id, time.Now().UnixNano()))
+}
+
+// endAndStartAs ends the process; its record is replaced by one with the given id and another address.
+func (u *simUpstream) endAndStartAs(f *fleet, id string) {
+	u.recordEnd()
+	u.mu.Lock()
+	_ = u.listener.Close()
+	u.address = "127.0.0.1:0"
+	u.mu.Unlock()
+	_ = u.listen()
+	f.changeList(u, id)
+	u.reset()
+}
+
+// changeList publishes a list in which another run of the upstream has the given id; with an empty id it
+// is not listed.
+func (f *fleet) changeList(u *simUpstream, id string) {
+	f.listMu.Lock()
+	defer f.listMu.Unlock()
+	u.mu.Lock()
+	record := listed(id, u.address)
+	u.mu.Unlock()
+	record.StartedMS = time.Now().UnixMilli()
+	list := slices.DeleteFunc(slices.Clone(f.snapshot.Load().Hosts), func(h hosts.Host) bool {
+		return h.ID == u.id || strings.HasPrefix(h.ID, u.id+"-")
+	})
+	if id != "" {
+		list = append(list, record)
+	}
+	f.snapshot.Store(hosts.NewSnapshot(list, time.Now()))
+}
+
+// endSilentlyFor ends the process without a packet; its connections are reset after the given span.
 func (u *simUpstream) endSilentlyFor(span time.Duration) {
 	u.recordEnd()
 	silence := make(chan struct{})
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -62,7 +62,9 @@
 	ReadAt time.Time
 	Hosts  []Host
 	byPool map[string][]Host
-	digest uint64
+	// departed holds the hosts that were listed as leaving before they were removed from the list.
+	departed map[identity]time.Time
+	digest   uint64
 }
 
 // Age returns the time since the list was read, including time in which the process was paused.
@@ -82,10 +84,27 @@
 
 // Live returns the live host of a pool with the given id.
 func (s *Snapshot) Live(pool, id string) (Host, bool) {
+	h, listed := s.Find(pool, id)
+	if !listed || h.State != StateLive {
+		return Host{}, false
+	}
+	return h, true
+}
+
+// Find returns the live or leaving host of a pool with the given id. Of several runs under the id, it
+// prefers a live one.
+func (s *Snapshot) Find(pool, id string) (found Host, listed bool) {
 	for _, h := range s.byPool[pool] {
-		if h.ID == id && h.State == StateLive {
-			return h, true
+		if h.ID == id && (!listed || h.State == StateLive) {
+			found, listed = h, true
 		}
 	}
-	return Host{}, false
+	return found, listed
+}
+
+// Departed reports whether the run of a host was listed as leaving before it was removed from the
+// list, up to departedSpan (1 min) ago.
+func (s *Snapshot) Departed(h Host) bool {
+	_, departed := s.departed[identityOf(h)]
+	return departed
 }
--- a/hosts/listing.go
+++ b/hosts/listing.go
@@ -1,11 +1,18 @@
 package hosts
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // returnSpan is how long after an outage of the list's store a host missing from the list is still
 // used. Live hosts register again within 2 s, and the next read of the list takes up to 0.5 s.
 const returnSpan = 2500 * time.Millisecond
 
+// departedSpan is how long a host that was listed as leaving is known after its removal from the list.
+// It outlasts the requests that the host still had.
+const departedSpan = time.Minute
+
 // identity identifies one run of a host's process, because a restarted host has the same id.
 type identity struct {
 	id      string
@@ -18,6 +25,7 @@
 // concurrent use. The zero value is ready to use.
 type Listing struct {
 	leaving  map[identity]bool
+	departed map[identity]time.Time // when a leaving host was found to be removed; replaced, never changed
 	previous []Host
 }
 
@@ -58,8 +66,10 @@
 		}
 	}
 	l.previous = next
-	l.forget(next)
-	return NewSnapshot(next, r.ReadAt)
+	l.forget(next, now)
+	snapshot := NewSnapshot(next, r.ReadAt)
+	snapshot.departed = l.departed
+	return snapshot
 }
 
 // Provisional reports whether the snapshot for this reading may still contain hosts that are
@@ -68,15 +78,23 @@
 	return !r.OutageEnded.IsZero() && now.Sub(r.OutageEnded) < returnSpan
 }
 
-// forget deletes the leaving marks of hosts that are not in known.
-func (l *Listing) forget(known []Host) {
+// forget moves the marks of leaving hosts that are not in known to the departed hosts, and deletes
+// those of hosts that departed longer than departedSpan ago.
+func (l *Listing) forget(known []Host, now time.Time) {
 	keep := make(map[identity]bool, len(known))
 	for _, h := range known {
 		keep[identityOf(h)] = true
 	}
+	departed := maps.Clone(l.departed)
+	maps.DeleteFunc(departed, func(_ identity, removed time.Time) bool { return now.Sub(removed) > departedSpan })
 	for key := range l.leaving {
 		if !keep[key] {
 			delete(l.leaving, key)
+			if departed == nil {
+				departed = map[identity]time.Time{}
+			}
+			departed[key] = now
 		}
 	}
+	l.departed = departed
 }
--- a/hosts/listing_test.go
+++ b/hosts/listing_test.go
@@ -61,3 +61,29 @@
 		t.Errorf("snapshot contains hosts removed without an outage: %v", got)
 	}
 }
+
+// TestHostsThatDepartedAsAnnounced checks that a host that was listed as leaving is told apart from one that
+// vanished from the list, for departedSpan after its removal.
+func TestHostsThatDepartedAsAnnounced(t *testing.T) {
+	var l Listing
+	began := time.Unix(100, 0)
+	l.Next(Reading{Hosts: []Host{host("left", 1, StateLeaving), host("expired", 1, StateLive)}}, began)
+	for _, c := range []struct {
+		after time.Duration
+		list  []Host
+		want  bool
+	}{
+		{time.Second, nil, true},
+		{2 * time.Second, []Host{host("left", 2, StateLive)}, true},
+		{departedSpan, nil, true},
+		{departedSpan + 2*time.Second, nil, false},
+	} {
+		s := l.Next(Reading{Hosts: c.list}, began.Add(c.after))
+		if got := s.Departed(host("left", 1, StateLive)); got != c.want {
+			t.Errorf("after %v: the host that was listed as leaving departed: %v, want %v", c.after, got, c.want)
+		}
+		if s.Departed(host("expired", 1, StateLive)) || s.Departed(host("left", 2, StateLive)) {
+			t.Errorf("after %v: another host departed", c.after)
+		}
+	}
+}
