Count attempts that fail together as one failure of an upstream

Cause: the time without work doubles with each failed attempt in a row, from 1 s to 32 s, and the attempts in flight when an upstream ends or its connections are reset all fail at once. Six of them counted as six failures in a row.

Ruled out: the shared outcomes of requests (they decay within 4 s), and leaked counts of requests in flight (the upstreams are used again after the time).

Change: attempts that fail within 250 ms are one failure.

--- a/routing/live.go
+++ b/routing/live.go
@@ -20,6 +20,9 @@
 	// failures.
 	failBackoff = time.Second
 	maxFailures = 6
+	// sameFailureSpan is the time within which failed attempts count as one failure: all requests
+	// in flight fail together when their upstream ends or its connections are reset.
+	sameFailureSpan = 250 * time.Millisecond
 	// MinStall is the shortest time without a token that counts as a stall of a
 	// stream.
 	MinStall = 150 * time.Millisecond
@@ -78,7 +81,8 @@
 	othersWaiting, othersInFlight atomic.Int64
 	othersOutcomes                atomic.Pointer[Outcomes]
 	slowUntil                     atomic.Int64 // expiry of the straggler mark, in Unix nanoseconds; zero if unmarked
-	failures                      atomic.Int64 // failed attempts in a row
+	failures                      atomic.Int64 // failures in a row
+	failedAt                      atomic.Int64 // when the last of failures was counted, in Unix nanoseconds
 	// TokenGap estimates the time between two tokens of a stream.
 	TokenGap DurationEstimate
 }
@@ -142,10 +146,14 @@
 	return max(hedgeFactor*first.High(), minUnmarkedHedge)
 }
 
-// Fail counts a failed attempt. The upstream receives no work for a time that
-// doubles with each failure in a row, up to maxFailures.
+// Fail records a failed attempt. The upstream receives no work for a time that doubles with each
+// failure in a row, up to maxFailures. Attempts that fail within sameFailureSpan are one failure.
 func (l *UpstreamStats) Fail(now time.Time) {
-	failures := min(l.failures.Add(1), maxFailures)
+	failedAt := l.failedAt.Load()
+	if now.UnixNano()-failedAt >= int64(sameFailureSpan) && l.failedAt.CompareAndSwap(failedAt, now.UnixNano()) {
+		l.failures.Add(1)
+	}
+	failures := min(max(1, l.failures.Load()), maxFailures)
 	l.slowUntil.Store(now.Add(failBackoff << (failures - 1)).UnixNano())
 }
 
