Soak: name a pause only to a host that still waits for the answer

Change: the upstream names the pause in the next answer instead, if the time of the request is over or has less than 100 ms left. Each pause that is named is checked as before.

--- a/soak/announce_test.go
+++ b/soak/announce_test.go
@@ -17,6 +17,8 @@
 	// pauseStart is the time after a rejection from which the pause that it names binds the host,
 	// and maxInPause the number of requests of the host that may reach the upstream until its end.
 	pauseStart, maxInPause = 500 * time.Millisecond, 2
+	// answerMargin is how long an answer takes to a host that still waits for it.
+	answerMargin = 100 * time.Millisecond
 	// leavingSpan is how long an upstream serves after it began to announce that it leaves.
 	leavingSpan = 4 * time.Second
 )
@@ -71,13 +73,13 @@
 	arrived     int // requests between from and until
 }
 
-// rejectForPause rejects the request if the upstream wants a pause from the entry host and has not told
-// it so yet.
-func (u *upstream) rejectForPause(w http.ResponseWriter, entry string) bool {
+// rejectForPause rejects a request, which its caller sent at the given time, if the upstream wants a pause from
+// the entry host and has not told it so yet. A host that has given up the request would not hear it.
+func (u *upstream) rejectForPause(w http.ResponseWriter, entry string, sentAt time.Time) bool {
 	span := time.Duration(u.pauseSpan.Load())
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if p := u.pauses[entry]; span == 0 || p != nil && time.Now().Before(p.until) {
+	if p := u.pauses[entry]; span == 0 || p != nil && time.Now().Before(p.until) || time.Since(sentAt) > requestTimeout-answerMargin {
 		return false
 	}
 	if u.pauses == nil {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -136,12 +136,13 @@
 	u.arrived = append(u.arrived, time.Now())
 	u.mu.Unlock()
 	w.Header().Set(upstreamHeader, u.id)
-	u.checkAnnouncements(r, u.d.log.sentAt(id))
+	sentAt := u.d.log.sentAt(id)
+	u.checkAnnouncements(r, sentAt)
 	u.checkLimit(w, r.Header.Get(entryHeader))
 	if u.announcesLeaving.Load() {
 		w.Header().Set(leavingHeader, "1")
 	}
-	if u.rejectForPause(w, r.Header.Get(entryHeader)) {
+	if u.rejectForPause(w, r.Header.Get(entryHeader), sentAt) {
 		return
 	}
 	sent, known := u.d.log.recordRun(id)
