Soak: upstreams that return at another address

A fatal request also ends upstreams that are back at once, under their id and at another address, as the list then says.

--- a/soak/announce_test.go
+++ b/soak/announce_test.go
@@ -187,6 +187,11 @@
 		u.proxy.reset()
 		u.proxy.impair(impairment{})
 	}},
+	{"moves", 0, func(u *upstream) {
+		if err := u.proxy.move(); err == nil {
+			u.born.Store(time.Now().UnixMilli())
+		}
+	}},
 	{"after-events", 2, func(u *upstream) { u.proxy.reset() }},
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -74,6 +74,25 @@
 	})
 }
 
+// move closes all connections and listens at another address.
+func (p *proxy) move() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return listener.Close()
+	}
+	_ = p.listener.Close()
+	p.listener = listener
+	p.mu.Unlock()
+	p.reset()
+	go p.accept(listener)
+	return nil
+}
+
 func (p *proxy) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -43,6 +43,7 @@
 	mode   atomic.Int32
 	stop   context.CancelFunc
 	ended  sync.WaitGroup // waits for register to return
+	born   atomic.Int64   // start of the current run, in Unix ms
 	// leaves is 0 while the upstream is ready and 1 once it must announce that it leaves. After the
 	// store has confirmed the record with state draining, it is the time of the confirmation in
 	// Unix ns.
@@ -63,6 +64,7 @@
 	u := &upstream{d: d, id: "u" + strconv.FormatInt(d.nextID.Add(1), 10)}
 	u.server = httptest.NewServer(http.HandlerFunc(u.serve))
 	u.proxy = newProxy(t, u.server.Listener.Addr().String())
+	u.born.Store(time.Now().UnixMilli())
 	ctx, stop := context.WithCancel(context.Background())
 	u.stop = stop
 	u.ended.Go(func() { u.register(ctx) })
@@ -70,12 +72,12 @@
 }
 
 // register writes the upstream's record to the store and renews its lease until ctx ends. It writes
-// the record again when the lease has expired or the state has changed.
+// the record again when the lease has expired or the record has changed.
 func (u *upstream) register(ctx context.Context) {
 	var lease kv.LeaseID
 	var version kv.Version
 	written := ""
-	for born := time.Now().UnixMilli(); ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		state := "ready"
 		if u.leaves.Load() != 0 {
 			state = "draining"
@@ -87,16 +89,16 @@
 			lease, _ = u.d.store.Grant(ctx, upstreamLease)
 			written = ""
 		}
-		if lease != 0 && written != state {
-			value, _ := json.Marshal(map[string]any{
-				"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": born, "version": "1",
-			})
+		value, _ := json.Marshal(map[string]any{
+			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": "1",
+		})
+		if lease != 0 && written != string(value) {
 			key := "servers/" + u.id
 			if e, err := u.d.store.Get(ctx, key); err == nil {
 				version = e.Version
 			}
 			if _, err := u.d.store.CompareAndSwap(ctx, kv.Write{Key: key, Value: value, Expect: version, Lease: lease}); err == nil {
-				written = state
+				written = string(value)
 				if state == "draining" {
 					u.leaves.Store(time.Now().UnixNano())
 				}
