Count no failures of an upstream while it gets no work

After two seconds in which requests ended all four upstreams again and again, three of them got nothing from any host for 10 to 16 s although they were sound; the fourth had a new address and served everybody.

Cause: attempts that were sent before the first failure, or as a last resort while all upstreams were in their time without work, counted as further failures in a row, and each doubled that time.

Change: an attempt that fails within the time without work is no further failure; only one that was sent after it doubles the time. That includes attempts that fail together, so that their own span is gone.

--- a/routing/live.go
+++ b/routing/live.go
@@ -20,9 +20,6 @@
 	// failures.
 	failBackoff = time.Second
 	maxFailures = 6
-	// sameFailureSpan is the time within which failed attempts count as one failure: all requests
-	// in flight fail together when their upstream ends or its connections are reset.
-	sameFailureSpan = 250 * time.Millisecond
 	// MinStall is the shortest time without a token that counts as a stall of a
 	// stream.
 	MinStall = 150 * time.Millisecond
@@ -147,14 +144,19 @@
 }
 
 // Fail records a failed attempt. The upstream receives no work for a time that doubles with each
-// failure in a row, up to maxFailures. Attempts that fail within sameFailureSpan are one failure.
+// failure in a row, up to maxFailures. Attempts that fail in that time are no further failures: they
+// were sent before, or as a last resort.
 func (l *UpstreamStats) Fail(now time.Time) {
-	failedAt := l.failedAt.Load()
-	if now.UnixNano()-failedAt >= int64(sameFailureSpan) && l.failedAt.CompareAndSwap(failedAt, now.UnixNano()) {
-		l.failures.Add(1)
+	failures, failedAt := l.failures.Load(), l.failedAt.Load()
+	if failures > 0 && now.UnixNano() < failedAt+int64(backoffAfter(failures)) || !l.failedAt.CompareAndSwap(failedAt, now.UnixNano()) {
+		return
 	}
-	failures := min(max(1, l.failures.Load()), maxFailures)
-	l.slowUntil.Store(now.Add(failBackoff << (failures - 1)).UnixNano())
+	l.slowUntil.Store(now.Add(backoffAfter(l.failures.Add(1))).UnixNano())
+}
+
+// backoffAfter returns the time without work after a number of failures in a row.
+func backoffAfter(failures int64) time.Duration {
+	return failBackoff << (min(failures, maxFailures) - 1)
 }
 
 // Succeed resets the number of failures in a row.
--- a/routing/live_test.go
+++ b/routing/live_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// TestFailuresWithoutWorkDoNotProlongIt guards against an upstream that gets no work for long after a short
+// outage of all upstreams: attempts that were sent to it as a last resort counted as further failures.
+func TestFailuresWithoutWorkDoNotProlongIt(t *testing.T) {
+	began := time.Unix(100, 0)
+	var l UpstreamStats
+	for at := began; at.Before(began.Add(failBackoff)); at = at.Add(failBackoff / 8) {
+		l.Fail(at)
+	}
+	if l.Slow(began.Add(failBackoff + 20*time.Millisecond)) {
+		t.Errorf("attempts that failed within %v after the first one keep the upstream from work for longer", failBackoff)
+	}
+}
+
 // TestFailuresInARowDoubleTheBackoff checks the times without work after failures in a row, and that a
 // success ends the row.
 func TestFailuresInARowDoubleTheBackoff(t *testing.T) {
