Do not wait for peers with a copy that is about to be too old

Cause, from the trace of that seed: a host accepts a peer's copy up to an age of 3 s, and then asked its next peer to hold the answer for another 0.6 s. That peer was gone, and so were the next two: 0.8, 0.2 and 0.2 s until it read the key-value service, 4.085 s after the change.

Change: a peer may hold its answer only until the host's copy reaches the greatest allowed age, and 0.1 s at least.

--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -22,10 +22,15 @@
 )
 
 var (
-	fleetSeeds = flag.Uint64("fleet.seeds", 2, "how many seeds of TestChangesReachHostsInTouch are played, from fleet.first on")
+	fleetSeeds = flag.Uint64("fleet.seeds", 2, "how many seeds of TestChangesReachHostsInTouch are played, from fleet.first on, beside those that ever failed")
 	fleetFirst = flag.Uint64("fleet.first", 14, "the first seed")
 )
 
+// failedFleetSeeds lists the seeds that have failed before.
+var failedFleetSeeds = []uint64{
+	135, // hosts with a copy of the greatest allowed age waited for peers that were gone
+}
+
 const (
 	// fleetHosts is a number of hosts with relays between the readers and the others.
 	fleetHosts = 130
@@ -258,7 +263,11 @@
 // paused, cut off from the store, drained or killed one after the other: a change must reach every other
 // host in time.
 func TestChangesReachHostsInTouch(t *testing.T) {
+	seeds := failedFleetSeeds
 	for seed := *fleetFirst; seed < *fleetFirst+*fleetSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playFleet(t, seed) })
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -39,7 +39,7 @@
 // one. It returns false if none of the peers that were tried has a fresh copy.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	known := r.revision()
-	peerWait, tries := r.watchTimeout/peerWaitDivisor, peerTries
+	peerWait, tries := r.peerWait(), peerTries
 	if known == 0 { // a host that just started reads the key-value service if this try fails
 		peerWait, tries = initialPeerWait, 1
 	}
@@ -56,10 +56,7 @@
 			r.apply(change, requestedAt)
 			known = r.revision()
 		}
-		// Each host between this one and the key-value service may delay its answer by up to
-		// watchTimeout/peerWaitDivisor, which adds to the age of a healthy copy.
-		bound := r.watchTimeout + time.Duration(r.peers.Depth()-1)*r.watchTimeout/peerWaitDivisor
-		if known == 0 || time.Duration(change.AgeMS)*time.Millisecond > bound {
+		if known == 0 || time.Duration(change.AgeMS)*time.Millisecond > r.maxPeerAge() {
 			Failures.Inc(labelPeerStale)
 			r.peerIndex++
 			continue
@@ -71,6 +68,23 @@
 	return false
 }
 
+// maxPeerAge returns the age up to which a peer's copy counts as fresh. Each host between this one and
+// the key-value service may delay its answer by up to watchTimeout/peerWaitDivisor, which adds to the age
+// of a healthy copy.
+func (r *Replica) maxPeerAge() time.Duration {
+	return r.watchTimeout + time.Duration(r.peers.Depth()-1)*r.watchTimeout/peerWaitDivisor
+}
+
+// peerWait returns how long the next peer may wait for a change. A copy that is about to be too old gets
+// no further wait: the peer may be gone, and the time to ask others comes on top.
+func (r *Replica) peerWait() time.Duration {
+	wait := r.watchTimeout / peerWaitDivisor
+	if view := r.current.Load(); view != nil {
+		wait = min(wait, max(minPeerWait, r.maxPeerAge()-time.Since(view.ReadAt)))
+	}
+	return wait
+}
+
 // revision returns the revision of the current view; 0 if there is none.
 func (r *Replica) revision() kv.Version {
 	if view := r.current.Load(); view != nil {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -57,6 +57,8 @@
 	// initialPeerWait is how long a peer may delay its answer to a host that has no copy yet. The
 	// host is not ready without a copy, and a peer that has just started has none to send.
 	initialPeerWait = 100 * time.Millisecond
+	// minPeerWait is the least time for which a peer may delay its answer to a host that has a copy.
+	minPeerWait = 100 * time.Millisecond
 	// peerTries is how many peers a host tries in a row for a fresh copy.
 	peerTries = 3
 )
