Bound the hosts that are known to have left

Of the condition of an upstream after its removal from the list, only the time was bounded (one minute). Now 1,024 are kept, the oldest are forgotten first. TestDepartedHostsAreBounded failed before (1,025 kept) and passes.

--- a/hosts/listing.go
+++ b/hosts/listing.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // returnSpan is how long after an outage of the list's store a host missing from the list is still
@@ -13,6 +15,9 @@
 // It outlasts the requests that the host still had.
 const departedSpan = time.Minute
 
+// maxDeparted limits the hosts that are known after their removal; the oldest are forgotten first.
+const maxDeparted = 1024
+
 // identity identifies one run of a host's process, because a restarted host has the same id.
 type identity struct {
 	id      string
@@ -96,5 +101,13 @@
 			departed[key] = now
 		}
 	}
+	for len(departed) > maxDeparted {
+		delete(departed, oldest(departed))
+	}
 	l.departed = departed
 }
+
+// oldest returns the identity with the earliest time.
+func oldest(times map[identity]time.Time) identity {
+	return lo.MinBy(lo.Keys(times), func(a, b identity) bool { return times[a].Before(times[b]) })
+}
--- a/hosts/listing_test.go
+++ b/hosts/listing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -87,3 +88,17 @@
 		}
 	}
 }
+
+// TestDepartedHostsAreBounded checks that of many departed hosts the oldest are forgotten first.
+func TestDepartedHostsAreBounded(t *testing.T) {
+	var l Listing
+	now := time.Unix(100, 0)
+	for i := range maxDeparted + 1 {
+		id := strconv.Itoa(i)
+		l.Next(Reading{Hosts: []Host{host(id, 1, StateLeaving)}}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	s := l.Next(Reading{}, now.Add(2*time.Second))
+	if s.Departed(host("0", 1, StateLive)) || !s.Departed(host("1", 1, StateLive)) || len(s.departed) != maxDeparted {
+		t.Errorf("%d hosts departed, the first one among them: %v; want the newest %d", len(s.departed), s.Departed(host("0", 1, StateLive)), maxDeparted)
+	}
+}
