--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -59,19 +59,13 @@
 	store   *kvmem.Store
 	hosts   []*fleetHost
 
-	changes []published
+	version kv.Version // newest version of the key
 
 	mu     sync.Mutex
 	left   map[string]bool // hosts that are not members
 	delays *rand.Rand      // of changes of membership
 }
 
-// published is a change of the key.
-type published struct {
-	version kv.Version
-	at      time.Time
-}
-
 // fleetHost is one host of a fleet.
 type fleetHost struct {
 	f       *fleet
@@ -227,17 +221,13 @@
 
 // publish changes the key, and checks applyBound later that every host in touch has the change.
 func (f *fleet) publish() {
-	version := kv.Version(0)
-	if n := len(f.changes); n > 0 {
-		version = f.changes[n-1].version
-	}
-	version, err := f.store.CompareAndSwap(context.Background(), kv.Write{Key: configKey, Value: []byte("value"), Expect: version})
+	version, err := f.store.CompareAndSwap(context.Background(), kv.Write{Key: configKey, Value: []byte("value"), Expect: f.version})
 	if err != nil {
 		f.t.Error(err)
 		return
 	}
+	f.version = version
 	now := time.Now()
-	f.changes = append(f.changes, published{version, now})
 	inTouch := lo.Filter(f.hosts, func(h *fleetHost, _ int) bool {
 		return !h.faulty.Load() && now.UnixNano()-h.faultAt.Load() > int64(contactSpan)
 	})
