Soak: keep the first confirmation that an upstream leaves

Since upstreams write their record again when its address changes, a leaving one that moved would have counted from the later confirmation, and requests after the first one would have passed the check. The confirmation is now set once.

--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -100,7 +100,7 @@
 			if _, err := u.d.store.CompareAndSwap(ctx, kv.Write{Key: key, Value: value, Expect: version, Lease: lease}); err == nil {
 				written = string(value)
 				if state == "draining" {
-					u.leaves.Store(time.Now().UnixNano())
+					u.leaves.CompareAndSwap(1, time.Now().UnixNano())
 				}
 			}
 		}
