List that many failures keep an upstream from requests for long

The other part is the share of failed requests: counts decay within 4 s, but their share stays high until about one failure is left, for the longer the more requests failed at once, as long as nothing else is sent there. TestUpstreamThatFailedMany- RequestsIsTriedAgain shows it without processes: 10, 100 and 1000 failures all keep an upstream away for more than 8 s.

--- a/routing/evidence_test.go
+++ b/routing/evidence_test.go
@@ -61,3 +61,25 @@
 		t.Errorf("outcomes are %+v after %v, want at most 0.2 failed", o, 5*outcomeDecay)
 	}
 }
+
+// TestUpstreamThatFailedManyRequestsIsTriedAgain guards against an upstream that is avoided for the longer the
+// more requests it failed at once: the share of failures stays high until few of them count, while no other
+// request is sent there.
+func TestUpstreamThatFailedManyRequestsIsTriedAgain(t *testing.T) {
+	for _, failures := range []int{10, 100, 1000} {
+		s := poolWithFailures(0, 0)
+		healthy, failed := s.Upstreams[0].Live, s.Upstreams[1].Live
+		for range failures {
+			failed.RecordOutcome(true, outcomeStart)
+		}
+		healthy.Begin() // the other one is to be preferred by load
+		now := outcomeStart.Add(2 * outcomeDecay)
+		for range 20 {
+			healthy.RecordOutcome(false, now)
+		}
+		failed.SetOthers(0, 0, Outcomes{})
+		if c := (LeastBacklog{Domain: "d"}).Pick(s, &Request{Now: now}, 1); c.Index != 1 {
+			t.Errorf("%v after %d requests failed at once, the upstream gets no request", 2*outcomeDecay, failures)
+		}
+	}
+}
