Accept connections in one place in the tests of the forwarder

The stand-ins that crash, that end in every way and that answer reports each had the same accept loop.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -55,21 +55,26 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.listener, u.address = listener, listener.Addr().String()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			u.mu.Lock()
-			u.conns[conn] = true
-			u.mu.Unlock()
-			go u.serve(conn)
-		}
-	}()
+	go acceptConns(listener, func(conn net.Conn) {
+		u.mu.Lock()
+		u.conns[conn] = true
+		u.mu.Unlock()
+		go u.serve(conn)
+	})
 	return nil
 }
 
+// acceptConns calls accepted with each connection until the listener is closed.
+func acceptConns(listener net.Listener, accepted func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		accepted(conn)
+	}
+}
+
 // stop closes the listener and all connections, as the end of a process does.
 func (u *crashingUpstream) stop() {
 	u.mu.Lock()
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -248,18 +248,12 @@
 		return err
 	}
 	u.listener, u.address = listener, listener.Addr().String()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			u.mu.Lock()
-			u.conns[conn] = true
-			u.mu.Unlock()
-			go u.serve(conn)
-		}
-	}()
+	go acceptConns(listener, func(conn net.Conn) {
+		u.mu.Lock()
+		u.conns[conn] = true
+		u.mu.Unlock()
+		go u.serve(conn)
+	})
 	return nil
 }
 
--- a/forward/report_test.go
+++ b/forward/report_test.go
@@ -53,17 +53,11 @@
 		t.Cleanup(func() { _ = listener.Close() })
 		list[i].Address = listener.Addr().String()
 		id := list[i].ID
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go serveRequests(conn, func(req *http.Request, earlier int) {
-					answer(receivedRequest{Request: req, upstream: id}, conn, earlier)
-				})
-			}
-		}()
+		go acceptConns(listener, func(conn net.Conn) {
+			go serveRequests(conn, func(req *http.Request, earlier int) {
+				answer(receivedRequest{Request: req, upstream: id}, conn, earlier)
+			})
+		})
 	}
 	f.setUpstreams(list)
 }
