--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -63,17 +63,23 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.closed {
-			_ = listener.Close()
-			return
-		}
-		p.listener = listener
-		go p.accept(listener)
+		p.use(listener)
 	})
 }
 
+// use accepts connections from another listener than before, which the caller has closed. A proxy that is closed
+// closes the listener.
+func (p *proxy) use(listener net.Listener) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = listener.Close()
+		return
+	}
+	p.listener = listener
+	go p.accept(listener)
+}
+
 // move closes all connections and listens at another address.
 func (p *proxy) move() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -81,15 +87,10 @@
 		return err
 	}
 	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return listener.Close()
-	}
 	_ = p.listener.Close()
-	p.listener = listener
 	p.mu.Unlock()
+	p.use(listener)
 	p.reset()
-	go p.accept(listener)
 	return nil
 }
 
