--- /dev/null
+++ b/review/testdata/rig/rig.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Figures of the deployment, from the users' pages and their site files.
+const (
+	contact       = 3 * time.Second
+	heartbeat     = 1200 * time.Millisecond
+	routeTimeout  = 1500 * time.Millisecond
+	clientTimeout = 3 * time.Second
+	hostName      = "ficu95.example"
+	apiKey        = "i9n73hh2b9wu3fexd9dn"
+	service       = "wuno96b"
+)
+
+// rig is one small deployment on loopback: the platform, servers and entry hosts.
+type rig struct {
+	program string
+	dir     string
+	store   *store
+	storeAt string
+	cloudAt string
+	started time.Time
+	nextID  atomic.Int64
+	ending  atomic.Bool
+	wait    sync.WaitGroup
+
+	mu      sync.Mutex
+	record  io.Writer
+	hosts   []*entryHost
+	servers []*server
+}
+
+type entryHost struct {
+	name, listen, ready, settings string
+	command                       *exec.Cmd
+	exited                        chan struct{}
+}
+
+// server is a place of a server; each boot is a process of its own.
+type server struct {
+	name, zone, address, crash string
+	boot                       int
+	command                    *exec.Cmd
+	ends                       []time.Time // when its processes ended by themselves
+}
+
+// run is a request that began to run at a server.
+type run struct {
+	at              time.Time
+	server, id, url string
+}
+
+func newRig(record io.Writer) (*rig, error) {
+	program, err := filepath.Abs("target/cardamompierd")
+	if err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(program); err != nil {
+		return nil, fmt.Errorf("the build of the deploy file is missing: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	r := &rig{program: program, dir: dir, store: newStore(), started: time.Now(), record: record}
+	if r.storeAt, err = serve(r.store.handler()); err != nil {
+		return nil, err
+	}
+	r.cloudAt, err = serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, struct{}{}) }))
+	return r, err
+}
+
+func serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(listener, h) }()
+	return listener.Addr().String(), nil
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// log writes a line to the record, with the time since the start.
+func (r *rig) log(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.record, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// publish writes the operator's configuration with one idempotent route.
+func (r *rig) publish() {
+	r.store.put("op/config", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "status", "host": hostName, "prefix": "/cufi504/", "kind": "idempotent", "timeout_ms": routeTimeout.Milliseconds(),
+			"slo_ms": 300, "priority": 2, "service": service, "max_attempts": 2, "public": false,
+		}},
+		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []string{apiKey}, "rate_per_s": 0, "burst": 0}},
+	})
+}
+
+// startServer starts the next boot of a server and registers it. When the process ends by itself, its
+// record expires after three heartbeats and a new boot starts after restart.
+func (r *rig) startServer(s *server, restart time.Duration, onRun func(run)) error {
+	s.boot++
+	id := fmt.Sprintf("i-%s-%d", s.name, s.boot)
+	args := []string{"server", "-listen", s.address, "-id", id}
+	if s.crash != "" {
+		args = append(args, "-crash", s.crash)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	command := exec.Command(self, args...)
+	out, err := command.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	s.command = command
+	r.mu.Unlock()
+	if err := awaitListener(s.address); err != nil {
+		return err
+	}
+	key := "servers/" + id
+	r.store.put(key, map[string]any{
+		"service": service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
+		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+	r.log("server %s starts at %s", id, s.address)
+	r.wait.Go(func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			fields := strings.Fields(lines.Text())
+			if len(fields) != 4 {
+				continue
+			}
+			nanos, _ := strconv.ParseInt(fields[1], 10, 64)
+			onRun(run{at: time.Unix(0, nanos), server: id, id: fields[2], url: fields[3]})
+		}
+		_ = command.Wait()
+		if r.ending.Load() {
+			return
+		}
+		r.mu.Lock()
+		s.ends = append(s.ends, time.Now())
+		r.mu.Unlock()
+		r.log("server %s has crashed", id)
+		time.AfterFunc(3*heartbeat, func() { r.store.remove(key) })
+		time.Sleep(restart)
+		if !r.ending.Load() {
+			if err := r.startServer(s, restart, onRun); err != nil {
+				r.log("server %s does not start again: %v", s.name, err)
+			}
+		}
+	})
+	return nil
+}
+
+func awaitListener(address string) error {
+	for range 200 {
+		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
+			return conn.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return errors.New("nothing listens at " + address)
+}
+
+// startHosts starts entry hosts with the deploy file's command and waits until all are ready.
+func (r *rig) startHosts(zones []string) error {
+	domains := map[string]string{}
+	var inner []string
+	for _, zone := range zones {
+		domains[zone] = "lk-west"
+		inner = append(inner, freeAddress())
+	}
+	for i, zone := range zones {
+		h := &entryHost{name: "front-" + zone + "-1", listen: freeAddress(), ready: freeAddress()}
+		settings, err := json.Marshal(map[string]any{
+			"host_id": h.name, "failure_domain": zone, "region": "lk-west", "failure_domains": domains,
+			"listen": h.listen, "ready_listen": h.ready, "directory_listen": freeAddress(), "inner_listen": inner[i], "metrics_listen": freeAddress(),
+			"seeds": inner[:min(3, len(inner))], "store": r.storeAt, "store_calls_per_second": 400, "duties": r.cloudAt,
+			"memory_mb": 284, "cores": 0.4, "link_mbps": 1000.0, "grace_seconds": 8, "retry_ratio": 0.2, "retry_burst": 54,
+			"retry_window_seconds": 10, "limit_excess": 190000, "usage_window_seconds": 5, "routes_ms": 2000, "leaving_ms": 2000,
+		})
+		if err != nil {
+			return err
+		}
+		h.settings = filepath.Join(r.dir, h.name+".json")
+		if err := os.WriteFile(h.settings, settings, 0o600); err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, h)
+		if err := r.startHost(h); err != nil {
+			return err
+		}
+	}
+	for _, h := range r.hosts {
+		if err := awaitReady(h.ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *rig) startHost(h *entryHost) error {
+	log, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(r.program, "forward")
+	command.Env = append(os.Environ(), "CARDAMOMPIER_SETTINGS="+h.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	h.command, h.exited = command, make(chan struct{})
+	r.wait.Go(func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(h.exited)
+	})
+	return nil
+}
+
+func awaitReady(address string) error {
+	for range 150 {
+		res, err := http.Get("http://" + address + "/cardamompier/ready")
+		if err == nil {
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the host at " + address + " does not become ready")
+}
+
+// get sends one client attempt on a new channel to an entry host and returns the status, or zero if no
+// complete answer came.
+func (r *rig) get(h *entryHost, path string) (status int) {
+	id := fmt.Sprintf("%016x", r.nextID.Add(1))
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.listen+path, nil)
+	if err != nil {
+		panic(err)
+	}
+	req.Host = hostName
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	r.log("request %s %s sent to %s", id, path, h.name)
+	res, err := client.Do(req)
+	if err == nil {
+		defer func() { _ = res.Body.Close() }()
+		if _, err = io.Copy(io.Discard, res.Body); err == nil {
+			r.log("request %s answered with %d", id, res.StatusCode)
+			return res.StatusCode
+		}
+	}
+	r.log("request %s has no whole answer: %v", id, err)
+	return 0
+}
+
+// stop ends all processes that the rig has started.
+func (r *rig) stop() {
+	r.ending.Store(true)
+	r.mu.Lock()
+	for _, s := range r.servers {
+		if s.command != nil && s.command.Process != nil {
+			_ = s.command.Process.Kill()
+		}
+	}
+	r.mu.Unlock()
+	for _, h := range r.hosts {
+		_ = h.command.Process.Signal(syscall.SIGTERM)
+	}
+	for _, h := range r.hosts {
+		select {
+		case <-h.exited:
+		case <-time.After(9 * time.Second):
+			_ = h.command.Process.Kill()
+		}
+	}
+	r.wait.Wait()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(r.dir)
+	}
+}
