--- a/review/testdata/rig/crashes.go
+++ b/review/testdata/rig/crashes.go
@@ -23,7 +23,7 @@
 // crashesAtOnce: one idempotent request crashes each server that begins to run it. The client repeats it
 // once, at once and at another host, after a failure, and its user comes again some seconds later.
 func crashesAtOnce(r *rig, trouble bool) (int, error) {
-	r.publish()
+	r.publish(idempotent)
 	var mu sync.Mutex
 	var bad []run
 	runs := 0
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -25,6 +25,7 @@
 	contact       = 3 * time.Second
 	heartbeat     = 1200 * time.Millisecond
 	routeTimeout  = 1500 * time.Millisecond
+	streamTimeout = 6 * time.Second
 	clientTimeout = 3 * time.Second
 	hostName      = "ficu95.example"
 	apiKey        = "i9n73hh2b9wu3fexd9dn"
@@ -50,14 +51,15 @@
 }
 
 type entryHost struct {
-	name, listen, ready, settings string
-	command                       *exec.Cmd
-	exited                        chan struct{}
+	name, zone, listen, ready, directory, settings string
+	command                                        *exec.Cmd
+	exited                                         chan struct{}
 }
 
 // server is a place of a server; each boot is a process of its own.
 type server struct {
 	name, zone, address, crash string
+	events                     int // of each answer; 0 for answers that are no streams
 	boot                       int
 	command                    *exec.Cmd
 	ends                       []time.Time // when its processes ended by themselves
@@ -114,13 +116,23 @@
 	fmt.Fprintf(r.record, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// publish writes the operator's configuration with one idempotent route.
-func (r *rig) publish() {
+// Kinds of the route.
+const (
+	idempotent = "idempotent"
+	stream     = "stream"
+)
+
+// publish writes the operator's configuration with one route.
+func (r *rig) publish(kind string) {
+	timeout, attempts := routeTimeout, 2
+	if kind == stream {
+		timeout, attempts = streamTimeout, 1
+	}
 	r.store.put("op/config", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "status", "host": hostName, "prefix": "/cufi504/", "kind": "idempotent", "timeout_ms": routeTimeout.Milliseconds(),
-			"slo_ms": 300, "priority": 2, "service": service, "max_attempts": 2, "public": false,
+			"name": "status", "host": hostName, "prefix": "/cufi504/", "kind": kind, "timeout_ms": timeout.Milliseconds(),
+			"slo_ms": 300, "priority": 2, "service": service, "max_attempts": attempts, "public": false,
 		}},
 		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -137,6 +149,9 @@
 	if s.crash != "" {
 		args = append(args, "-crash", s.crash)
 	}
+	if s.events > 0 {
+		args = append(args, "-events", strconv.Itoa(s.events))
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -169,6 +184,10 @@
 				continue
 			}
 			nanos, _ := strconv.ParseInt(fields[1], 10, 64)
+			if fields[0] == "end" {
+				r.log("server %s ends request %s: %s", id, fields[2], fields[3])
+				continue
+			}
 			onRun(run{at: time.Unix(0, nanos), server: id, id: fields[2], url: fields[3]})
 		}
 		_ = command.Wait()
@@ -209,10 +228,10 @@
 		inner = append(inner, freeAddress())
 	}
 	for i, zone := range zones {
-		h := &entryHost{name: "front-" + zone + "-1", listen: freeAddress(), ready: freeAddress()}
+		h := &entryHost{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, listen: freeAddress(), ready: freeAddress(), directory: freeAddress()}
 		settings, err := json.Marshal(map[string]any{
 			"host_id": h.name, "failure_domain": zone, "region": "lk-west", "failure_domains": domains,
-			"listen": h.listen, "ready_listen": h.ready, "directory_listen": freeAddress(), "inner_listen": inner[i], "metrics_listen": freeAddress(),
+			"listen": h.listen, "ready_listen": h.ready, "directory_listen": h.directory, "inner_listen": inner[i], "metrics_listen": freeAddress(),
 			"seeds": inner[:min(3, len(inner))], "store": r.storeAt, "store_calls_per_second": 400, "duties": r.cloudAt,
 			"memory_mb": 284, "cores": 0.4, "link_mbps": 1000.0, "grace_seconds": 8, "retry_ratio": 0.2, "retry_burst": 54,
 			"retry_window_seconds": 10, "limit_excess": 190000, "usage_window_seconds": 5, "routes_ms": 2000, "leaving_ms": 2000,
--- a/review/testdata/rig/server.go
+++ b/review/testdata/rig/server.go
@@ -19,6 +19,7 @@
 	listen := flags.String("listen", "", "address")
 	id := flags.String("id", "", "id of this boot")
 	crash := flags.String("crash", "", "text in the path of requests that crash the process")
+	events := flags.Int("events", 0, "events of each answer, which is a stream then")
 	_ = flags.Parse(args)
 	var out sync.Mutex
 	handler := func(w http.ResponseWriter, r *http.Request) {
@@ -42,8 +43,15 @@
 			time.Sleep(crashDelay)
 			os.Exit(3)
 		}
-		time.Sleep(workTime)
 		header.Set("Response-Seal", "seal-"+*id)
+		if *events > 0 {
+			ended := writeEvents(w, r, *events)
+			out.Lock()
+			fmt.Printf("end %d %s %s\n", time.Now().UnixNano(), r.Header.Get("Request-Id"), ended)
+			out.Unlock()
+			return
+		}
+		time.Sleep(workTime)
 		header.Set("Content-Type", "application/json")
 		_, _ = io.WriteString(w, "{\"from\":\""+*id+"\",\"pad\":\""+strings.Repeat("x", 700)+"\"}")
 	}
@@ -52,7 +60,25 @@
 	return 1
 }
 
+// writeEvents writes the events of an answer and returns how it ended: whole, or broken if the caller has gone.
+func writeEvents(w http.ResponseWriter, r *http.Request, events int) string {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for id := 1; id <= events; id++ {
+		if r.Context().Err() != nil {
+			return "broken"
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %d\n\n", id, id, events); err != nil {
+			return "broken"
+		}
+		_ = controller.Flush()
+		time.Sleep(eventPause)
+	}
+	return "whole"
+}
+
 const (
+	eventPause = 50 * time.Millisecond
 	workTime   = 30 * time.Millisecond
 	crashDelay = 20 * time.Millisecond
 )
