--- a/review/testdata/rig/crashes.go
+++ b/review/testdata/rig/crashes.go
@@ -77,6 +77,12 @@
 	}
 	close(done)
 	others.Wait()
+	return r.judgeCrashes(bad, runs)
+}
+
+// judgeCrashes applies the rule: later than contact after its third crash, the bad request reaches servers
+// allowedRetries times at most. All hosts are in touch all the while.
+func (r *rig) judgeCrashes(bad []run, runs int) (int, error) {
 	r.mu.Lock()
 	var ends []time.Time
 	for _, s := range r.servers {
@@ -84,8 +90,6 @@
 	}
 	r.mu.Unlock()
 	slices.SortFunc(ends, time.Time.Compare)
-	mu.Lock()
-	defer mu.Unlock()
 	if runs == 0 {
 		return notRun, fmt.Errorf("no request ran")
 	}
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -100,13 +101,21 @@
 	return listener.Addr().String(), nil
 }
 
+// lastPort is below the range from which outgoing connections take their ports.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(10000 + rand.Int64N(15000)) }
+
+// freeAddress returns an address with a free port that no earlier call has returned.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range 5000 {
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	panic("no free port")
 }
 
 // log writes a line to the record, with the time since the start.
@@ -290,19 +299,29 @@
 	return errors.New("the host at " + address + " does not become ready")
 }
 
-// get sends one client attempt on a new channel to an entry host and returns the status, or zero if no
-// complete answer came.
+// get sends a client attempt without a body.
 func (r *rig) get(h *entryHost, path string) (status int) {
+	return r.send(h, http.MethodGet, path, "", clientTimeout)
+}
+
+// post sends a client attempt for a stream.
+func (r *rig) post(h *entryHost, path, body string) (status int) {
+	return r.send(h, http.MethodPost, path, body, streamTimeout)
+}
+
+// send sends one client attempt on a new channel to an entry host and returns the status, or zero if no
+// complete answer came.
+func (r *rig) send(h *entryHost, method, path, body string, timeout time.Duration) (status int) {
 	id := fmt.Sprintf("%016x", r.nextID.Add(1))
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.listen+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.listen+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = hostName
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	r.log("request %s %s sent to %s", id, path, h.name)
