Review: a record of another writer makes a draining server live again

DecodeRunner accepts a record without most of its fields, and a missing start counts as another run of the server.

--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -16,7 +16,7 @@
 )
 
 func main() {
-	cases := map[string]func(*rig, bool) (int, error){"crashes-at-once": crashesAtOnce}
+	cases := map[string]func(*rig, bool) (int, error){"crashes-at-once": crashesAtOnce, "foreign-record": foreignRecord}
 	if len(os.Args) > 1 && os.Args[1] == "server" {
 		os.Exit(runServer(os.Args[2:]))
 	}
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -60,8 +60,12 @@
 // server is a place of a server; each boot is a process of its own.
 type server struct {
 	name, zone, address, crash string
+	key                        string
 	events                     int // of each answer; 0 for answers that are no streams
 	boot                       int
+	born                       int64
+	state                      string
+	seq                        int
 	command                    *exec.Cmd
 	ends                       []time.Time // when its processes ended by themselves
 }
@@ -180,9 +184,22 @@
 		return err
 	}
 	key := "servers/" + id
-	r.store.put(key, map[string]any{
-		"service": service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
-		"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	r.mu.Lock()
+	s.key, s.born, s.state, s.seq = key, time.Now().UnixMilli(), "ready", 0
+	r.mu.Unlock()
+	r.beat(s)
+	over := make(chan struct{})
+	r.wait.Go(func() {
+		ticker := time.NewTicker(heartbeat)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				r.beat(s)
+			case <-over:
+				return
+			}
+		}
 	})
 	r.log("server %s starts at %s", id, s.address)
 	r.wait.Go(func() {
@@ -200,9 +217,15 @@
 			onRun(run{at: time.Unix(0, nanos), server: id, id: fields[2], url: fields[3]})
 		}
 		_ = command.Wait()
+		close(over)
 		if r.ending.Load() {
 			return
 		}
+		if r.left(s) {
+			r.store.remove(key)
+			r.log("server %s has left", id)
+			return
+		}
 		r.mu.Lock()
 		s.ends = append(s.ends, time.Now())
 		r.mu.Unlock()
@@ -218,6 +241,34 @@
 	return nil
 }
 
+// beat writes the record of a server's current boot.
+func (r *rig) beat(s *server) {
+	r.mu.Lock()
+	s.seq++
+	record := map[string]any{
+		"service": service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": s.state,
+		"cold_left_ms": 0, "seq": s.seq, "born": s.born,
+	}
+	r.mu.Unlock()
+	r.store.put(s.key, record)
+}
+
+// drain writes that a server is draining and returns when the store has confirmed it.
+func (r *rig) drain(s *server) time.Time {
+	r.mu.Lock()
+	s.state = "draining"
+	r.mu.Unlock()
+	r.beat(s)
+	r.log("the store confirms that %s is draining", s.key)
+	return time.Now()
+}
+
+func (r *rig) left(s *server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return s.state == "draining"
+}
+
 func awaitListener(address string) error {
 	for range 200 {
 		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
