--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -40,6 +42,13 @@
 		return notRun
 	}
 	defer r.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.stop()
+		os.Exit(notRun)
+	}()
 	code, err := scenario(r, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(io.MultiWriter(os.Stderr, file), "not run:", err)
