--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -30,6 +30,8 @@
 }
 
 func play(scenario func(*rig, bool) (int, error), folder string) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	file, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -42,8 +44,6 @@
 		return notRun
 	}
 	defer r.stop()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		r.stop()
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -17,7 +17,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -42,11 +41,13 @@
 	cloudAt string
 	started time.Time
 	nextID  atomic.Int64
-	ending  atomic.Bool
+	ending  chan struct{} // closed when the processes are ended
+	stopped sync.Once
 	wait    sync.WaitGroup
 
 	mu      sync.Mutex
 	record  io.Writer
+	running []*exec.Cmd
 	hosts   []*entryHost
 	servers []*server
 }
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{program: program, dir: dir, store: newStore(), started: time.Now(), record: record}
+	r := &rig{program: program, dir: dir, store: newStore(), started: time.Now(), record: record, ending: make(chan struct{})}
 	if r.storeAt, err = serve(r.store.handler()); err != nil {
 		return nil, err
 	}
@@ -174,7 +175,10 @@
 	if err != nil {
 		return err
 	}
-	if err := command.Start(); err != nil {
+	exited := make(chan struct{})
+	lines := bufio.NewScanner(out)
+	read := func() { r.readRuns(lines, id, onRun) }
+	if err := r.start(command, read, exited); err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -188,55 +192,80 @@
 	s.key, s.born, s.state, s.seq = key, time.Now().UnixMilli(), "ready", 0
 	r.mu.Unlock()
 	r.beat(s)
-	over := make(chan struct{})
-	r.wait.Go(func() {
-		ticker := time.NewTicker(heartbeat)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				r.beat(s)
-			case <-over:
-				return
-			}
-		}
-	})
 	r.log("server %s starts at %s", id, s.address)
-	r.wait.Go(func() {
-		lines := bufio.NewScanner(out)
-		for lines.Scan() {
-			fields := strings.Fields(lines.Text())
-			if len(fields) != 4 {
-				continue
-			}
-			nanos, _ := strconv.ParseInt(fields[1], 10, 64)
-			if fields[0] == "end" {
-				r.log("server %s ends request %s: %s", id, fields[2], fields[3])
-				continue
-			}
-			onRun(run{at: time.Unix(0, nanos), server: id, id: fields[2], url: fields[3]})
+	go r.follow(s, id, exited, restart, onRun)
+	return nil
+}
+
+// readRuns reads the lines that a server writes until it has ended.
+func (r *rig) readRuns(lines *bufio.Scanner, id string, onRun func(run)) {
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) != 4 {
+			continue
 		}
-		_ = command.Wait()
-		close(over)
-		if r.ending.Load() {
-			return
+		nanos, _ := strconv.ParseInt(fields[1], 10, 64)
+		if fields[0] == "end" {
+			r.log("server %s ends request %s: %s", id, fields[2], fields[3])
+			continue
 		}
-		if r.left(s) {
-			r.store.remove(key)
-			r.log("server %s has left", id)
+		onRun(run{at: time.Unix(0, nanos), server: id, id: fields[2], url: fields[3]})
+	}
+}
+
+// follow writes a server's heartbeats until its process has ended, and starts the next boot of one that has crashed.
+func (r *rig) follow(s *server, id string, exited <-chan struct{}, restart time.Duration, onRun func(run)) {
+	key := "servers/" + id
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for running := true; running; {
+		select {
+		case <-ticker.C:
+			r.beat(s)
+		case <-exited:
+			running = false
+		case <-r.ending:
 			return
 		}
-		r.mu.Lock()
-		s.ends = append(s.ends, time.Now())
-		r.mu.Unlock()
-		r.log("server %s has crashed", id)
-		time.AfterFunc(3*heartbeat, func() { r.store.remove(key) })
-		time.Sleep(restart)
-		if !r.ending.Load() {
-			if err := r.startServer(s, restart, onRun); err != nil {
-				r.log("server %s does not start again: %v", s.name, err)
-			}
-		}
+	}
+	if r.left(s) {
+		r.store.remove(key)
+		r.log("server %s has left", id)
+		return
+	}
+	r.mu.Lock()
+	s.ends = append(s.ends, time.Now())
+	r.mu.Unlock()
+	r.log("server %s has crashed", id)
+	time.AfterFunc(3*heartbeat, func() { r.store.remove(key) })
+	select {
+	case <-time.After(restart):
+	case <-r.ending:
+		return
+	}
+	if err := r.startServer(s, restart, onRun); err != nil {
+		r.log("server %s does not start again: %v", s.name, err)
+	}
+}
+
+// start starts a process unless the rig is ending. While it runs, read reads its output; exited is closed when it has
+// ended.
+func (r *rig) start(command *exec.Cmd, read func(), exited chan<- struct{}) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.ending:
+		return errors.New("the rig is ending")
+	default:
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	r.running = append(r.running, command)
+	r.wait.Go(func() {
+		read()
+		_ = command.Wait()
+		close(exited)
 	})
 	return nil
 }
@@ -324,16 +353,9 @@
 	command := exec.Command(r.program, "forward")
 	command.Env = append(os.Environ(), "CARDAMOMPIER_SETTINGS="+h.settings)
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		return err
-	}
-	h.command, h.exited = command, make(chan struct{})
-	r.wait.Go(func() {
-		_ = command.Wait()
-		_ = log.Close()
-		close(h.exited)
-	})
-	return nil
+	err = r.start(command, func() {}, make(chan struct{}))
+	_ = log.Close() // the process has its own descriptor
+	return err
 }
 
 func awaitReady(address string) error {
@@ -388,28 +410,17 @@
 	return 0
 }
 
-// stop ends all processes that the rig has started.
+// stop ends all processes that the rig has started, waits for their end and removes the temporary folder. It may be called
+// more than once; each call returns when that is done.
 func (r *rig) stop() {
-	r.ending.Store(true)
-	r.mu.Lock()
-	for _, s := range r.servers {
-		if s.command != nil && s.command.Process != nil {
-			_ = s.command.Process.Kill()
-		}
-	}
-	r.mu.Unlock()
-	for _, h := range r.hosts {
-		_ = h.command.Process.Signal(syscall.SIGTERM)
-	}
-	for _, h := range r.hosts {
-		select {
-		case <-h.exited:
-		case <-time.After(9 * time.Second):
-			_ = h.command.Process.Kill()
+	r.stopped.Do(func() {
+		r.mu.Lock()
+		close(r.ending) // from now on, no process is started
+		for _, command := range r.running {
+			_ = command.Process.Kill()
 		}
-	}
-	r.wait.Wait()
-	if os.Getenv("KEEP") == "" {
+		r.mu.Unlock()
+		r.wait.Wait()
 		_ = os.RemoveAll(r.dir)
-	}
+	})
 }
