Log the age of a lease, suspensions included, with what its holder sends

What the log lacked: orders, usage reports and the end of a lease did not show how old the lease was, so that a term that outlives its lease looked like a call that was held up.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/metrics"
@@ -29,6 +30,8 @@
 	// Candidate reports whether this host may hold the lease. It is called before each attempt to
 	// acquire or renew; a holder for which it returns false releases the lease. Nil means always.
 	Candidate func() bool
+	// Elapsed is the clock that the age of a term is measured by. Nil means clock.SinceBoot.
+	Elapsed clock.Elapsed
 }
 
 const (
@@ -65,6 +68,9 @@
 	if options.Candidate == nil {
 		options.Candidate = func() bool { return true }
 	}
+	if options.Elapsed == nil {
+		options.Elapsed = clock.SinceBoot
+	}
 	return &Holder{store: store, name: name, host: host, logger: logger, options: options}
 }
 
@@ -73,9 +79,9 @@
 func (h *Holder) Run(ctx context.Context, lead func(context.Context, *Term)) {
 	ctx = kv.WithPurpose(ctx, purpose)
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent, sentAt := time.Now(), h.options.Elapsed()
 		if h.options.Candidate() && h.observe(ctx) && h.acquire(ctx) {
-			h.hold(ctx, sent, lead)
+			h.hold(ctx, sent, sentAt, lead)
 		}
 		interval := h.options.TTL / renewalsPerTTL
 		wait.For(ctx, interval/2+rand.N(interval))
@@ -132,10 +138,10 @@
 	return result.Outcome
 }
 
-// hold runs lead and renews the term until the term ends. The argument sent is when the write that
-// acquired the lease was sent.
-func (h *Holder) hold(ctx context.Context, sent time.Time, lead func(context.Context, *Term)) {
-	termCtx, term := newTerm(ctx, h.name, h.seen.Fence, h.expiry(sent))
+// hold runs lead and renews the term until the term ends. The arguments sent and sentAt are when the
+// write that acquired the lease was sent.
+func (h *Holder) hold(ctx context.Context, sent time.Time, sentAt time.Duration, lead func(context.Context, *Term)) {
+	termCtx, term := newTerm(ctx, h.name, h.seen.Fence, h.expiry(sent), sentAt, h.options.Elapsed)
 	if !term.Valid() {
 		term.end(&Error{Duty: h.name, Reason: ReasonLapsed})
 		return
@@ -148,10 +154,12 @@
 		lead(termCtx, term)
 	}()
 	reason := h.renew(termCtx, term, ended)
+	age, left := term.Age(), term.Remaining()
 	term.end(&Error{Duty: h.name, Reason: reason})
 	<-ended
 	Terms.Inc(string(reason))
-	events.LeaseEnded.Log(h.logger, "duty", h.name, "fence", term.Fence, "reason", string(reason))
+	events.LeaseEnded.Log(h.logger, "duty", h.name, "fence", term.Fence, "reason", string(reason),
+		"age_ms", age.Milliseconds(), "left_ms", left.Milliseconds())
 	if reason == ReasonStopped {
 		h.release(ctx)
 	}
@@ -180,9 +188,9 @@
 		if !h.options.Candidate() {
 			return ReasonStopped
 		}
-		sent := time.Now()
+		sent, sentAt := time.Now(), h.options.Elapsed()
 		switch outcome := h.write(ctx, duty{Holder: h.host, Fence: term.Fence}); {
-		case outcome == kv.OutcomeApplied && !term.extend(h.expiry(sent)):
+		case outcome == kv.OutcomeApplied && !term.extend(h.expiry(sent), sentAt):
 			return ReasonLapsed
 		case outcome != kv.OutcomeApplied && h.replaced(ctx, term):
 			return ReasonReplaced
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/kv"
 )
 
@@ -43,8 +44,10 @@
 	Fence uint64
 
 	cancel    context.CancelCauseFunc
+	elapsed   clock.Elapsed
 	mu        sync.Mutex
 	expiresAt time.Time
+	renewedAt time.Duration // by elapsed: when the last successful renewal was sent
 	timer     *time.Timer
 }
 
@@ -58,6 +61,14 @@
 	return time.Until(t.expiresAt)
 }
 
+// Age returns the time since the last successful renewal was sent, including the time for which the
+// host was suspended.
+func (t *Term) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.elapsed() - t.renewedAt
+}
+
 // Error reports why the term of a lease ended. Duty is the name of the lease.
 type Error struct {
 	Duty   string
@@ -90,15 +101,15 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// extend sets the expiry of the term to the given time. It returns false when the term has already
-// ended.
-func (t *Term) extend(until time.Time) bool {
+// extend sets the expiry of the term to the given time, after a renewal that was sent at renewedAt. It
+// returns false when the term has already ended.
+func (t *Term) extend(until time.Time, renewedAt time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.expiresAt.After(time.Now()) || !t.timer.Stop() {
 		return false
 	}
-	t.expiresAt = until
+	t.expiresAt, t.renewedAt = until, renewedAt
 	t.timer.Reset(time.Until(until))
 	return true
 }
@@ -112,9 +123,9 @@
 	t.cancel(cause)
 }
 
-func newTerm(ctx context.Context, name string, fence uint64, until time.Time) (context.Context, *Term) {
+func newTerm(ctx context.Context, name string, fence uint64, until time.Time, renewedAt time.Duration, elapsed clock.Elapsed) (context.Context, *Term) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &Term{Fence: fence, cancel: cancel, expiresAt: until}
+	t := &Term{Fence: fence, cancel: cancel, elapsed: elapsed, expiresAt: until, renewedAt: renewedAt}
 	t.timer = time.AfterFunc(time.Until(until), func() { cancel(&Error{Duty: name, Reason: ReasonLapsed}) })
 	return ctx, t
 }
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -175,6 +175,7 @@
 		"pool", o.Pool, "domain", o.FailureDomain, "count", o.Count, "reclaimable", o.Reclaimable,
 		"before", last.count, "there", live, "needed", planner.Needed(demand),
 		"tokens_per_s", int(demand.TokensPerSecond), "read_per_s", int(demand.PrefillTokensPerSecond), "in_flight", demand.InFlight, "fence", term.Fence,
+		"lease_age_ms", term.Age().Milliseconds(), "lease_left_ms", term.Remaining().Milliseconds(),
 	}
 	if err != nil {
 		Orders.Inc(string(cloud.ReasonOf(err)))
--- a/usage/report.go
+++ b/usage/report.go
@@ -78,7 +78,8 @@
 		return err
 	}
 	Records.Inc(labelReported)
-	events.UsageReported.Log(r.Logger, "window", window, "fence", term.Fence, "accounts", len(counts))
+	events.UsageReported.Log(r.Logger, "window", window, "fence", term.Fence, "accounts", len(counts),
+		"lease_age_ms", term.Age().Milliseconds(), "lease_left_ms", term.Remaining().Milliseconds())
 	return nil
 }
 
