End the term of a lease by a clock that counts suspensions

Callers saw: orders and usage reports of two hosts in turn.

Cause: the end of a term was a time.Time with a monotonic reading. That clock and all timers stand still while a machine is suspended, so that the term outlived the lease by the length of the suspension, until its next renewal failed.

Change: lease measures terms, renewals and the contender's wait by clock.Elapsed (CLOCK_BOOTTIME). A term is checked each 100 ms, so that its context ends soon after a suspension. An expired term is not renewed. clocktest is the clock of tests; the random histories of TestOneLeaderAtATime now hold suspensions and clocks that drift by up to 2 in 100.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -30,7 +30,7 @@
 	// Candidate reports whether this host may hold the lease. It is called before each attempt to
 	// acquire or renew; a holder for which it returns false releases the lease. Nil means always.
 	Candidate func() bool
-	// Elapsed is the clock that the age of a term is measured by. Nil means clock.SinceBoot.
+	// Elapsed is the clock that leases are measured by. Nil means clock.SinceBoot.
 	Elapsed clock.Elapsed
 }
 
@@ -54,10 +54,10 @@
 	options Options
 
 	// seen is the newest stored lease value that this host has read or written, version is its
-	// version in the store, and seenSince is the local time at which this host first observed it.
+	// version in the store, and seenSince is when this host first observed it, by options.Elapsed.
 	seen      duty
 	version   kv.Version
-	seenSince time.Time
+	seenSince time.Duration
 }
 
 // New returns a Holder that competes for the lease called name on behalf of host.
@@ -79,9 +79,9 @@
 func (h *Holder) Run(ctx context.Context, lead func(context.Context, *Term)) {
 	ctx = kv.WithPurpose(ctx, purpose)
 	for ctx.Err() == nil {
-		sent, sentAt := time.Now(), h.options.Elapsed()
+		sent := h.options.Elapsed()
 		if h.options.Candidate() && h.observe(ctx) && h.acquire(ctx) {
-			h.hold(ctx, sent, sentAt, lead)
+			h.hold(ctx, sent, lead)
 		}
 		interval := h.options.TTL / renewalsPerTTL
 		wait.For(ctx, interval/2+rand.N(interval))
@@ -103,9 +103,9 @@
 		if !ok {
 			return false
 		}
-		h.seen, h.version, h.seenSince = seen, entry.Version, time.Now()
+		h.seen, h.version, h.seenSince = seen, entry.Version, h.options.Elapsed()
 	}
-	return h.seen.Released || time.Since(h.seenSince) > max(h.seen.ttl(), h.options.TTL)
+	return h.seen.Released || h.options.Elapsed()-h.seenSince > max(h.seen.ttl(), h.options.TTL)
 }
 
 // acquire begins a term by writing the next fencing number, and reports whether the write won.
@@ -133,15 +133,15 @@
 		}
 	})
 	if result.Outcome == kv.OutcomeApplied {
-		h.seen, h.version, h.seenSince = d, result.Version, time.Now()
+		h.seen, h.version, h.seenSince = d, result.Version, h.options.Elapsed()
 	}
 	return result.Outcome
 }
 
-// hold runs lead and renews the term until the term ends. The arguments sent and sentAt are when the
-// write that acquired the lease was sent.
-func (h *Holder) hold(ctx context.Context, sent time.Time, sentAt time.Duration, lead func(context.Context, *Term)) {
-	termCtx, term := newTerm(ctx, h.name, h.seen.Fence, h.expiry(sent), sentAt, h.options.Elapsed)
+// hold runs lead and renews the term until the term ends. The argument sent is when the write that
+// acquired the lease was sent.
+func (h *Holder) hold(ctx context.Context, sent time.Duration, lead func(context.Context, *Term)) {
+	termCtx, term := newTerm(ctx, h.name, h.seen.Fence, h.expiry(sent), sent, h.options.Elapsed)
 	if !term.Valid() {
 		term.end(&Error{Duty: h.name, Reason: ReasonLapsed})
 		return
@@ -166,8 +166,8 @@
 }
 
 // expiry returns when a term expires whose last renewal was sent at the given time.
-func (h *Holder) expiry(sent time.Time) time.Time {
-	return sent.Add(h.options.TTL - h.options.TTL/clockMarginDivisor)
+func (h *Holder) expiry(sent time.Duration) time.Duration {
+	return sent + h.options.TTL - h.options.TTL/clockMarginDivisor
 }
 
 // renew extends the term periodically until the term ends, and returns the reason of the end.
@@ -185,12 +185,15 @@
 			return ReasonLapsed
 		case <-ticker.C:
 		}
+		if !term.Valid() {
+			return ReasonLapsed
+		}
 		if !h.options.Candidate() {
 			return ReasonStopped
 		}
-		sent, sentAt := time.Now(), h.options.Elapsed()
+		sent := h.options.Elapsed()
 		switch outcome := h.write(ctx, duty{Holder: h.host, Fence: term.Fence}); {
-		case outcome == kv.OutcomeApplied && !term.extend(h.expiry(sent), sentAt):
+		case outcome == kv.OutcomeApplied && !term.extend(h.expiry(sent), sent):
 			return ReasonLapsed
 		case outcome != kv.OutcomeApplied && h.replaced(ctx, term):
 			return ReasonReplaced
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,10 +1,14 @@
 // Package lease elects one holder at a time for each duty, a job that one host does for all. Each
 // term of a holder has a fencing number, greater than that of every earlier term. A term ends on
-// the holder's own monotonic clock before any other host may begin one.
+// the holder's own clock before any other host may begin one. That clock also runs while the host is
+// suspended, see clock.Elapsed.
 //
 // A holder renews its lease by rewriting the stored value. A contender acquires the lease when the
 // value has not changed for a whole lease, measured on the contender's clock from when it first
 // read the value. Clocks of different hosts are never compared.
+//
+// A host may be suspended between a check of its term and the call that follows. The context of a term
+// is cancelled within expiryCheckInterval after the host resumes, which ends calls that are under way.
 package lease
 
 import (
@@ -22,6 +26,10 @@
 // keyPrefix precedes the name of a lease in its key in the store.
 const keyPrefix = "lease/"
 
+// expiryCheckInterval is the longest time between two checks whether a term has expired. Timers stop
+// while the host is suspended, so that one timer for the rest of the term would fire late.
+const expiryCheckInterval = 100 * time.Millisecond
+
 // purpose labels the store calls of this package. They have the highest priority, PrioritySafety,
 // because a holder that cannot renew its lease must stop its work.
 var purpose = kv.Purpose{Name: "lease", Priority: kv.PrioritySafety}
@@ -46,7 +54,7 @@
 	cancel    context.CancelCauseFunc
 	elapsed   clock.Elapsed
 	mu        sync.Mutex
-	expiresAt time.Time
+	expiresAt time.Duration // by elapsed
 	renewedAt time.Duration // by elapsed: when the last successful renewal was sent
 	timer     *time.Timer
 }
@@ -58,7 +66,7 @@
 func (t *Term) Remaining() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Until(t.expiresAt)
+	return t.expiresAt - t.elapsed()
 }
 
 // Age returns the time since the last successful renewal was sent, including the time for which the
@@ -103,14 +111,13 @@
 
 // extend sets the expiry of the term to the given time, after a renewal that was sent at renewedAt. It
 // returns false when the term has already ended.
-func (t *Term) extend(until time.Time, renewedAt time.Duration) bool {
+func (t *Term) extend(until, renewedAt time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.expiresAt.After(time.Now()) || !t.timer.Stop() {
+	if t.expiresAt <= t.elapsed() {
 		return false
 	}
 	t.expiresAt, t.renewedAt = until, renewedAt
-	t.timer.Reset(time.Until(until))
 	return true
 }
 
@@ -118,18 +125,37 @@
 func (t *Term) end(cause *Error) {
 	t.mu.Lock()
 	t.timer.Stop()
-	t.expiresAt = time.Time{}
+	t.expiresAt = 0
 	t.mu.Unlock()
 	t.cancel(cause)
 }
 
-func newTerm(ctx context.Context, name string, fence uint64, until time.Time, renewedAt time.Duration, elapsed clock.Elapsed) (context.Context, *Term) {
+// newTerm starts a term and returns it with its context, which is cancelled when the term ends.
+func newTerm(ctx context.Context, name string, fence uint64, until, renewedAt time.Duration, elapsed clock.Elapsed) (context.Context, *Term) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &Term{Fence: fence, cancel: cancel, elapsed: elapsed, expiresAt: until, renewedAt: renewedAt}
-	t.timer = time.AfterFunc(time.Until(until), func() { cancel(&Error{Duty: name, Reason: ReasonLapsed}) })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(t.nextCheck(), func() { t.expire(name) })
 	return ctx, t
 }
 
+// expire cancels the context of the term if the term has expired, and schedules the next check otherwise.
+func (t *Term) expire(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.expiresAt <= t.elapsed() {
+		t.cancel(&Error{Duty: name, Reason: ReasonLapsed})
+		return
+	}
+	t.timer.Reset(t.nextCheck())
+}
+
+// nextCheck returns the time until the next check of the term's expiry. The caller holds t.mu.
+func (t *Term) nextCheck() time.Duration {
+	return max(0, min(t.expiresAt-t.elapsed(), expiryCheckInterval))
+}
+
 func decode(entry kv.Entry) (duty, bool) {
 	var d duty
 	err := cbor.Unmarshal(entry.Value, &d)
--- a/lease/property_test.go
+++ b/lease/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
+	"github.com/cardamompier/cardamompier/clock/clocktest"
 	"github.com/cardamompier/cardamompier/control"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
@@ -27,6 +28,8 @@
 	samplePause = 50 * time.Millisecond
 	orderTime   = 100 * time.Millisecond // delay of an order between the lease check and the engine
 	callTime    = 200 * time.Millisecond // latency of a call to the key-value service
+	// maxClockDrift is the largest share by which a host's clock runs faster or slower than true time.
+	maxClockDrift = 0.02
 )
 
 // gate blocks the calls of one host while that host is paused.
@@ -158,8 +161,8 @@
 	}
 }
 
-// TestOneLeaderAtATime runs three hosts that compete for one lease through random pauses, store
-// outages, lost answers and delayed writes. It checks that no two hosts hold the lease at once,
+// TestOneLeaderAtATime runs three hosts that compete for one lease through random pauses,
+// suspensions, store outages, lost answers and delayed writes, with clocks that run at different rates. It checks that no two hosts hold the lease at once,
 // that fencing numbers grow, and that engines with and without a fencing check reach the wanted
 // state.
 func TestOneLeaderAtATime(t *testing.T) {
@@ -182,18 +185,18 @@
 		unfenced: enginesim.New(enginesim.Options{IgnoreFence: true}),
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	gates := make([]*gate, testHosts)
+	gates, clocks := make([]*gate, testHosts), make([]*clocktest.Clock, testHosts)
 	var running sync.WaitGroup
 	for n := range gates {
-		gates[n] = &gate{}
+		gates[n], clocks[n] = &gate{}, clocktest.New(1+maxClockDrift*(2*random.Float64()-1))
 		name := fmt.Sprintf("h%d", n)
 		client := kv.NewClient(gatedStore{store, gates[n]}, kv.Options{})
-		holder := lease.New(client, "engines", name, hclog.NewNullLogger(), lease.Options{TTL: testTTL})
+		holder := lease.New(client, "engines", name, hclog.NewNullLogger(), lease.Options{TTL: testTTL, Elapsed: clocks[n].Elapsed})
 		reconciler := control.New(l, engines{l, gates[n]}, hclog.NewNullLogger(), 200*time.Millisecond)
 		running.Go(func() { holder.Run(ctx, l.lead(name, reconciler)) })
 	}
 	for step := range testSteps {
-		injectFault(random, store, gates)
+		injectFault(random, store, gates, clocks)
 		l.mu.Lock()
 		l.wanted = control.WantedState{Role: "decode", Model: fmt.Sprintf("m%d", step)}
 		l.mu.Unlock()
@@ -213,9 +216,9 @@
 	return fault
 }
 
-func injectFault(random *rand.Rand, store *kvmem.Store, gates []*gate) {
+func injectFault(random *rand.Rand, store *kvmem.Store, gates []*gate, clocks []*clocktest.Clock) {
 	share := func() float64 { return random.Float64() / 2 }
-	switch g := gates[random.IntN(len(gates))]; random.IntN(6) {
+	switch g := gates[random.IntN(len(gates))]; random.IntN(7) {
 	case 0, 1:
 		g.set(true)
 	case 2:
@@ -230,6 +233,13 @@
 			Latency: callTime,
 			DelayBy: time.Duration(random.IntN(8000)) * time.Millisecond,
 		})
+	case 6:
+		// Time passes that no host's timers count. A host that was suspended alone looks the same to itself,
+		// and the others may begin a term afterwards.
+		d := time.Duration(random.IntN(3*int(testTTL/time.Millisecond))) * time.Millisecond
+		for _, c := range clocks {
+			c.Suspend(d)
+		}
 	}
 }
 
