Measure a host's own registration by a clock that counts suspensions

The same cause as in package lease, on a related path: LeaseValid, by which an owner of limits decides alone, compared readings of the wall clock.

Change: presence measures its lease by clock.Elapsed, as lease does.

--- a/forwarding.go
+++ b/forwarding.go
@@ -150,7 +150,7 @@
 	f.runners = replica.New(f.store, platform.RunnersPrefix, milliseconds(watchShare*s.LeavingMS), peers, logger.Named("upstreams"))
 	f.members = replica.New(f.store, presence.Prefix, membersWatchTimeout, peers, logger.Named("members"))
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
-	f.presence = presence.New(f.store, f.self(), f.members, logger.Named("presence"))
+	f.presence = presence.New(f.store, f.self(), f.members, clock.SinceBoot, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.LeaseValid)
 	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.hosts)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/membership"
@@ -67,7 +68,8 @@
 
 	view        atomic.Pointer[View]
 	leaving     atomic.Bool
-	lastRenewal atomic.Int64 // Unix time in ns at which the last successful renewal was sent
+	elapsed     clock.Elapsed
+	lastRenewal atomic.Int64 // when the last successful renewal was sent, in ns of elapsed; 0 if never
 
 	mu            sync.Mutex // serializes view updates
 	hostCounts    []hostCount
@@ -85,9 +87,9 @@
 const recentWindow = 10 * time.Second
 
 // New returns a Presence of the host self that updates its view from hosts, a
-// replica of the records under Prefix.
-func New(store kv.Store, self membership.Member, hosts *replica.Replica, logger hclog.Logger) *Presence {
-	p := &Presence{store: store, self: self, logger: logger}
+// replica of the records under Prefix. It measures its lease by elapsed.
+func New(store kv.Store, self membership.Member, hosts *replica.Replica, elapsed clock.Elapsed, logger hclog.Logger) *Presence {
+	p := &Presence{store: store, self: self, elapsed: elapsed, logger: logger}
 	p.view.Store(&View{View: membership.View{Members: []membership.Member{self}}, Recent: 1})
 	hosts.Subscribe(p.update)
 	return p
@@ -103,9 +105,13 @@
 // LeaseValid reports whether this host's lease was renewed recently enough that no other
 // host can have seen this host's record expire.
 func (p *Presence) LeaseValid() bool {
-	return time.Since(time.Unix(0, p.lastRenewal.Load())) < leaseTTL-leaseMargin
+	renewed := p.lastRenewal.Load()
+	return renewed != 0 && p.elapsed()-time.Duration(renewed) < leaseTTL-leaseMargin
 }
 
+// recordRenewal records that the lease was renewed by a call that was sent at the given time of elapsed.
+func (p *Presence) recordRenewal(sent time.Duration) { p.lastRenewal.Store(max(int64(sent), 1)) }
+
 // Leave makes Run mark this host's record as leaving, so that callers are no longer
 // sent to this host.
 func (p *Presence) Leave() { p.leaving.Store(true) }
@@ -180,9 +186,9 @@
 	for ctx.Err() == nil {
 		if lease == 0 || markedLeaving != p.leaving.Load() {
 			leaving := p.leaving.Load()
-			sent := time.Now()
+			sent := p.elapsed()
 			if lease, version = p.register(ctx, lease, version, leaving); lease != 0 {
-				p.lastRenewal.Store(sent.UnixNano())
+				p.recordRenewal(sent)
 			}
 			markedLeaving = leaving && lease != 0
 		} else if !p.renew(ctx, lease) {
@@ -199,10 +205,10 @@
 // renew renews the lease. It returns false if the lease has ended, and true on other
 // errors.
 func (p *Presence) renew(ctx context.Context, lease kv.LeaseID) bool {
-	sent := time.Now()
+	sent := p.elapsed()
 	err := p.call(ctx, func(ctx context.Context) error { return p.store.KeepAlive(ctx, lease) })
 	if err == nil {
-		p.lastRenewal.Store(sent.UnixNano())
+		p.recordRenewal(sent)
 	}
 	return kv.ReasonOf(err) != kv.ReasonLeaseExpired
 }
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/clock/clocktest"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/replica"
@@ -30,7 +31,7 @@
 // newPresence returns a Presence of host "a" without a store.
 func newPresence() *Presence {
 	hosts := replica.New(nil, Prefix, time.Second, nil, hclog.NewNullLogger())
-	return New(nil, membership.Member{ID: "a"}, hosts, hclog.NewNullLogger())
+	return New(nil, membership.Member{ID: "a"}, hosts, clocktest.New(1).Elapsed, hclog.NewNullLogger())
 }
 
 // TestVanishedHostsAreDroppedAfterGrace checks that hosts whose records vanish in an
--- a/presence/register_test.go
+++ b/presence/register_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cardamompier/cardamompier/clock/clocktest"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
 	"github.com/cardamompier/cardamompier/membership"
@@ -55,7 +56,7 @@
 					}
 					entries = map[string]kv.Entry{Prefix + "a": {Key: Prefix + "a", Value: []byte(`{"id":"a"}`), Version: version}}
 				}
-				p := New(store, self, replica.New(store, Prefix, time.Second, nil, hclog.NewNullLogger()), hclog.NewNullLogger())
+				p := New(store, self, replica.New(store, Prefix, time.Second, nil, hclog.NewNullLogger()), clocktest.New(1).Elapsed, hclog.NewNullLogger())
 				if c.listed {
 					p.update(&replica.View{Entries: entries})
 				}
