Log how many crashes of a request are known and how many count

What the log lacked: event 1801 names the keys of a crash but not what its host already knows, so that evidence that does not arrive and evidence that is not counted looked the same. No change of logic.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -178,7 +178,9 @@
 		return false
 	}
 	f.Crashes.Add(c)
-	events.UpstreamCrash.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "keys", c.Keys)
+	known, counted := f.Crashes.Evidence(c.Keys[0])
+	events.UpstreamCrash.Log(f.Logger, "id", requestID, "upstream", h.ID, "upstream_started_ms", h.StartedMS, "begun", c.Begun, "keys", c.Keys,
+		"known", known, "counted", counted)
 	return true
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -229,6 +229,15 @@
 	t.add(c, localSource)
 }
 
+// Evidence returns the number of crashes that are known for a key since its last answer, and how many of
+// them count for a verdict.
+func (t *Tracker) Evidence(key Key) (known, counted int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := lo.Filter(t.crashes, func(c *crash, _ int) bool { return c.has(key) && c.at.After(t.lastAnswer(key)) })
+	return len(crashes), countSpans(crashes)
+}
+
 // add merges the evidence of a host and updates the quarantined sets. The caller holds
 // t.mu.
 func (t *Tracker) add(c Crash, source uint64) {
