Count crashes by the order of ends and sends, not by time alone

Cause: crashes within 200 ms counted as one, as for the loss of a failure domain. The request is repeated within milliseconds, by its host and by its caller, so that each burst of four crashes counted once. Parts and lost attempts counted in the same way.

Change: a report says which of its keys were sent after its host had seen an end with them. Repeats count, and so do crashes of a whole request that was not answered lately. A verdict without order is lifted by an answer shortly before; reports that weaken a repeat are sent on; an answer between crashes refutes the earlier ones also after the verdict.

Why it works: a repeat is sent because the end before it was seen; an outside cause ends upstreams that have the content already.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -159,11 +159,12 @@
 // abandoned reports whether the request ended by its deadline, by its caller or by a quarantine.
 func (e *exchange) abandoned() bool { return e.ctx.Err() != nil }
 
-// crashAt returns the evidence that an attempt at an upstream ended now.
+// crashAt returns the evidence that an attempt at an upstream ended now. It is called once for each such
+// attempt.
 func (e *exchange) crashAt(t selectedUpstream) quarantine.Crash {
-	return quarantine.Crash{
-		Upstream: xxhash.Sum64String(upstreamKey(t.Host)), At: time.Now(), Account: xxhash.Sum64String(e.accountName()), Keys: e.keys,
-	}
+	return e.f.Crashes.Ended(quarantine.Crash{
+		Upstream: xxhash.Sum64String(upstreamKey(t.Host)), At: time.Now(), SentAt: e.sentAt, Account: xxhash.Sum64String(e.accountName()), Keys: e.keys,
+	})
 }
 
 // reportCrash adds the evidence of a lost attempt and returns whether the upstream's process has
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -43,6 +43,7 @@
 	sends          int     // attempts whose request may have reached an upstream
 	possibleRuns   int     // attempts whose request an upstream may have run
 	tried          []string
+	sentAt         time.Time     // when the current attempt was sent
 	heardAt        time.Time     // when the current attempt was sent, or a part of its answer arrived last
 	headReceived   bool          // whether the current attempt received the head of an answer
 	answerBegun    bool          // whether a part of the answer was sent to the caller
--- a/forward/send.go
+++ b/forward/send.go
@@ -277,7 +277,7 @@
 			return errClosed
 		}
 		sentAt = time.Now()
-		e.heardAt = sentAt
+		e.sentAt, e.heardAt = sentAt, sentAt
 		return nil
 	}
 	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -20,24 +20,66 @@
 	partners, begunPartners []Key
 }
 
-// countSpans returns the number of crashes, counting those within simultaneousSpan as one.
-func countSpans(crashes []*crash) int {
+// spans divides crashes, which are in the order of their times, into those that lie within simultaneousSpan
+// of the first one.
+func spans(crashes []*crash) [][]*crash {
+	var out [][]*crash
+	for i, c := range crashes {
+		if i == 0 || c.at.Sub(out[len(out)-1][0].at) >= simultaneousSpan {
+			out = append(out, nil)
+		}
+		out[len(out)-1] = append(out[len(out)-1], c)
+	}
+	return out
+}
+
+// repeatOf reports whether all known requests with the key that were at the upstream are repeats.
+func (c *crash) repeatOf(key Key) bool {
+	return !slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) && !r.repeatOf(key) })
+}
+
+// repeats returns the number of crashes of repeats of a key.
+func repeats(crashes []*crash, key Key) int {
+	return lo.CountBy(crashes, func(c *crash) bool { return c.repeatOf(key) })
+}
+
+// independent returns how many of the crashes, which are in the order of their times, are evidence of their own
+// against a key. Crashes within simultaneousSpan may have one outside cause, and count as one, except:
+//
+//   - A request that was sent after the end of another upstream had been seen, and whose upstream ended as
+//     well. An outside cause ends upstreams that have the content already.
+//   - A whole request that was not answered lately. It is hardly at several upstreams at once.
+//
+// A part that was answered lately is in requests that are sent all the time, so that neither holds for it.
+// The caller holds t.mu.
+func (t *Tracker) independent(key Key, part bool, crashes []*crash) int {
 	n := 0
-	var last time.Time
-	for _, c := range crashes {
-		if n == 0 || c.at.Sub(last) >= simultaneousSpan {
-			n, last = n+1, c.at
+	for _, span := range spans(crashes) {
+		n++
+		answeredLately := t.answeredLately(key, span[0].at)
+		switch further := span[1:]; {
+		case !part && !answeredLately:
+			n += len(further)
+		case !part || !answeredLately:
+			n += repeats(further, key)
 		}
 	}
 	return n
 }
 
+// answeredLately reports whether an answer to a key is known from the time shortly before the given time.
+// The caller holds t.mu.
+func (t *Tracker) answeredLately(key Key, at time.Time) bool {
+	answered := t.lastAnswer(key)
+	return !answered.IsZero() && at.Sub(answered) < recentAnswerSpan
+}
+
 // cause returns the content that is quarantined if the evidence suffices. Two crashes suffice
 // if the upstreams had begun their answers and no answer to the content has ever succeeded:
 // an outside cause rarely meets the start of an answer twice. The caller holds t.mu.
 func (t *Tracker) cause(s *suspicion) (keys []Key, sufficient bool) {
 	keys, neverAnswered := t.unproven(s.begunPartners)
-	if neverAnswered && len(s.begun) >= begunCrashes || countSpans(s.begun) >= provenCrashes {
+	if neverAnswered && len(s.begun) >= begunCrashes || t.independent(s.key, s.part, s.begun) >= provenCrashes {
 		return keys, true
 	}
 	waiting := requestCrashes
@@ -45,7 +87,7 @@
 		waiting = partCrashes
 	}
 	keys, _ = t.unproven(s.partners)
-	return keys, countSpans(s.crashes) >= waiting
+	return keys, t.independent(s.key, s.part, s.crashes) >= waiting
 }
 
 // evaluate puts the quarantined sets in force that explain the known crashes. The caller
@@ -67,15 +109,26 @@
 	}
 }
 
+// crashesByKey returns the number of crashes by key, whether or not the key was answered since.
+func crashesByKey(crashes []*crash) map[Key]int {
+	out := map[Key]int{}
+	for _, c := range crashes {
+		for _, k := range lo.Uniq(lo.FlatMap(c.reports, func(r Crash, _ int) []Key { return r.Keys })) {
+			out[k]++
+		}
+	}
+	return out
+}
+
 // explain returns the content that explains the known crashes, and the number of crashes by
-// suspected key. It selects the content with the most evidence first; crashes that this
+// key. It selects the content with the most evidence first; crashes that this
 // content explains are no evidence against other content. The caller holds t.mu.
 func (t *Tracker) explain(now time.Time) (sets []Set, known map[Key]int) {
 	rest := lo.Filter(t.crashes, func(c *crash, _ int) bool { return now.Sub(c.at) < Expiry })
 	for len(sets) < maxSets {
 		suspicions := t.suspicions(rest)
 		if known == nil {
-			known = lo.MapValues(suspicions, func(s *suspicion, _ Key) int { return len(s.crashes) })
+			known = crashesByKey(rest)
 		}
 		set, found := t.strongest(suspicions)
 		if !found {
@@ -102,7 +155,11 @@
 			continue // the cause is one of the others, which have the same evidence
 		}
 		best = s
-		set = Set{Keys: keys, Crashes: max(countSpans(s.crashes), len(s.begun)), At: s.crashes[len(s.crashes)-1].at}
+		last := s.crashes[len(s.crashes)-1].at
+		set = Set{Keys: keys, Crashes: max(len(spans(s.crashes)), len(s.begun)), At: last}
+		if first := s.crashes[0].at; last.Sub(first) < simultaneousSpan && len(s.begun) < begunCrashes && 1+repeats(s.crashes, key) < requestCrashes {
+			set.Sudden, set.Since = true, first
+		}
 	}
 	return set, best != nil
 }
@@ -193,7 +250,7 @@
 		t.drop(slices.MinFunc(t.sets, func(a, b *Set) int { return a.At.Compare(b.At) }))
 	}
 	t.sets = append(t.sets, &set)
-	t.log.append(logRecord{kind: recordSet, crash: Crash{At: set.At, Keys: set.Keys}, crashes: set.Crashes, lost: set.Lost, since: set.Since}, source)
+	t.log.append(logRecord{kind: recordSet, crash: Crash{At: set.At, Keys: set.Keys}, crashes: set.Crashes, lost: set.Lost, sudden: set.Sudden, since: set.Since}, source)
 	t.publish()
 	Changes.Inc(change)
 	t.changed(change, set)
@@ -207,6 +264,7 @@
 	merged := *known
 	merged.Crashes = max(known.Crashes, set.Crashes)
 	merged.Lost = known.Lost && set.Lost
+	merged.Sudden = known.Sudden && set.Sudden
 	merged.stored = known.stored || set.stored
 	if set.At.After(known.At) {
 		merged.At = set.At
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -39,6 +39,7 @@
 	crash   Crash     // for recordAnswer and recordSet only its At and Keys
 	crashes int       // for recordSet
 	lost    bool      // for recordSet: Set.Lost
+	sudden  bool      // for recordSet: Set.Sudden
 	since   time.Time // for recordSet: Set.Since
 	number  uint64    // position in the log
 	source  uint64    // epoch of the host from which it was received
@@ -91,14 +92,18 @@
 	Lost     bool       `cbor:"8,keyasint,omitempty"`
 	// SinceMS is the age of Set.Since.
 	SinceMS int64 `cbor:"9,keyasint,omitempty"`
+	// Repeats is Crash.repeats.
+	Repeats uint32 `cbor:"10,keyasint,omitempty"`
+	Sudden  bool   `cbor:"11,keyasint,omitempty"`
 }
 
 func encodeRecord(r logRecord, now time.Time) wireRecord {
 	w := wireRecord{
 		Kind: r.kind, AgeMS: now.Sub(r.crash.At).Milliseconds(), Keys: r.crash.Keys, Upstream: r.crash.Upstream,
 		Account: r.crash.Account, Begun: r.crash.Begun, Crashes: r.crashes, Lost: r.lost,
+		Repeats: r.crash.repeats, Sudden: r.sudden,
 	}
-	if r.lost {
+	if r.lost || r.sudden {
 		w.SinceMS = now.Sub(r.since).Milliseconds()
 	}
 	return w
@@ -202,16 +207,16 @@
 		}
 		switch r.Kind {
 		case recordCrash:
-			t.add(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Begun: r.Begun, Keys: r.Keys}, epoch)
+			t.add(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Begun: r.Begun, Keys: r.Keys, repeats: r.Repeats, seenAt: now}, epoch)
 		case recordLoss:
-			t.addLoss(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Keys: r.Keys}, epoch)
+			t.addLoss(Crash{Upstream: r.Upstream, At: at, Account: r.Account, Keys: r.Keys, repeats: r.Repeats, seenAt: now}, epoch)
 		case recordAnswer:
 			t.clear(r.Keys[0], at, epoch)
 		case recordSet:
 			keys := slices.Clone(r.Keys)
 			slices.Sort(keys)
 			since := now.Add(-time.Duration(max(r.SinceMS, 0)) * time.Millisecond)
-			t.imposeLive(Set{Keys: keys, Crashes: r.Crashes, At: at, Lost: r.Lost, Since: since}, epoch)
+			t.imposeLive(Set{Keys: keys, Crashes: r.Crashes, At: at, Lost: r.Lost, Sudden: r.Sudden, Since: since}, epoch)
 		}
 	}
 }
@@ -224,8 +229,15 @@
 		refuted = set.Since
 	}
 	set.Keys = lo.Reject(set.Keys, func(k Key, _ int) bool { return t.lastAnswer(k).After(refuted) })
-	if len(set.Keys) > 0 {
-		t.impose(set, ChangeReceived, epoch)
+	if len(set.Keys) == 0 {
+		return
+	}
+	t.impose(set, ChangeReceived, epoch)
+	if set.Sudden {
+		for _, key := range set.Keys {
+			t.announce(key) // the answer may refute the set at other hosts
+		}
+		t.refuteSudden()
 	}
 }
 
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -27,6 +27,9 @@
 type loss struct {
 	upstream uint64
 	at       time.Time
+	seenAt   time.Time // when this host learned of it
+	// repeat is Crash.repeats for the key.
+	repeat bool
 }
 
 // lossRecord holds the attempts with a key that were lost since the last answer to it.
@@ -51,16 +54,19 @@
 	return nil
 }
 
-// add records a loss and returns false if it is known.
-func (l *lossTable) add(key Key, part bool, lost loss) bool {
+// add records a loss and returns whether it is news. weaker reports that it shows a known loss to be no
+// repeat.
+func (l *lossTable) add(key Key, part bool, lost loss) (isNew, weaker bool) {
 	r := l.get(key)
 	if r == nil {
 		r = &lossRecord{}
 	}
-	if slices.ContainsFunc(r.losses, func(known loss) bool {
+	if i := slices.IndexFunc(r.losses, func(known loss) bool {
 		return known.upstream == lost.upstream && known.at.Sub(lost.at).Abs() < sameCrashSpan
-	}) {
-		return false
+	}); i >= 0 {
+		weaker = r.losses[i].repeat && !lost.repeat
+		r.losses[i].repeat = r.losses[i].repeat && lost.repeat
+		return weaker, weaker
 	}
 	r.part = r.part || part
 	r.losses = append(r.losses, lost)
@@ -71,7 +77,7 @@
 	}
 	delete(l.generations[1], key)
 	l.generations[0][key] = r
-	return true
+	return true, false
 }
 
 // rotate begins a new generation and forgets the one before the last.
@@ -100,17 +106,26 @@
 	return time.Time{}
 }
 
-// count returns the number of losses of a key, counting those within simultaneousSpan as one, and
-// whether the key is that of a part.
+// seenBefore reports whether this host knew at the given time of a loss of a key after since.
+func (l *lossTable) seenBefore(key Key, since, at time.Time) bool {
+	r := l.get(key)
+	return r != nil && slices.ContainsFunc(r.losses, func(known loss) bool { return known.at.After(since) && !known.seenAt.After(at) })
+}
+
+// count returns the number of losses of a key, and whether the key is that of a part. Of those within
+// simultaneousSpan, which may have one outside cause, only the first one and repeats count.
 func (l *lossTable) count(key Key) (n int, part bool) {
 	r := l.get(key)
 	if r == nil {
 		return 0, false
 	}
-	var last time.Time
+	var first time.Time
 	for _, known := range r.losses {
-		if n == 0 || known.at.Sub(last) >= simultaneousSpan {
-			n, last = n+1, known.at
+		switch {
+		case n == 0 || known.at.Sub(first) >= simultaneousSpan:
+			n, first = n+1, known.at
+		case known.repeat:
+			n++
 		}
 	}
 	return n, r.part
@@ -125,15 +140,32 @@
 		return
 	}
 	c.Begun = false
-	c.Keys = append(c.Keys[:1:1], lo.Filter(c.Keys[1:], func(k Key, _ int) bool { return t.lastAnswer(k).IsZero() })...)
+	all := c
+	c.Keys, c.repeats = nil, 0
+	for i, key := range all.Keys {
+		if i > 0 && !t.lastAnswer(key).IsZero() {
+			continue
+		}
+		if all.repeatOf(key) {
+			c.repeats |= 1 << len(c.Keys)
+		}
+		c.Keys = append(c.Keys, key)
+	}
 	t.addLoss(c, localSource)
 }
 
 // addLoss merges a loss of a host and updates the quarantined sets. The caller holds t.mu.
 func (t *Tracker) addLoss(c Crash, source uint64) {
 	isNew := false
+	if c.seenAt.IsZero() {
+		c.seenAt = c.At
+	}
 	for i, key := range c.Keys {
-		isNew = t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At}) || isNew
+		added, weaker := t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At, seenAt: c.seenAt, repeat: c.repeatOf(key)})
+		isNew = isNew || added
+		if weaker {
+			t.liftUnlessLost(key)
+		}
 	}
 	if !isNew || source != localSource && !t.lostRepeatedly(c.Keys) {
 		return // known, or too little to tell other hosts
@@ -196,12 +228,25 @@
 // on them. The caller holds t.mu.
 func (t *Tracker) clearLosses(key Key, answeredAt time.Time) {
 	t.losses.clear(key, answeredAt)
+	if s := t.lossSet(key); s != nil && answeredAt.After(s.Since) {
+		t.liftUnlessLost(key)
+	}
+}
+
+// lossSet returns the quarantined set that follows from losses of a key alone; nil if there is none. The
+// caller holds t.mu.
+func (t *Tracker) lossSet(key Key) *Set {
+	set, _ := lo.Find(t.sets, func(s *Set) bool { return s.Lost && slices.Equal(s.Keys, []Key{key}) })
+	return set
+}
+
+// liftUnlessLost lifts the quarantine that follows from losses of a key, unless the known losses suffice for
+// it. The caller holds t.mu.
+func (t *Tracker) liftUnlessLost(key Key) {
 	if _, sufficient := t.lossVerdict(key); sufficient {
 		return
 	}
-	for _, s := range slices.Clone(t.sets) {
-		if s.Lost && slices.Equal(s.Keys, []Key{key}) && answeredAt.After(s.Since) {
-			t.drop(s)
-		}
+	if s := t.lossSet(key); s != nil {
+		t.drop(s)
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -35,6 +35,20 @@
 	Begun bool
 	// Keys identify the content of the request: first the whole request, then its parts.
 	Keys []Key
+	// SentAt is when the request was sent to the upstream; zero if unknown.
+	SentAt time.Time
+
+	// repeats has bit i set if the request was sent after its host had seen the end of another upstream with
+	// Keys[i], less than simultaneousSpan before At.
+	repeats uint32
+	// seenAt is when this host learned of the report; zero means At.
+	seenAt time.Time
+}
+
+// repeatOf reports whether the request is a repeat in the sense of repeats, for the given key.
+func (c *Crash) repeatOf(key Key) bool {
+	i := slices.Index(c.Keys, key)
+	return i >= 0 && c.repeats&(1<<i) != 0
 }
 
 // MaxKeys limits the keys of one request.
@@ -54,8 +68,11 @@
 	// is shared with all hosts, so that they tell when they answered it.
 	sharedCrashes = 3
 	// simultaneousSpan groups crashes that may have one outside cause, such as the loss of
-	// a failure domain: except for begunCrashes, crashes in one span count as one.
+	// a failure domain. See Tracker.independent.
 	simultaneousSpan = 200 * time.Millisecond
+	// recentAnswerSpan is the time after an answer to content in which the content counts as popular: it may
+	// be at several upstreams at once.
+	recentAnswerSpan = 10 * time.Second
 	// sameCrashSpan is the time within which reports of one upstream are of the same crash.
 	// An upstream needs longer to start again.
 	sameCrashSpan = time.Second
@@ -96,7 +113,10 @@
 	At time.Time
 	// Lost reports that the evidence is lost attempts, without proof that upstreams ended.
 	Lost bool
-	// Since is the time of the first of these losses; set only if Lost is true.
+	// Sudden reports that the evidence is crashes within one simultaneousSpan, too few of them of repeats. An
+	// answer to the content shortly before them refutes it.
+	Sudden bool
+	// Since is the time of the first loss or crash that is evidence; set only if Lost or Sudden is true.
 	Since time.Time
 
 	stored  bool // whether the key-value service holds the set
@@ -122,6 +142,7 @@
 type crash struct {
 	upstream uint64
 	at       time.Time
+	seenAt   time.Time // when this host learned of the first report
 	// reports are those of the requests to which the upstream had begun an answer, or of all
 	// requests if no such request is known.
 	reports []Crash
@@ -145,6 +166,7 @@
 	recent    [2]map[Key]time.Time
 	rotatedAt time.Time // when the newer generation began
 	log       recordLog
+	ends      endLog
 	peers     map[string]*peer // by host
 	// peerSeenAt is when the last message of another host arrived.
 	peerSeenAt time.Time
@@ -235,7 +257,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	crashes := lo.Filter(t.crashes, func(c *crash, _ int) bool { return c.has(key) && c.at.After(t.lastAnswer(key)) })
-	return len(crashes), countSpans(crashes)
+	return len(crashes), t.independent(key, false, crashes)
 }
 
 // add merges the evidence of a host and updates the quarantined sets. The caller holds
@@ -261,7 +283,7 @@
 func (t *Tracker) repeated(c Crash) bool {
 	for i, key := range c.Keys {
 		with := lo.Filter(t.crashes, func(known *crash, _ int) bool { return known.has(key) })
-		if i == 0 && len(with) > 1 || countSpans(with) >= sharedCrashes {
+		if i == 0 && len(with) > 1 || t.independent(key, i > 0, with) >= sharedCrashes {
 			return true
 		}
 	}
@@ -328,8 +350,13 @@
 	t.answered[key] = at
 	t.log.append(logRecord{kind: recordAnswer, crash: Crash{At: at, Keys: []Key{key}}}, source)
 	t.clearLosses(key, at)
+	weakened := t.refuteSudden()
 	for _, s := range slices.Clone(t.sets) {
-		if !slices.Contains(s.Keys, key) || !at.After(s.At) {
+		if !slices.Contains(s.Keys, key) {
+			continue
+		}
+		if !at.After(s.At) {
+			weakened = weakened || !s.Lost
 			continue
 		}
 		t.drop(s)
@@ -337,9 +364,24 @@
 			t.impose(Set{Keys: rest, Crashes: s.Crashes, At: s.At}, ChangeImposed, localSource)
 		}
 	}
+	if weakened {
+		t.evaluate(at)
+	}
 }
 
-// merge adds a report to the crash that it belongs to and reports whether it is new. The
+// refuteSudden lifts the quarantine of sets that rest on crashes at one time and whose content was answered
+// shortly before, and reports whether there were any. The caller holds t.mu.
+func (t *Tracker) refuteSudden() (lifted bool) {
+	for _, s := range slices.Clone(t.sets) {
+		if s.Sudden && slices.ContainsFunc(s.Keys, func(k Key) bool { return t.lastAnswer(k).After(s.Since.Add(-recentAnswerSpan)) }) {
+			t.drop(s)
+			lifted = true
+		}
+	}
+	return lifted
+}
+
+// merge adds a report to the crash that it belongs to and reports whether it is news. The
 // caller holds t.mu.
 func (t *Tracker) merge(c Crash) bool {
 	if len(c.Keys) == 0 || len(c.Keys) > MaxKeys {
@@ -348,13 +390,21 @@
 	i := slices.IndexFunc(t.crashes, func(known *crash) bool {
 		return known.upstream == c.Upstream && c.At.Sub(known.at).Abs() < sameCrashSpan
 	})
+	if c.seenAt.IsZero() {
+		c.seenAt = c.At
+	}
 	if i < 0 {
 		t.evict(c)
-		t.crashes = append(t.crashes, &crash{upstream: c.Upstream, at: c.At})
+		t.crashes = append(t.crashes, &crash{upstream: c.Upstream, at: c.At, seenAt: c.seenAt})
 		i = len(t.crashes) - 1
 	}
 	known := t.crashes[i]
-	if slices.ContainsFunc(known.reports, func(r Crash) bool { return r.Begun && !c.Begun || slices.Equal(r.Keys, c.Keys) && r.Begun == c.Begun }) {
+	if same := slices.IndexFunc(known.reports, func(r Crash) bool { return slices.Equal(r.Keys, c.Keys) && r.Begun == c.Begun }); same >= 0 {
+		before := known.reports[same].repeats
+		known.reports[same].repeats &= c.repeats
+		return known.reports[same].repeats != before
+	}
+	if !c.Begun && slices.ContainsFunc(known.reports, func(r Crash) bool { return r.Begun }) {
 		return false
 	}
 	if c.Begun { // the waiting requests are no suspects any more
