Count no host whose record no host has written

A record without an address, with a port out of range or a capacity of 1e308 was named to callers, and became owner of limits, permits and duties, about which nobody then decided. The key that is the prefix alone was a host without an id.

Change: presence decodes records with checks of id, addresses, capacity and state; errors are typed and logged (event 1308), the other records hold.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -139,8 +139,8 @@
 func (p *Presence) buildView(v *replica.View, now time.Time) {
 	known := map[string]membership.Member{}
 	for key, entry := range v.Entries {
-		var m membership.Member
-		if err := json.Unmarshal(entry.Value, &m); err != nil || Prefix+m.ID != key {
+		m, err := decodeMember(key, entry.Value)
+		if err != nil {
 			events.MemberUnreadable.Log(p.logger, "key", key, "revision", uint64(entry.Version), "error", err)
 			continue
 		}
