Take over a lease whose stored value no host has written

Change: such a value is waited out like the lease of an ended host (event 1602). Each term takes a write, so the version of the entry is a number that no term can have exceeded, and the next term continues from it. TestLeaseOfAnotherWriterIsTakenOver failed before for its eight values.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -101,7 +101,9 @@
 	if entry.Version > h.version {
 		seen, ok := decode(entry)
 		if !ok {
-			return false
+			seen = unreadable(entry)
+			seen.Fence = max(seen.Fence, h.seen.Fence)
+			events.LeaseUnreadable.Log(h.logger, "duty", h.name, "revision", uint64(entry.Version), "bytes", len(entry.Value))
 		}
 		h.seen, h.version, h.seenSince = seen, entry.Version, h.options.Elapsed()
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -156,8 +156,19 @@
 	return max(0, min(t.expiresAt-t.elapsed(), expiryCheckInterval))
 }
 
-func decode(entry kv.Entry) (duty, bool) {
-	var d duty
-	err := cbor.Unmarshal(entry.Value, &d)
-	return d, err == nil
+// maxTTL is the longest lease that a holder may have. A longer one was not written by a Holder.
+const maxTTL = time.Minute
+
+// decode decodes a stored lease. ok is false if no Holder has written it. Each term takes a write, so that no
+// fencing number is greater than the version of the entry.
+func decode(entry kv.Entry) (d duty, ok bool) {
+	if err := cbor.Unmarshal(entry.Value, &d); err != nil {
+		return duty{}, false
+	}
+	ok = d.Fence > 0 && d.Fence <= uint64(entry.Version) && d.TTLMS > 0 && d.TTLMS <= maxTTL.Milliseconds()
+	return d, ok
 }
+
+// unreadable returns the lease that an entry stands for which no Holder has written: one that may be held,
+// with a fencing number that no term can have exceeded.
+func unreadable(entry kv.Entry) duty { return duty{Fence: uint64(entry.Version)} }
