Report usage windows in time beside one that cannot be read

Change: a window with an unreadable value is logged and passed over; other failures still stop the round, so that windows stay in order. Negative counts are no counts.

--- a/usage/report.go
+++ b/usage/report.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/cloud"
@@ -44,15 +45,19 @@
 
 // Run reports each usage window that is due until ctx ends; ctx must end with the
 // lease term. It starts keptWindows windows back, and retries a failed report
-// until keptWindows newer windows are due.
+// until keptWindows newer windows are due. A window whose stored counts cannot be read
+// does not hold up the windows after it.
 func (r *Reporter) Run(ctx context.Context, term *lease.Term) {
 	next := windowNumber(r.Now().Add(-settleDelay), r.Window) - keptWindows
 	for ctx.Err() == nil {
 		due := windowNumber(r.Now().Add(-settleDelay), r.Window)
 		for next < due && ctx.Err() == nil {
-			if err := r.report(ctx, term, next); err != nil {
+			err := r.report(ctx, term, next)
+			if err != nil {
 				Records.Inc(labelReportFailed)
 				events.UsageFailed.Log(r.Logger, "step", "report", "window", next, "fence", term.Fence, "error", err)
+			}
+			if unreadable := new(RecordError); err != nil && !errors.As(err, &unreadable) {
 				break
 			}
 			next++
@@ -122,9 +127,20 @@
 	if err := json.Unmarshal(entry.Value, &counts); err != nil {
 		return nil, &RecordError{Key: entry.Key, Cause: err}
 	}
+	for account, n := range counts {
+		if n < 0 {
+			return nil, &RecordError{Key: entry.Key, Cause: negativeCountError(account)}
+		}
+	}
 	return counts, nil
 }
 
+// negativeCountError reports a negative count of the client account that it names.
+type negativeCountError string
+
+// Error returns the text with the name of the client account.
+func (e negativeCountError) Error() string { return "negative count of account " + string(e) }
+
 // RecordError reports stored counts of a usage window that cannot be encoded or
 // decoded.
 type RecordError struct {
