Answer requests that are unfinished when a host stops

Change: 0.1 s before its listeners are closed, a stopping host ends the requests whose answer has not begun. Those that may have run get 502, which promises nothing, the others 503 with Retry-After. A request that is read later is refused as not run. A short grace period shortens the time in which every request is accepted (0.7 of it; 2.5 s of 8 s as before). The ends count neither against upstreams nor against content.

Answers that have begun cannot be ended and are cut as before.

--- a/events/forward.go
+++ b/events/forward.go
@@ -18,6 +18,7 @@
 	ForwardUnread   = define(2111, "route table unreadable", hclog.Error, "A route table cannot be decoded; the current one remains in force.")
 	ForwardHosts    = define(2112, "upstream list changed", hclog.Info, "The list of upstreams changed.")
 	ForwardHostBad  = define(2113, "upstream record unreadable", hclog.Warn, "The record of an upstream cannot be decoded; it is ignored.")
+	ForwardEnded    = define(2114, "forward ended", hclog.Warn, "This host stops; requests whose upstreams had not answered by then were answered with an error.")
 )
 
 // The events of usage reports and of orders for upstreams have the numbers 2200 to 2299.
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -142,7 +142,7 @@
 // abandoned attempt may be slow: it counts only if its machine opens no connection either.
 func (e *exchange) reportBroken(t selectedUpstream) {
 	abandoned := e.abandoned()
-	if abandoned && (e.withdrawn() || time.Since(e.heardAt) < minSilence) {
+	if abandoned && (e.withdrawn() || e.stopping() || time.Since(e.heardAt) < minSilence) {
 		return
 	}
 	c := e.crashAt(t)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -391,7 +391,7 @@
 func TestStoppingHost(t *testing.T) {
 	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) { writeAnswer(conn, r, 200, sealHeader, "ok") })
 	now := time.Now()
-	f.Drain(now.Add(-time.Second), now.Add(requestTimeout/2))
+	f.Drain(now.Add(-time.Second), now.Add(requestTimeout/2), now.Add(requestTimeout))
 	status, _, header, err := f.send(t, "/stream/x", "b")
 	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
 		t.Errorf("stream: got status %d, headers %v and error %v, want 503 with Retry-After", status, header, err)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/admission"
+	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
@@ -99,10 +100,11 @@
 	retryWindows *retry.RepeatLimiter
 	pools        sync.Map // pool name (string) to *poolState
 	draining     atomic.Pointer[drainPeriod]
+	stopped      atomic.Bool // whether endRequests has run
 	active       atomic.Int64
 	endChecks    endChecks
 	conditions   condition.Table
-	exchanges    sync.Map // *exchange to nil: the requests that may wait at an upstream
+	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
@@ -145,9 +147,48 @@
 
 // Drain prepares this host for its stop: every later answer asks its caller to close
 // the connection. Requests that arrive until acceptUntil are accepted. Later requests
-// are accepted only if their deadline is not after stopAt, when the host stops.
-func (f *Forwarder) Drain(acceptUntil, stopAt time.Time) {
+// are accepted only if their deadline is not after stopAt, when the host stops. Requests
+// without an answer are ended at answerBy: a caller whose connection is closed without an
+// answer cannot know whether its request ran.
+func (f *Forwarder) Drain(acceptUntil, stopAt, answerBy time.Time) {
 	f.draining.Store(&drainPeriod{acceptUntil: acceptUntil, stopAt: stopAt})
+	time.AfterFunc(time.Until(answerBy), f.endRequests)
+}
+
+// endRequests ends all requests in progress whose answer has not begun, because this host stops.
+func (f *Forwarder) endRequests() {
+	f.stopped.Store(true)
+	ended := 0
+	f.exchanges.Range(func(key, _ any) bool {
+		if e := key.(*exchange); !e.answerBegun.Load() {
+			e.cancel(errStopping)
+			ended++
+		}
+		return true
+	})
+	if ended > 0 {
+		events.ForwardEnded.Log(f.Logger, "requests", ended)
+	}
+}
+
+// stoppingError is the cause of the context of a request that ended because this host stops.
+type stoppingError struct{}
+
+// Error implements error.
+func (stoppingError) Error() string { return "this host stops" }
+
+var errStopping = stoppingError{}
+
+// stopping reports whether the request was ended because this host stops.
+func (e *exchange) stopping() bool { return errors.Is(context.Cause(e.ctx), errStopping) }
+
+// stopRefusal returns the error for the caller of a request that this host does not serve, or no
+// longer, because it stops.
+func (e *exchange) stopRefusal() *apierr.Error {
+	if e.possibleRuns > 0 {
+		return apierr.New(apierr.CodeDraining, "this host stops before the upstream has answered").WithRan(apierr.RanUnknown)
+	}
+	return apierr.New(apierr.CodeDraining, "this host is stopping").WithRetryAfter(drainRetryAfter)
 }
 
 // rejectsWhileDraining returns whether a request is rejected because this host may
@@ -212,6 +253,10 @@
 	// meanwhile is missed.
 	f.exchanges.Store(e, nil)
 	defer f.exchanges.Delete(e)
+	if f.stopped.Load() {
+		e.refuse(e.stopRefusal())
+		return
+	}
 	if refused := e.quarantined(); refused != nil {
 		e.refuse(refused)
 		return
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -46,7 +46,7 @@
 	sentAt         time.Time     // when the current attempt was sent
 	heardAt        time.Time     // when the current attempt was sent, or a part of its answer arrived last
 	headReceived   bool          // whether the current attempt received the head of an answer
-	answerBegun    bool          // whether a part of the answer was sent to the caller
+	answerBegun    atomic.Bool   // whether a part of the answer was sent to the caller
 	inTrial        bool          // whether the request tries quarantined content again
 	begunReported  bool          // whether the prompt parts were reported as harmless
 	startReported  bool          // whether Config.OnStarted was called for this request
@@ -110,7 +110,7 @@
 	}
 	e.deadline = e.arrived.Add(timeout)
 	if e.f.rejectsWhileDraining(e.arrived, e.deadline) {
-		return apierr.New(apierr.CodeDraining, "this host is stopping").WithRetryAfter(drainRetryAfter)
+		return e.stopRefusal()
 	}
 	return nil
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -84,7 +84,7 @@
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.w.WriteHeader(a.StatusCode)
-	e.answerBegun = true
+	e.answerBegun.Store(true)
 	e.recordFirstByte()
 	if _, err := e.w.Write(body); err != nil {
 		a.Close(!exceedsBuffer)
@@ -117,10 +117,10 @@
 	beginAnswer := func() {
 		prefillDone()
 		e.reportStarted()
-		if e.answerBegun {
+		if e.answerBegun.Load() {
 			return
 		}
-		e.answerBegun = true
+		e.answerBegun.Store(true)
 		e.copyAnswerHeaders(a)
 		e.w.WriteHeader(a.StatusCode)
 		e.recordFirstByte()
@@ -153,7 +153,7 @@
 			t.live.RecordOutcome(true, time.Now())
 			t.live.Fail(time.Now())
 		}
-		if !e.answerBegun {
+		if !e.answerBegun.Load() {
 			return attemptFailed, e.lossError(t, err)
 		}
 		e.reportBroken(t)
--- a/forward/send.go
+++ b/forward/send.go
@@ -147,6 +147,9 @@
 // available. refused is the number of upstreams that rejected the request without
 // running it.
 func (e *exchange) noUpstreamLeft(refused int) *apierr.Error {
+	if e.stopping() {
+		return e.stopRefusal()
+	}
 	if e.possibleRuns > 0 {
 		return apierr.New(apierr.CodeUpstreamFailed, "the upstreams failed").WithRan(apierr.RanUnknown)
 	}
@@ -167,6 +170,8 @@
 	}
 	deadlinePassed := errors.Is(err, errDeadline)
 	switch {
+	case e.stopping():
+		return e.stopRefusal().WithCause(err)
 	case e.possibleRuns > 0 && deadlinePassed:
 		return apierr.New(apierr.CodeDeadlineExceeded, "the request's time is over").WithRan(apierr.RanUnknown).WithCause(err)
 	case e.possibleRuns > 0:
@@ -301,7 +306,7 @@
 	if e.ctx.Err() == nil {
 		t.live.Fail(time.Now())
 	}
-	if e.r.Context().Err() == nil && !e.withdrawn() {
+	if e.r.Context().Err() == nil && !e.withdrawn() && !e.stopping() {
 		// All hosts share the outcomes of requests, so that hundreds of hosts do not
 		// each have to detect an unreachable upstream by failed requests of their own.
 		t.live.RecordOutcome(true, time.Now())
--- a/forwarding.go
+++ b/forwarding.go
@@ -74,12 +74,18 @@
 	// drainAcceptSpan is the time after a stop signal in which the host still accepts every
 	// request, because callers cache its address that long.
 	drainAcceptSpan = 2500 * time.Millisecond
+	// drainAcceptShare bounds drainAcceptSpan as a share of the time until the host stops, so that requests
+	// that are accepted have some time to run.
+	drainAcceptShare = 0.7
 	// drainMargin is how long before the end of the grace period a draining host shuts down
 	// its listeners, even if requests are still running.
 	drainMargin = 400 * time.Millisecond
 	// shutdownTimeout bounds the shutdown of the listeners, in which requests accepted at the
 	// last moment can finish. It ends within drainMargin.
 	shutdownTimeout = 250 * time.Millisecond
+	// answerMargin is how long before the end of shutdownTimeout requests without an answer are ended, so
+	// that their callers get one.
+	answerMargin = 100 * time.Millisecond
 )
 
 // ForwardServer is an entry host that forwards requests by the platform's route table.
@@ -334,7 +340,8 @@
 	stopped := time.Now()
 	f.stopping.Store(true)
 	end := stopped.Add(seconds(f.settings.GraceSeconds) - drainMargin)
-	f.forwarder.Drain(stopped.Add(drainAcceptSpan), end)
+	acceptSpan := min(drainAcceptSpan, time.Duration(drainAcceptShare*float64(end.Sub(stopped))))
+	f.forwarder.Drain(stopped.Add(acceptSpan), end, end.Add(shutdownTimeout-answerMargin))
 	f.presence.Leave()
 	endDuties()
 	events.ProcessDraining.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active())
