Count crashes at one time as one against popular content only

Cause: the repeat of one host runs at an upstream at which another host's request was already, so that the order that one host sees is no proof for content that is at all upstreams anyway.

Change: against content that was answered within 3 s before the newest crashes, those within 200 ms count as one; against other content as before. Any verdict on evidence within one span is lifted by such an answer at any host.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -44,27 +44,20 @@
 }
 
 // independent returns how many of the crashes, which are in the order of their times, are evidence of their own
-// against a key. Crashes within simultaneousSpan may have one outside cause, and count as one, except:
-//
-//   - A request that was sent after the end of another upstream had been seen, and whose upstream ended as
-//     well. An outside cause ends upstreams that have the content already.
-//   - A whole request that was not answered lately. It is hardly at several upstreams at once.
-//
-// A part that was answered lately is in requests that are sent all the time, so that neither holds for it.
-// The caller holds t.mu.
+// against a key. Crashes within simultaneousSpan may have one outside cause. They count as one against popular
+// content, which may be at all upstreams that the cause ends. Otherwise, all of them count against a whole
+// request, which is hardly at several upstreams at once; against a part, which several requests may carry, only
+// the first one and those of repeats: an outside cause ends upstreams that have the content already. The
+// caller holds t.mu.
 func (t *Tracker) independent(key Key, part bool, crashes []*crash) int {
-	n := 0
-	for _, span := range spans(crashes) {
-		n++
-		answeredLately := t.answeredLately(key, span[0].at)
-		switch further := span[1:]; {
-		case !part && !answeredLately:
-			n += len(further)
-		case !part || !answeredLately:
-			n += repeats(further, key)
-		}
+	all := spans(crashes)
+	if len(all) == 0 || t.answeredLately(key, all[len(all)-1][0].at) {
+		return len(all)
+	}
+	if !part {
+		return len(crashes)
 	}
-	return n
+	return lo.SumBy(all, func(span []*crash) int { return 1 + repeats(span[1:], key) })
 }
 
 // answeredLately reports whether an answer to a key is known from the time shortly before the given time.
@@ -156,8 +149,8 @@
 		}
 		best = s
 		last := s.crashes[len(s.crashes)-1].at
-		set = Set{Keys: keys, Crashes: max(len(spans(s.crashes)), len(s.begun)), At: last}
-		if first := s.crashes[0].at; last.Sub(first) < simultaneousSpan && len(s.begun) < begunCrashes && 1+repeats(s.crashes, key) < requestCrashes {
+		set = Set{Keys: keys, Crashes: max(t.independent(s.key, s.part, s.crashes), len(s.begun)), At: last}
+		if first := s.crashes[0].at; last.Sub(first) < simultaneousSpan && len(s.begun) < begunCrashes {
 			set.Sudden, set.Since = true, first
 		}
 	}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -54,9 +54,8 @@
 	return nil
 }
 
-// add records a loss and returns whether it is news. weaker reports that it shows a known loss to be no
-// repeat.
-func (l *lossTable) add(key Key, part bool, lost loss) (isNew, weaker bool) {
+// add records a loss and returns false if it is known.
+func (l *lossTable) add(key Key, part bool, lost loss) bool {
 	r := l.get(key)
 	if r == nil {
 		r = &lossRecord{}
@@ -64,9 +63,8 @@
 	if i := slices.IndexFunc(r.losses, func(known loss) bool {
 		return known.upstream == lost.upstream && known.at.Sub(lost.at).Abs() < sameCrashSpan
 	}); i >= 0 {
-		weaker = r.losses[i].repeat && !lost.repeat
 		r.losses[i].repeat = r.losses[i].repeat && lost.repeat
-		return weaker, weaker
+		return false
 	}
 	r.part = r.part || part
 	r.losses = append(r.losses, lost)
@@ -77,7 +75,7 @@
 	}
 	delete(l.generations[1], key)
 	l.generations[0][key] = r
-	return true, false
+	return true
 }
 
 // rotate begins a new generation and forgets the one before the last.
@@ -112,23 +110,37 @@
 	return r != nil && slices.ContainsFunc(r.losses, func(known loss) bool { return known.at.After(since) && !known.seenAt.After(at) })
 }
 
-// count returns the number of losses of a key, and whether the key is that of a part. Of those within
-// simultaneousSpan, which may have one outside cause, only the first one and repeats count.
-func (l *lossTable) count(key Key) (n int, part bool) {
-	r := l.get(key)
-	if r == nil {
-		return 0, false
-	}
+// count returns the number of losses of a key, and whether the key is that of a part. Losses within
+// simultaneousSpan may have one outside cause: only the first one of them and repeats count, or only the first one
+// if the key is popular.
+func (r *lossRecord) count(popular bool) (n int) {
 	var first time.Time
 	for _, known := range r.losses {
 		switch {
 		case n == 0 || known.at.Sub(first) >= simultaneousSpan:
 			n, first = n+1, known.at
-		case known.repeat:
+		case known.repeat && !popular:
 			n++
 		}
 	}
-	return n, r.part
+	return n
+}
+
+// lossCount returns the number of losses of a key that count, and whether the key is that of a part. The
+// caller holds t.mu.
+func (t *Tracker) lossCount(key Key) (n int, part bool) {
+	r := t.losses.get(key)
+	if r == nil {
+		return 0, false
+	}
+	return r.count(t.answeredLately(key, r.lastSpan())), r.part
+}
+
+// lastSpan returns the time of the first loss within simultaneousSpan before the newest one.
+func (r *lossRecord) lastSpan() time.Time {
+	newest := r.losses[len(r.losses)-1].at
+	first, _ := lo.Find(r.losses, func(known loss) bool { return newest.Sub(known.at) < simultaneousSpan })
+	return first.at
 }
 
 // AddLoss records an attempt of this host that ended without a complete answer. It is weaker evidence
@@ -156,16 +168,12 @@
 
 // addLoss merges a loss of a host and updates the quarantined sets. The caller holds t.mu.
 func (t *Tracker) addLoss(c Crash, source uint64) {
-	isNew := false
 	if c.seenAt.IsZero() {
 		c.seenAt = c.At
 	}
+	isNew := false
 	for i, key := range c.Keys {
-		added, weaker := t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At, seenAt: c.seenAt, repeat: c.repeatOf(key)})
-		isNew = isNew || added
-		if weaker {
-			t.liftUnlessLost(key)
-		}
+		isNew = t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At, seenAt: c.seenAt, repeat: c.repeatOf(key)}) || isNew
 	}
 	if !isNew || source != localSource && !t.lostRepeatedly(c.Keys) {
 		return // known, or too little to tell other hosts
@@ -184,7 +192,7 @@
 // caller holds t.mu.
 func (t *Tracker) lostRepeatedly(keys []Key) bool {
 	return slices.ContainsFunc(keys, func(key Key) bool {
-		n, part := t.losses.count(key)
+		n, part := t.lossCount(key)
 		if part {
 			return n >= sharedPartLosses && t.lastAnswer(key).IsZero()
 		}
@@ -201,13 +209,14 @@
 	}
 	t.makeRoomForLossSet(key)
 	losses := t.losses.get(key).losses
-	t.impose(Set{Keys: []Key{key}, Crashes: n, At: losses[len(losses)-1].at, Lost: true, Since: losses[0].at}, ChangeImposed, localSource)
+	first, last := losses[0].at, losses[len(losses)-1].at
+	t.impose(Set{Keys: []Key{key}, Crashes: n, At: last, Lost: true, Sudden: last.Sub(first) < simultaneousSpan, Since: first}, ChangeImposed, localSource)
 }
 
 // lossVerdict returns the number of losses of a key and whether they suffice for quarantine. The
 // caller holds t.mu.
 func (t *Tracker) lossVerdict(key Key) (n int, sufficient bool) {
-	n, part := t.losses.count(key)
+	n, part := t.lossCount(key)
 	if part {
 		return n, n >= partLosses && t.lastAnswer(key).IsZero()
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -72,7 +72,7 @@
 	simultaneousSpan = 200 * time.Millisecond
 	// recentAnswerSpan is the time after an answer to content in which the content counts as popular: it may
 	// be at several upstreams at once.
-	recentAnswerSpan = 10 * time.Second
+	recentAnswerSpan = 3 * time.Second
 	// sameCrashSpan is the time within which reports of one upstream are of the same crash.
 	// An upstream needs longer to start again.
 	sameCrashSpan = time.Second
@@ -113,8 +113,8 @@
 	At time.Time
 	// Lost reports that the evidence is lost attempts, without proof that upstreams ended.
 	Lost bool
-	// Sudden reports that the evidence is crashes within one simultaneousSpan, too few of them of repeats. An
-	// answer to the content shortly before them refutes it.
+	// Sudden reports that the evidence lies within one simultaneousSpan. An answer to the content shortly before
+	// refutes it.
 	Sudden bool
 	// Since is the time of the first loss or crash that is evidence; set only if Lost or Sudden is true.
 	Since time.Time
@@ -381,7 +381,7 @@
 	return lifted
 }
 
-// merge adds a report to the crash that it belongs to and reports whether it is news. The
+// merge adds a report to the crash that it belongs to and reports whether it is new. The
 // caller holds t.mu.
 func (t *Tracker) merge(c Crash) bool {
 	if len(c.Keys) == 0 || len(c.Keys) > MaxKeys {
@@ -400,9 +400,8 @@
 	}
 	known := t.crashes[i]
 	if same := slices.IndexFunc(known.reports, func(r Crash) bool { return slices.Equal(r.Keys, c.Keys) && r.Begun == c.Begun }); same >= 0 {
-		before := known.reports[same].repeats
 		known.reports[same].repeats &= c.repeats
-		return known.reports[same].repeats != before
+		return false
 	}
 	if !c.Begun && slices.ContainsFunc(known.reports, func(r Crash) bool { return r.Begun }) {
 		return false
