--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -34,6 +34,9 @@
 // resumable is the kind of a stream that another upstream may continue.
 var resumable = kind{name: "resume", method: http.MethodPost, prefix: "/resume/", idempotent: true, streams: true}
 
+// unanswered is the kind of an order that no upstream answers.
+var unanswered = kind{name: "unanswered", method: http.MethodPost, prefix: "/unanswered/"}
+
 const (
 	requestTimeout = 2500 * time.Millisecond
 	routeHost      = "h.example"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,8 @@
 const (
 	// graceSeconds bounds a host's shutdown after SIGTERM.
 	graceSeconds = 4
+	// lateInStop is the time after SIGTERM at which the last orders of a check arrive.
+	lateInStop = 2000 * time.Millisecond
 	// recoverSpan is the time after the faults end within which every host must be ready and serve.
 	recoverSpan = 12 * time.Second
 	// applySpan is the time within which every host must apply a configuration change or
@@ -225,6 +227,7 @@
 		})
 	}
 	add("order", "non_idempotent", "/order/", 2)
+	add(unanswered.name, "non_idempotent", unanswered.prefix, 1)
 	add("read", "idempotent", "/read/", 3)
 	add("stream", "stream", "/stream/", 2)
 	add("resume", "stream", resumable.prefix, 3)
@@ -447,12 +450,22 @@
 }
 
 // checkStops sends SIGTERM to the hosts in turn while callers continue. Each host must exit with
-// code 0 within graceSeconds plus 1 s.
+// code 0 within graceSeconds plus 1 s. An order that arrives late and has no answer at the end of the grace
+// period must get a status all the same.
 func (d *deployment) checkStops(t *testing.T) {
 	for _, h := range d.hosts {
 		h.mu.Lock()
 		began := time.Now()
 		_ = h.command.Process.Signal(syscall.SIGTERM)
+		var late sync.WaitGroup
+		for _, after := range []time.Duration{lateInStop / 2, lateInStop} {
+			late.Go(func() {
+				time.Sleep(after)
+				if outcome := d.call(context.Background(), newClient(), h.listen, unanswered); outcome == "no answer" {
+					d.log.violate("LOST: an order that arrived at %s %v after SIGTERM has no answer", h.name, after)
+				}
+			})
+		}
 		select {
 		case <-h.exited:
 			if code := h.command.ProcessState.ExitCode(); code != 0 {
@@ -462,6 +475,7 @@
 			t.Errorf("%s is still running %v after SIGTERM", h.name, time.Since(began))
 		}
 		h.mu.Unlock()
+		late.Wait()
 	}
 }
 
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -157,6 +157,10 @@
 		u.d.log.violate("UNASKED: request %s arrived with account %q and key %q", id, r.Header.Get("Tenant-Id"), r.Header.Get("Authorization"))
 	}
 	w.Header().Set("Response-Seal", sealOf(id))
+	if strings.HasPrefix(r.URL.Path, unanswered.prefix) {
+		<-r.Context().Done()
+		return
+	}
 	if strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart+":") {
 		u.crashOnPrompt(w)
 	}
