--- a/forward/ends_at_once_test.go
+++ b/forward/ends_at_once_test.go
@@ -93,19 +93,7 @@
 	}
 	close(done)
 	running.Wait()
-	var ends, sent []time.Time
-	for _, u := range f.upstreams {
-		u.mu.Lock()
-		ends = append(ends, u.ends...)
-		u.mu.Unlock()
-		for _, a := range u.arrived() {
-			if a.path == fatalPath {
-				sent = append(sent, a.at)
-			}
-		}
-	}
-	slices.SortFunc(ends, time.Time.Compare)
-	slices.SortFunc(sent, time.Time.Compare)
+	ends, sent := f.endsAndArrivals(fatalPath)
 	sent = sent[answered:]
 	if len(ends) < 3 {
 		t.Fatalf("%d upstreams ended, want at least 3", len(ends))
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -50,18 +50,7 @@
 		time.Sleep(pause)
 	}
 	calls.Wait()
-	var ends, fatal []time.Time
-	for _, u := range f.upstreams {
-		u.mu.Lock()
-		ends = append(ends, u.ends...)
-		u.mu.Unlock()
-		for _, a := range u.arrived() {
-			if a.path == fatalPath {
-				fatal = append(fatal, a.at)
-			}
-		}
-	}
-	slices.SortFunc(ends, time.Time.Compare)
+	ends, fatal := f.endsAndArrivals(fatalPath)
 	if len(ends) < 3 {
 		t.Fatalf("%d upstreams ended, want at least 3", len(ends))
 	}
@@ -80,6 +69,23 @@
 	t.Logf("%d sends, %d ends", len(fatal), len(ends))
 }
 
+// endsAndArrivals returns, in order, when upstreams ended and when requests with the given path reached upstreams.
+func (f *fleet) endsAndArrivals(path string) (ends, arrivals []time.Time) {
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		ends = append(ends, u.ends...)
+		u.mu.Unlock()
+		for _, a := range u.arrived() {
+			if a.path == path {
+				arrivals = append(arrivals, a.at)
+			}
+		}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	slices.SortFunc(arrivals, time.Time.Compare)
+	return ends, arrivals
+}
+
 // checkSoundCalls checks that no sound request was refused for its content, and that those that began
 // after the bound were served.
 func checkSoundCalls(t *testing.T, sound []call, bound time.Time) {
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -33,16 +33,6 @@
 	return out
 }
 
-// repeatOf reports whether all known requests with the key that were at the upstream are repeats.
-func (c *crash) repeatOf(key Key) bool {
-	return !slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) && !r.repeatOf(key) })
-}
-
-// repeats returns the number of crashes of repeats of a key.
-func repeats(crashes []*crash, key Key) int {
-	return lo.CountBy(crashes, func(c *crash) bool { return c.repeatOf(key) })
-}
-
 // independent returns how many of the crashes, which are in the order of their times, are evidence of their own
 // against a key. Crashes within simultaneousSpan may have one outside cause. They count as one against popular
 // content, which may be at all upstreams that the cause ends. Otherwise, all of them count against a whole
--- a/usage/report.go
+++ b/usage/report.go
@@ -57,7 +57,7 @@
 				Records.Inc(labelReportFailed)
 				events.UsageFailed.Log(r.Logger, "step", "report", "window", next, "fence", term.Fence, "error", err)
 			}
-			if unreadable := new(RecordError); err != nil && !errors.As(err, &unreadable) {
+			if err != nil && !isUnreadable(err) {
 				break
 			}
 			next++
@@ -67,6 +67,12 @@
 	}
 }
 
+// isUnreadable reports whether the stored counts of a window cannot be read, now or later.
+func isUnreadable(err error) bool {
+	var unreadable *RecordError
+	return errors.As(err, &unreadable)
+}
+
 // report determines the final counts of a window and sends them to the sink. It
 // sends nothing if the counts are empty or the lease term has expired.
 func (r *Reporter) report(ctx context.Context, term *lease.Term, window int64) error {
