--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -100,7 +100,6 @@
 	retryWindows *retry.RepeatLimiter
 	pools        sync.Map // pool name (string) to *poolState
 	draining     atomic.Pointer[drainPeriod]
-	stopped      atomic.Bool // whether endRequests has run
 	active       atomic.Int64
 	endChecks    endChecks
 	conditions   condition.Table
@@ -143,7 +142,7 @@
 
 // drainPeriod holds the times that decide which requests a stopping host still
 // accepts.
-type drainPeriod struct{ acceptUntil, stopAt time.Time }
+type drainPeriod struct{ acceptUntil, stopAt, answerBy time.Time }
 
 // Drain prepares this host for its stop: every later answer asks its caller to close
 // the connection. Requests that arrive until acceptUntil are accepted. Later requests
@@ -151,13 +150,12 @@
 // without an answer are ended at answerBy: a caller whose connection is closed without an
 // answer cannot know whether its request ran.
 func (f *Forwarder) Drain(acceptUntil, stopAt, answerBy time.Time) {
-	f.draining.Store(&drainPeriod{acceptUntil: acceptUntil, stopAt: stopAt})
+	f.draining.Store(&drainPeriod{acceptUntil: acceptUntil, stopAt: stopAt, answerBy: answerBy})
 	time.AfterFunc(time.Until(answerBy), f.endRequests)
 }
 
 // endRequests ends all requests in progress whose answer has not begun, because this host stops.
 func (f *Forwarder) endRequests() {
-	f.stopped.Store(true)
 	ended := 0
 	f.exchanges.Range(func(key, _ any) bool {
 		if e := key.(*exchange); !e.answerBegun.Load() {
@@ -198,6 +196,12 @@
 	return d != nil && arrived.After(d.acceptUntil) && deadline.After(d.stopAt)
 }
 
+// pastDrain returns whether endRequests has run or is due.
+func (f *Forwarder) pastDrain(now time.Time) bool {
+	d := f.draining.Load()
+	return d != nil && !now.Before(d.answerBy)
+}
+
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
 
@@ -253,7 +257,7 @@
 	// meanwhile is missed.
 	f.exchanges.Store(e, nil)
 	defer f.exchanges.Delete(e)
-	if f.stopped.Load() {
+	if f.pastDrain(time.Now()) { // endRequests may not see this request
 		e.refuse(e.stopRefusal())
 		return
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -276,13 +276,12 @@
 // only way by which requests reach upstreams. If the upstream takes no requests any more since it was
 // chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
-	var sentAt time.Time
 	open := func() error {
 		if !e.f.admits(t) {
 			return errClosed
 		}
-		sentAt = time.Now()
-		e.sentAt, e.heardAt = sentAt, sentAt
+		e.sentAt = time.Now()
+		e.heardAt = e.sentAt
 		return nil
 	}
 	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
@@ -295,7 +294,7 @@
 	e.sends++
 	e.heardAt = time.Now()
 	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
-	e.f.noteAnnouncements(t.Host, m, sentAt)
+	e.f.noteAnnouncements(t.Host, m, e.sentAt)
 	return answer, m, nil
 }
 
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -101,8 +101,8 @@
 	if entry.Version > h.version {
 		seen, ok := decode(entry)
 		if !ok {
-			seen = unreadable(entry)
-			seen.Fence = max(seen.Fence, h.seen.Fence)
+			// No term can have had a greater fencing number.
+			seen = duty{Fence: max(uint64(entry.Version), h.seen.Fence)}
 			events.LeaseUnreadable.Log(h.logger, "duty", h.name, "revision", uint64(entry.Version), "bytes", len(entry.Value))
 		}
 		h.seen, h.version, h.seenSince = seen, entry.Version, h.options.Elapsed()
@@ -143,7 +143,7 @@
 // hold runs lead and renews the term until the term ends. The argument sent is when the write that
 // acquired the lease was sent.
 func (h *Holder) hold(ctx context.Context, sent time.Duration, lead func(context.Context, *Term)) {
-	termCtx, term := newTerm(ctx, h.name, h.seen.Fence, h.expiry(sent), sent, h.options.Elapsed)
+	termCtx, term := newTerm(ctx, h, sent)
 	if !term.Valid() {
 		term.end(&Error{Duty: h.name, Reason: ReasonLapsed})
 		return
@@ -167,11 +167,6 @@
 	}
 }
 
-// expiry returns when a term expires whose last renewal was sent at the given time.
-func (h *Holder) expiry(sent time.Duration) time.Duration {
-	return sent + h.options.TTL - h.options.TTL/clockMarginDivisor
-}
-
 // renew extends the term periodically until the term ends, and returns the reason of the end.
 func (h *Holder) renew(ctx context.Context, term *Term, ended <-chan struct{}) Reason {
 	ticker := wait.NewTicker(h.options.TTL / renewalsPerTTL)
@@ -195,7 +190,7 @@
 		}
 		sent := h.options.Elapsed()
 		switch outcome := h.write(ctx, duty{Holder: h.host, Fence: term.Fence}); {
-		case outcome == kv.OutcomeApplied && !term.extend(h.expiry(sent), sent):
+		case outcome == kv.OutcomeApplied && !term.extend(sent):
 			return ReasonLapsed
 		case outcome != kv.OutcomeApplied && h.replaced(ctx, term):
 			return ReasonReplaced
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -53,9 +53,10 @@
 
 	cancel    context.CancelCauseFunc
 	elapsed   clock.Elapsed
+	length    time.Duration // of the term without a renewal
 	mu        sync.Mutex
-	expiresAt time.Duration // by elapsed
 	renewedAt time.Duration // by elapsed: when the last successful renewal was sent
+	ended     bool
 	timer     *time.Timer
 }
 
@@ -66,7 +67,15 @@
 func (t *Term) Remaining() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.expiresAt - t.elapsed()
+	return t.remaining()
+}
+
+// remaining implements Remaining. The caller holds t.mu.
+func (t *Term) remaining() time.Duration {
+	if t.ended {
+		return 0
+	}
+	return t.renewedAt + t.length - t.elapsed()
 }
 
 // Age returns the time since the last successful renewal was sent, including the time for which the
@@ -109,15 +118,15 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// extend sets the expiry of the term to the given time, after a renewal that was sent at renewedAt. It
-// returns false when the term has already ended.
-func (t *Term) extend(until, renewedAt time.Duration) bool {
+// extend extends the term after a renewal that was sent at renewedAt. It returns false when the term has
+// already ended.
+func (t *Term) extend(renewedAt time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.expiresAt <= t.elapsed() {
+	if t.remaining() <= 0 {
 		return false
 	}
-	t.expiresAt, t.renewedAt = until, renewedAt
+	t.renewedAt = renewedAt
 	return true
 }
 
@@ -125,18 +134,22 @@
 func (t *Term) end(cause *Error) {
 	t.mu.Lock()
 	t.timer.Stop()
-	t.expiresAt = 0
+	t.ended = true
 	t.mu.Unlock()
 	t.cancel(cause)
 }
 
-// newTerm starts a term and returns it with its context, which is cancelled when the term ends.
-func newTerm(ctx context.Context, name string, fence uint64, until, renewedAt time.Duration, elapsed clock.Elapsed) (context.Context, *Term) {
+// newTerm starts a term whose lease was acquired by a write that was sent at the given time of elapsed. It
+// returns the term with its context, which is cancelled when the term ends.
+func newTerm(ctx context.Context, h *Holder, sent time.Duration) (context.Context, *Term) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &Term{Fence: fence, cancel: cancel, elapsed: elapsed, expiresAt: until, renewedAt: renewedAt}
+	t := &Term{
+		Fence: h.seen.Fence, cancel: cancel, elapsed: h.options.Elapsed, length: h.options.TTL - h.options.TTL/clockMarginDivisor,
+		renewedAt: sent,
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(t.nextCheck(), func() { t.expire(name) })
+	t.timer = time.AfterFunc(t.nextCheck(), func() { t.expire(h.name) })
 	return ctx, t
 }
 
@@ -144,7 +157,7 @@
 func (t *Term) expire(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.expiresAt <= t.elapsed() {
+	if t.remaining() <= 0 {
 		t.cancel(&Error{Duty: name, Reason: ReasonLapsed})
 		return
 	}
@@ -152,9 +165,7 @@
 }
 
 // nextCheck returns the time until the next check of the term's expiry. The caller holds t.mu.
-func (t *Term) nextCheck() time.Duration {
-	return max(0, min(t.expiresAt-t.elapsed(), expiryCheckInterval))
-}
+func (t *Term) nextCheck() time.Duration { return max(0, min(t.remaining(), expiryCheckInterval)) }
 
 // maxTTL is the longest lease that a holder may have. A longer one was not written by a Holder.
 const maxTTL = time.Minute
@@ -168,7 +179,3 @@
 	ok = d.Fence > 0 && d.Fence <= uint64(entry.Version) && d.TTLMS > 0 && d.TTLMS <= maxTTL.Milliseconds()
 	return d, ok
 }
-
-// unreadable returns the lease that an entry stands for which no Holder has written: one that may be held,
-// with a fencing number that no term can have exceeded.
-func unreadable(entry kv.Entry) duty { return duty{Fence: uint64(entry.Version)} }
--- a/lease/odd_test.go
+++ b/lease/odd_test.go
@@ -10,12 +10,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/clock/clocktest"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
-	"github.com/cardamompier/cardamompier/lease"
 )
 
 // TestLeaseOfAnotherWriterIsTakenOver guards against a duty that no host does any more because another writer
@@ -42,20 +40,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := kvmem.New()
-				clock := clocktest.New(1)
-				holder := lease.New(kv.NewClient(store, kv.Options{}), "orders", "a", hclog.NewNullLogger(),
-					lease.Options{TTL: testTTL, Elapsed: clock.Elapsed})
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
-				terms := make(chan *lease.Term, 8)
-				go holder.Run(ctx, func(ctx context.Context, term *lease.Term) {
-					terms <- term
-					<-ctx.Done()
-				})
-				first := next(t, terms)
+				terms := lead(ctx, kv.NewClient(store, kv.Options{}), "a", clocktest.New(1))
+				first := next(t, terms).term
 				time.Sleep(testTTL)
 				overwrite(t, store, "lease/orders", value)
-				second := next(t, terms)
+				second := next(t, terms).term
 				if first.Valid() {
 					t.Error("the term before the odd value is still valid")
 				}
--- a/lease/suspend_test.go
+++ b/lease/suspend_test.go
@@ -27,19 +27,9 @@
 func TestSuspendedHolderDoesNotAct(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := clocktest.New(1)
-		holder := lease.New(kv.NewClient(kvmem.New(), kv.Options{}), "orders", "a", hclog.NewNullLogger(),
-			lease.Options{TTL: testTTL, Elapsed: clock.Elapsed})
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		type led struct {
-			ctx  context.Context
-			term *lease.Term
-		}
-		terms := make(chan led, 1)
-		go holder.Run(ctx, func(ctx context.Context, term *lease.Term) {
-			terms <- led{ctx, term}
-			<-ctx.Done()
-		})
+		terms := lead(ctx, kv.NewClient(kvmem.New(), kv.Options{}), "a", clock)
 		first := next(t, terms)
 		time.Sleep(3 * testTTL) // so that the term has been renewed
 		if !first.term.Valid() {
@@ -65,26 +55,18 @@
 func TestContenderCountsItsSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kv.NewClient(kvmem.New(), kv.Options{})
-		run := func(host string, clock *clocktest.Clock, taken chan<- *lease.Term) context.CancelFunc {
-			ctx, stop := context.WithCancel(t.Context())
-			holder := lease.New(silentAfter(ctx, store), "orders", host, hclog.NewNullLogger(), lease.Options{TTL: testTTL, Elapsed: clock.Elapsed})
-			go holder.Run(ctx, func(ctx context.Context, term *lease.Term) {
-				taken <- term
-				<-ctx.Done()
-			})
-			return stop
-		}
-		taken := make(chan *lease.Term, 2)
-		stopFirst := run("a", clocktest.New(1), taken)
-		first := next(t, taken)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		firstCtx, stopFirst := context.WithCancel(ctx)
+		first := next(t, lead(firstCtx, silentStore{store, firstCtx}, "a", clocktest.New(1))).term
 		contender := clocktest.New(1)
-		defer run("b", contender, taken)()
+		taken := lead(ctx, store, "b", contender)
 		time.Sleep(2 * testTTL) // so that the contender has read the lease
 		stopFirst()             // without a release
 		time.Sleep(testTTL / 2)
 		contender.Suspend(suspension)
 		ended := time.Now()
-		second := next(t, taken)
+		second := next(t, taken).term
 		// A contender reads the lease at least once in half of a lease.
 		if waited := time.Since(ended); waited > testTTL/2 || second.Fence != first.Fence+1 {
 			t.Errorf("the contender took the lease %v after its suspension with fencing number %d, want at most %v and %d",
@@ -93,8 +75,25 @@
 	})
 }
 
+// led is a term of a holder, with its context.
+type led struct {
+	ctx  context.Context
+	term *lease.Term
+}
+
+// lead runs a holder until ctx ends and returns its terms, each of which lasts until it is ended.
+func lead(ctx context.Context, store kv.Store, host string, clock *clocktest.Clock) <-chan led {
+	holder := lease.New(store, "orders", host, hclog.NewNullLogger(), lease.Options{TTL: testTTL, Elapsed: clock.Elapsed})
+	terms := make(chan led, 8)
+	go holder.Run(ctx, func(ctx context.Context, term *lease.Term) {
+		terms <- led{ctx, term}
+		<-ctx.Done()
+	})
+	return terms
+}
+
 // next returns the next term, which must begin within some leases.
-func next[T any](t *testing.T, terms <-chan T) T {
+func next(t *testing.T, terms <-chan led) led {
 	t.Helper()
 	select {
 	case term := <-terms:
@@ -111,8 +110,6 @@
 	ctx context.Context
 }
 
-func silentAfter(ctx context.Context, store kv.Store) kv.Store { return silentStore{store, ctx} }
-
 func (s silentStore) CompareAndSwap(ctx context.Context, w kv.Write) (kv.Version, error) {
 	if s.ctx.Err() != nil {
 		return 0, &kv.Error{Op: "swap", Key: w.Key, Reason: kv.ReasonUnavailable, Cause: s.ctx.Err()}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -29,7 +29,7 @@
 	// repeats has bit i set if the request was sent after its host had seen the end of another upstream with
 	// Keys[i], less than simultaneousSpan before At.
 	repeats uint32
-	// seenAt is when this host learned of the report; zero means At.
+	// seenAt is when this host learned of the report.
 	seenAt time.Time
 }
 
@@ -39,6 +39,16 @@
 	return i >= 0 && c.repeats&(1<<i) != 0
 }
 
+// repeatsAmong returns the value of Crash.repeats for a request with the given keys.
+func repeatsAmong(keys []Key, isRepeat func(Key) bool) (repeats uint32) {
+	for i, key := range keys {
+		if isRepeat(key) {
+			repeats |= 1 << i
+		}
+	}
+	return repeats
+}
+
 // crash is one end of an upstream's process, as reported by all hosts.
 type crash struct {
 	upstream uint64
@@ -49,6 +59,8 @@
 	reports []Crash
 }
 
+func (c *crash) time() time.Time { return c.at }
+
 // has reports whether a key is in a report of the crash.
 func (c *crash) has(key Key) bool {
 	return slices.ContainsFunc(c.reports, func(r Crash) bool { return slices.Contains(r.Keys, key) })
@@ -73,9 +85,6 @@
 	i := slices.IndexFunc(t.crashes, func(known *crash) bool {
 		return known.upstream == c.Upstream && c.At.Sub(known.at).Abs() < sameCrashSpan
 	})
-	if c.seenAt.IsZero() {
-		c.seenAt = c.At
-	}
 	if i < 0 {
 		t.evict(c)
 		t.crashes = append(t.crashes, &crash{upstream: c.Upstream, at: c.At, seenAt: c.seenAt})
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -41,11 +41,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	keys := c.Keys[:min(len(c.Keys), MaxKeys)]
-	for i, key := range keys {
-		if t.endSeen(key, c) {
-			c.repeats |= 1 << i
-		}
-	}
+	c.repeats = repeatsAmong(keys, func(key Key) bool { return t.endSeen(key, c) })
 	t.ends.add(keys, c.At)
 	return c
 }
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -20,15 +20,15 @@
 	partners, begunPartners []Key
 }
 
-// spans divides crashes, which are in the order of their times, into those that lie within simultaneousSpan
-// of the first one.
-func spans(crashes []*crash) [][]*crash {
-	var out [][]*crash
-	for i, c := range crashes {
-		if i == 0 || c.at.Sub(out[len(out)-1][0].at) >= simultaneousSpan {
+// spans divides crashes or losses, which are in the order of their times, into those that lie within
+// simultaneousSpan of the first one.
+func spans[E interface{ time() time.Time }](ends []E) [][]E {
+	var out [][]E
+	for i, e := range ends {
+		if i == 0 || e.time().Sub(out[len(out)-1][0].time()) >= simultaneousSpan {
 			out = append(out, nil)
 		}
-		out[len(out)-1] = append(out[len(out)-1], c)
+		out[len(out)-1] = append(out[len(out)-1], e)
 	}
 	return out
 }
@@ -108,12 +108,9 @@
 // content explains are no evidence against other content. The caller holds t.mu.
 func (t *Tracker) explain(now time.Time) (sets []Set, known map[Key]int) {
 	rest := lo.Filter(t.crashes, func(c *crash, _ int) bool { return now.Sub(c.at) < Expiry })
+	known = crashesByKey(rest)
 	for len(sets) < maxSets {
-		suspicions := t.suspicions(rest)
-		if known == nil {
-			known = crashesByKey(rest)
-		}
-		set, found := t.strongest(suspicions)
+		set, found := t.strongest(t.suspicions(rest))
 		if !found {
 			break
 		}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -32,6 +32,8 @@
 	repeat bool
 }
 
+func (l loss) time() time.Time { return l.at }
+
 // lossRecord holds the attempts with a key that were lost since the last answer to it.
 type lossRecord struct {
 	part   bool   // whether the key is that of a part in some request
@@ -110,20 +112,16 @@
 	return r != nil && slices.ContainsFunc(r.losses, func(known loss) bool { return known.at.After(since) && !known.seenAt.After(at) })
 }
 
-// count returns the number of losses of a key, and whether the key is that of a part. Losses within
-// simultaneousSpan may have one outside cause: only the first one of them and repeats count, or only the first one
-// if the key is popular.
-func (r *lossRecord) count(popular bool) (n int) {
-	var first time.Time
-	for _, known := range r.losses {
-		switch {
-		case n == 0 || known.at.Sub(first) >= simultaneousSpan:
-			n, first = n+1, known.at
-		case known.repeat && !popular:
-			n++
-		}
+// count returns the number of losses of a key that count. Losses within simultaneousSpan may have one outside
+// cause: only the first one of them and repeats count, or only the first one if the key is popular.
+func (r *lossRecord) count(popular bool) int {
+	all := spans(r.losses)
+	if popular {
+		return len(all)
 	}
-	return n
+	return lo.SumBy(all, func(span []loss) int {
+		return 1 + lo.CountBy(span[1:], func(known loss) bool { return known.repeat })
+	})
 }
 
 // lossCount returns the number of losses of a key that count, and whether the key is that of a part. The
@@ -151,26 +149,15 @@
 	if len(c.Keys) == 0 {
 		return
 	}
-	c.Begun = false
 	all := c
-	c.Keys, c.repeats = nil, 0
-	for i, key := range all.Keys {
-		if i > 0 && !t.lastAnswer(key).IsZero() {
-			continue
-		}
-		if all.repeatOf(key) {
-			c.repeats |= 1 << len(c.Keys)
-		}
-		c.Keys = append(c.Keys, key)
-	}
+	c.Begun, c.seenAt = false, c.At
+	c.Keys = append(c.Keys[:1:1], lo.Filter(c.Keys[1:], func(k Key, _ int) bool { return t.lastAnswer(k).IsZero() })...)
+	c.repeats = repeatsAmong(c.Keys, all.repeatOf)
 	t.addLoss(c, localSource)
 }
 
 // addLoss merges a loss of a host and updates the quarantined sets. The caller holds t.mu.
 func (t *Tracker) addLoss(c Crash, source uint64) {
-	if c.seenAt.IsZero() {
-		c.seenAt = c.At
-	}
 	isNew := false
 	for i, key := range c.Keys {
 		isNew = t.losses.add(key, i > 0, loss{upstream: c.Upstream, at: c.At, seenAt: c.seenAt, repeat: c.repeatOf(key)}) || isNew
@@ -227,8 +214,7 @@
 // them and the key is in none yet. The caller holds t.mu.
 func (t *Tracker) makeRoomForLossSet(key Key) {
 	lost := lo.Filter(t.sets, func(s *Set, _ int) bool { return s.Lost })
-	isKnown := lo.SomeBy(lost, func(s *Set) bool { return slices.Equal(s.Keys, []Key{key}) })
-	if len(lost) >= maxLossSets && !isKnown {
+	if len(lost) >= maxLossSets && t.lossSet(key) == nil {
 		t.drop(slices.MinFunc(lost, func(a, b *Set) int { return a.At.Compare(b.At) }))
 	}
 }
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -52,18 +52,6 @@
 	Lost    bool     `json:"lost,omitempty"`
 }
 
-// RecordError reports a stored set that cannot be encoded or decoded.
-type RecordError struct {
-	Key   string
-	Cause error
-}
-
-// Error implements error.
-func (e *RecordError) Error() string { return "quarantine record " + e.Key + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *RecordError) Unwrap() error { return e.Cause }
-
 // Run writes and reads quarantined sets, and removes expired evidence, until ctx ends.
 func (p *Persister) Run(ctx context.Context) {
 	started := time.Now()
@@ -127,7 +115,7 @@
 	key := storeKey(s.Keys)
 	value, err := json.Marshal(storedSet{Keys: formatKeys(s.Keys), Crashes: s.Crashes, Lost: s.Lost})
 	if err != nil {
-		return &RecordError{Key: key, Cause: err}
+		return &kv.RecordError{Key: key, Cause: err}
 	}
 	lease, err := p.Store.Grant(ctx, Expiry)
 	if err != nil {
@@ -165,18 +153,18 @@
 func decodeSet(entry kv.Entry) (Set, error) {
 	var stored storedSet
 	if err := json.Unmarshal(entry.Value, &stored); err != nil {
-		return Set{}, &RecordError{Key: entry.Key, Cause: err}
+		return Set{}, &kv.RecordError{Key: entry.Key, Cause: err}
 	}
 	set := Set{Crashes: stored.Crashes, Lost: stored.Lost, stored: true}
 	for _, text := range stored.Keys {
 		key, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
-			return Set{}, &RecordError{Key: entry.Key, Cause: err}
+			return Set{}, &kv.RecordError{Key: entry.Key, Cause: err}
 		}
 		set.Keys = append(set.Keys, Key(key))
 	}
 	if len(set.Keys) == 0 || len(set.Keys) > MaxKeys {
-		return Set{}, &RecordError{Key: entry.Key, Cause: errKeyCount}
+		return Set{}, &kv.RecordError{Key: entry.Key, Cause: errKeyCount}
 	}
 	slices.Sort(set.Keys)
 	return set, nil
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -207,6 +207,7 @@
 func (t *Tracker) Add(c Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.seenAt = c.At
 	t.add(c, localSource)
 }
 
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"github.com/cardamompier/cardamompier/netaddr"
 	"github.com/cardamompier/cardamompier/strictjson"
 )
 
@@ -126,7 +127,7 @@
 		{"inner_listen", s.InnerListen}, {"metrics_listen", s.MetricsListen}, {"store", s.Store},
 	}
 	for _, a := range addresses {
-		if !isDialable(a.value) {
+		if !netaddr.IsDialable(a.value) {
 			return invalid(a.field, "an IP number and port that can be connected to")
 		}
 	}
@@ -137,9 +138,9 @@
 		return invalid("failure_domain", expectedName)
 	case !isName(s.Region):
 		return invalid("region", expectedName)
-	case !lo.EveryBy(s.Seeds, isDialable):
+	case !lo.EveryBy(s.Seeds, netaddr.IsDialable):
 		return invalid("seeds", "IP numbers and ports that can be connected to")
-	case s.Duties != "" && !isDialable(s.Duties):
+	case s.Duties != "" && !netaddr.IsDialable(s.Duties):
 		return invalid("duties", "an IP number and port, or none")
 	case s.StoreCalls <= 0:
 		return invalid("store_calls_per_second", expectedPositive)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"github.com/cardamompier/cardamompier/netaddr"
 	"github.com/cardamompier/cardamompier/strictjson"
 )
 
@@ -116,15 +117,15 @@
 		return invalid("region", expectedName)
 	case !isAddress(s.Listen):
 		return invalid("listen", "an IP number and port")
-	case !isDialable(s.Advertise):
+	case !netaddr.IsDialable(s.Advertise):
 		return invalid("advertise", "an IP number and port that callers can connect to")
 	case !isAddress(s.InnerListen):
 		return invalid("inner_listen", "an IP number and port")
 	case s.InnerListen == s.Listen:
 		return invalid("inner_listen", "another address than listen")
-	case !isDialable(s.InnerAdvertise):
+	case !netaddr.IsDialable(s.InnerAdvertise):
 		return invalid("inner_advertise", "an IP number and port that other entry hosts can connect to")
-	case !lo.EveryBy(s.Seeds, isDialable):
+	case !lo.EveryBy(s.Seeds, netaddr.IsDialable):
 		return invalid("seeds", "IP numbers and ports that can be connected to")
 	case !isURL(s.Platform.KeyValue):
 		return invalid("platform.key_value", "an http URL")
@@ -152,13 +153,6 @@
 
 func isName(text string) bool { return namePattern.MatchString(text) }
 
-// isDialable reports whether text is an address that others can connect to. An
-// unspecified IP address such as 0.0.0.0 is valid only for listening.
-func isDialable(text string) bool {
-	address, err := netip.ParseAddrPort(text)
-	return err == nil && !address.Addr().IsUnspecified() && address.Port() != 0
-}
-
 // isAddress reports whether text is an IP address with a port.
 func isAddress(text string) bool {
 	_, err := netip.ParseAddrPort(text)
--- a/usage/report.go
+++ b/usage/report.go
@@ -69,7 +69,7 @@
 
 // isUnreadable reports whether the stored counts of a window cannot be read, now or later.
 func isUnreadable(err error) bool {
-	var unreadable *RecordError
+	var unreadable *kv.RecordError
 	return errors.As(err, &unreadable)
 }
 
@@ -110,7 +110,7 @@
 	}
 	value, err := json.Marshal(counts)
 	if err != nil {
-		return nil, &RecordError{Key: settledPrefix + name, Cause: err}
+		return nil, &kv.RecordError{Key: settledPrefix + name, Cause: err}
 	}
 	leaseID, err := r.Store.Grant(ctx, settledTTL)
 	if err != nil {
@@ -131,11 +131,11 @@
 func decodeSettled(entry kv.Entry) (map[string]int64, error) {
 	var counts map[string]int64
 	if err := json.Unmarshal(entry.Value, &counts); err != nil {
-		return nil, &RecordError{Key: entry.Key, Cause: err}
+		return nil, &kv.RecordError{Key: entry.Key, Cause: err}
 	}
 	for account, n := range counts {
 		if n < 0 {
-			return nil, &RecordError{Key: entry.Key, Cause: negativeCountError(account)}
+			return nil, &kv.RecordError{Key: entry.Key, Cause: negativeCountError(account)}
 		}
 	}
 	return counts, nil
@@ -146,16 +146,3 @@
 
 // Error returns the text with the name of the client account.
 func (e negativeCountError) Error() string { return "negative count of account " + string(e) }
-
-// RecordError reports stored counts of a usage window that cannot be encoded or
-// decoded.
-type RecordError struct {
-	Key   string
-	Cause error
-}
-
-// Error returns the text with the store key and the cause.
-func (e *RecordError) Error() string { return "usage record " + e.Key + ": " + e.Cause.Error() }
-
-// Unwrap returns the encoding or decoding error.
-func (e *RecordError) Unwrap() error { return e.Cause }
