--- a/forward/ends_at_once_test.go
+++ b/forward/ends_at_once_test.go
@@ -65,10 +65,7 @@
 		}
 		time.Sleep(b.answered)
 	}
-	answered := 0
-	for _, u := range f.upstreams {
-		answered += len(u.arrived())
-	}
+	_, answered := f.endsAndArrivals(fatalPath)
 	fatal.Store(fatalPath, true)
 	done := make(chan struct{})
 	var sound []call
@@ -94,7 +91,7 @@
 	close(done)
 	running.Wait()
 	ends, sent := f.endsAndArrivals(fatalPath)
-	sent = sent[answered:]
+	sent = sent[len(answered):]
 	if len(ends) < 3 {
 		t.Fatalf("%d upstreams ended, want at least 3", len(ends))
 	}
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -221,7 +222,7 @@
 
 func startSimUpstream(t *testing.T, id string, answer simAnswer) *simUpstream {
 	t.Helper()
-	u := &simUpstream{id: id, address: "127.0.0.1:0", answer: answer, conns: map[net.Conn]bool{}}
+	u := &simUpstream{id: id, address: ownLoopback() + ":0", answer: answer, conns: map[net.Conn]bool{}}
 	if err := u.listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -234,6 +235,16 @@
 	return u
 }
 
+// loopbackCount is the number of addresses that ownLoopback has returned.
+var loopbackCount atomic.Uint32
+
+// ownLoopback returns a loopback address of this process that no other upstream uses, so that none takes the
+// port of an upstream that has ended and is back later.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x7f, pid&0xff, 1+loopbackCount.Add(1)%254)
+}
+
 // listed returns the record of a live upstream.
 func listed(id, address string) hosts.Host {
 	return hosts.Host{ID: id, Address: address, FailureDomain: "d", Pool: "p", State: hosts.StateLive, Slots: 64, StartedMS: 1}
