--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -58,6 +58,7 @@
 	network *innermem.Network
 	store   *kvmem.Store
 	hosts   []*fleetHost
+	copied  fleetCopy
 
 	version kv.Version // newest version of the key
 
@@ -66,6 +67,16 @@
 	delays *rand.Rand      // of changes of membership
 }
 
+// fleetCopy is what the hosts of a fleet copy, and from where.
+type fleetCopy struct {
+	prefix       string
+	watchTimeout time.Duration
+	// store returns the store as one host reaches it.
+	store func(*fleetHost) kv.Store
+	// installed is called with each copy that a host installs.
+	installed func(*fleetHost, *View)
+}
+
 // fleetHost is one host of a fleet.
 type fleetHost struct {
 	f       *fleet
@@ -147,8 +158,8 @@
 
 // start starts the host's process.
 func (h *fleetHost) start() {
-	r := New(cutStore{h.f.store, h}, "op/", routesWatchTimeout, fleetPeers{h, h.f.network.Client(h.id)}, hclog.NewNullLogger())
-	r.Subscribe(func(v *View) { h.newest.Store(max(h.newest.Load(), uint64(v.Entries[configKey].Version))) })
+	r := New(h.f.copied.store(h), h.f.copied.prefix, h.f.copied.watchTimeout, fleetPeers{h, h.f.network.Client(h.id)}, hclog.NewNullLogger())
+	r.Subscribe(func(v *View) { h.f.copied.installed(h, v) })
 	server := inner.NewServer()
 	Serve(server, r)
 	h.f.network.Serve(h.id, server)
@@ -228,12 +239,10 @@
 	}
 	f.version = version
 	now := time.Now()
-	inTouch := lo.Filter(f.hosts, func(h *fleetHost, _ int) bool {
-		return !h.faulty.Load() && now.UnixNano()-h.faultAt.Load() > int64(contactSpan)
-	})
+	inTouch := f.inTouch(now)
 	time.AfterFunc(applyBound, func() {
 		for _, h := range inTouch {
-			if !h.faulty.Load() && h.faultAt.Load() < now.UnixNano() && kv.Version(h.newest.Load()) < version {
+			if h.undisturbed(now) && kv.Version(h.newest.Load()) < version {
 				f.t.Errorf("%s does not have version %d %v after it was published", h.id, version, applyBound)
 			}
 		}
@@ -261,20 +270,15 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), delays: rand.New(rand.NewPCG(seed, 1)),
 		network: innermem.New(seed), store: kvmem.New(), left: map[string]bool{},
 	}
-	f.network.SetDelay(messageDelay)
-	for i := range fleetHosts {
-		f.hosts = append(f.hosts, &fleetHost{f: f, id: fmt.Sprintf("h%d", i)})
+	f.copied = fleetCopy{
+		prefix: "op/", watchTimeout: routesWatchTimeout,
+		store: func(h *fleetHost) kv.Store { return cutStore{f.store, h} },
+		installed: func(h *fleetHost, v *View) {
+			h.newest.Store(max(h.newest.Load(), uint64(v.Entries[configKey].Version)))
+		},
 	}
 	f.publish()
-	view := &membership.View{Members: lo.Map(f.hosts, func(h *fleetHost, _ int) membership.Member {
-		return membership.Member{ID: h.id, InnerAddress: h.id, Capacity: 1}
-	})}
-	for _, h := range f.hosts {
-		h.faultAt.Store(time.Now().UnixNano())
-		h.view.Store(view)
-		h.start()
-	}
-	time.Sleep(contactSpan)
+	f.startHosts(fleetHosts)
 	var nextFault, nextChange time.Time
 	for began := time.Now(); time.Since(began) < faultySpan; time.Sleep(10 * time.Millisecond) {
 		if now := time.Now(); now.After(nextFault) {
@@ -287,8 +291,42 @@
 		}
 	}
 	time.Sleep(2*maxFaultSpan + drainSpan + applyBound)
+	f.stopHosts()
+}
+
+// startHosts starts a number of hosts and waits until they count as without a fault.
+func (f *fleet) startHosts(count int) {
+	f.network.SetDelay(messageDelay)
+	for i := range count {
+		f.hosts = append(f.hosts, &fleetHost{f: f, id: fmt.Sprintf("h%d", i)})
+	}
+	view := &membership.View{Members: lo.Map(f.hosts, func(h *fleetHost, _ int) membership.Member {
+		return membership.Member{ID: h.id, InnerAddress: h.id, Capacity: 1}
+	})}
+	for _, h := range f.hosts {
+		h.faultAt.Store(time.Now().UnixNano())
+		h.view.Store(view)
+		h.start()
+	}
+	time.Sleep(contactSpan)
+}
+
+// stopHosts stops all hosts and waits until the calls that are under way have ended.
+func (f *fleet) stopHosts() {
 	for _, h := range f.hosts {
 		h.stop()
 	}
-	time.Sleep(time.Minute) // calls that are under way end
+	time.Sleep(time.Minute)
+}
+
+// inTouch returns the hosts that have been without a fault for contactSpan.
+func (f *fleet) inTouch(now time.Time) []*fleetHost {
+	return lo.Filter(f.hosts, func(h *fleetHost, _ int) bool {
+		return !h.faulty.Load() && now.UnixNano()-h.faultAt.Load() > int64(contactSpan)
+	})
+}
+
+// undisturbed reports whether the host has had no fault since a time.
+func (h *fleetHost) undisturbed(since time.Time) bool {
+	return !h.faulty.Load() && h.faultAt.Load() < since.UnixNano()
 }
