Log when and by what way a host learns that an upstream leaves

Event 2115 names each upstream that a list shows as leaving or no longer for the first time, with the revision and the way the list was read (list, watch, peer). The events of a request name the time of its last send with the revision and the age of the list in force then. At most 32 lines for a change of the list. Nothing is decided by them. Tests of the packages pass.

--- a/events/forward.go
+++ b/events/forward.go
@@ -18,6 +18,7 @@
 	ForwardUnread   = define(2111, "route table unreadable", hclog.Error, "A route table cannot be decoded; the current one remains in force.")
 	ForwardHosts    = define(2112, "upstream list changed", hclog.Info, "The list of upstreams changed.")
 	ForwardHostBad  = define(2113, "upstream record unreadable", hclog.Warn, "The record of an upstream cannot be decoded; it is ignored.")
+	ForwardDeparted = define(2115, "upstream departed", hclog.Info, "The list of upstreams shows a live upstream as leaving (listed) or no longer; source is how the list was read, departed the number of upstreams that departed with it.")
 	ForwardEnded    = define(2114, "forward ended", hclog.Warn, "This host stops; requests whose upstreams had not answered by then were answered with an error.")
 )
 
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -44,6 +44,7 @@
 	possibleRuns   int     // attempts whose request an upstream may have run
 	tried          []string
 	sentAt         time.Time     // when the current attempt was sent
+	sentBy         sentList      // the list of upstreams by which the current attempt was sent
 	heardAt        time.Time     // when the current attempt was sent, or a part of its answer arrived last
 	headReceived   bool          // whether the current attempt received the head of an answer
 	answerBegun    atomic.Bool   // whether a part of the answer was sent to the caller
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -90,7 +90,7 @@
 // log writes a log event with the data on which the decision about the request was
 // based.
 func (e *exchange) log(event events.Event, fields ...any) {
-	all := append(make([]any, 0, len(fields)+20), "id", e.meta.RequestID, "ms", time.Since(e.arrived).Milliseconds())
+	all := append(make([]any, 0, len(fields)+26), "id", e.meta.RequestID, "ms", time.Since(e.arrived).Milliseconds())
 	if e.table != nil {
 		all = append(all, "table", e.table.Version)
 	}
@@ -106,6 +106,9 @@
 	if list := e.f.Upstreams(); list != nil {
 		all = append(all, "list_age_ms", list.Age().Milliseconds())
 	}
+	if !e.sentAt.IsZero() {
+		all = append(all, "sent_ms", e.sentAt.Sub(e.arrived).Milliseconds(), "sent_list_age_ms", e.sentBy.age.Milliseconds(), "sent_list_revision", e.sentBy.revision)
+	}
 	event.Log(e.f.Logger, append(all, fields...)...)
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -282,6 +282,9 @@
 		}
 		e.sentAt = time.Now()
 		e.heardAt = e.sentAt
+		if list := e.f.Upstreams(); list != nil {
+			e.sentBy = sentList{revision: list.Revision, age: e.sentAt.Sub(list.ReadAt)}
+		}
 		return nil
 	}
 	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
@@ -298,6 +301,12 @@
 	return answer, m, nil
 }
 
+// sentList is the list of upstreams that was in force when an attempt was sent.
+type sentList struct {
+	revision uint64
+	age      time.Duration
+}
+
 // classifyFailure returns the outcome of an attempt that ended without an answer, and
 // records the failure for the upstream.
 func (e *exchange) classifyFailure(t selectedUpstream, err error) (outcome, error) {
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -60,8 +60,10 @@
 	// ReadAt is a time at or before the start of the read that returned the list, so that Age is
 	// never too small. It is zero before the first read.
 	ReadAt time.Time
-	Hosts  []Host
-	byPool map[string][]Host
+	// Revision is the revision of the list's store that the list includes; zero if unknown.
+	Revision uint64
+	Hosts    []Host
+	byPool   map[string][]Host
 	// departed holds the hosts that were listed as leaving before they were removed from the list.
 	departed map[identity]time.Time
 	digest   uint64
@@ -102,6 +104,32 @@
 	return found, listed
 }
 
+// DepartedSince returns the hosts that were live in an earlier snapshot and are leaving or missing in
+// this one.
+func (s *Snapshot) DepartedSince(earlier *Snapshot) []Departure {
+	if earlier == nil {
+		return nil
+	}
+	now := make(map[identity]State, len(s.Hosts))
+	for _, h := range s.Hosts {
+		now[identityOf(h)] = h.State
+	}
+	var out []Departure
+	for _, h := range earlier.Hosts {
+		if state, listed := now[identityOf(h)]; h.State == StateLive && state != StateLive {
+			out = append(out, Departure{Host: h, Listed: listed})
+		}
+	}
+	return out
+}
+
+// Departure is a host that has left the live ones.
+type Departure struct {
+	Host
+	// Listed is true if the host is listed as leaving, and false if it is missing.
+	Listed bool
+}
+
 // Departed reports whether the run of a host was listed as leaving before it was removed from the
 // list, up to departedSpan (1 min) ago.
 func (s *Snapshot) Departed(h Host) bool {
--- a/hosts/listing.go
+++ b/hosts/listing.go
@@ -39,6 +39,8 @@
 	Hosts []Host
 	// ReadAt is when the list was last confirmed to be current.
 	ReadAt time.Time
+	// Revision is the revision of the store that the list includes.
+	Revision uint64
 	// OutageEnded is when the last outage of the list's store ended; zero means no outage.
 	OutageEnded time.Time
 }
@@ -73,6 +75,7 @@
 	l.previous = next
 	l.forget(next, now)
 	snapshot := NewSnapshot(next, r.ReadAt)
+	snapshot.Revision = r.Revision
 	snapshot.departed = l.departed
 	return snapshot
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -72,6 +72,8 @@
 	// ReadAt is when the key-value service last confirmed the copy, to this host or to the peer
 	// that the copy came from, on this host's clock.
 	ReadAt time.Time
+	// Source is how the entries were read: list, watch or peer.
+	Source string
 	// Deleted lists the latest deletions in the order of their revisions. It includes every
 	// deletion with a revision after Complete.
 	Deleted []Deletion
@@ -228,7 +230,7 @@
 		return
 	}
 	Updates.Inc(source)
-	view := &View{Entries: entries, Revision: revision, ReadAt: readAt, OutageBegan: r.outage.began, OutageEnded: r.outage.ended}
+	view := &View{Entries: entries, Revision: revision, ReadAt: readAt, Source: source, OutageBegan: r.outage.began, OutageEnded: r.outage.ended}
 	view.recordDeletions(r.current.Load())
 	r.current.Store(view)
 	next := make(chan struct{})
--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -40,9 +40,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.decoded = decoded
-	f.reading = hosts.Reading{Hosts: list, ReadAt: view.ReadAt, OutageEnded: view.OutageEnded}
+	f.reading = hosts.Reading{Hosts: list, ReadAt: view.ReadAt, Revision: uint64(view.Revision), OutageEnded: view.OutageEnded}
+	previous := f.upstreams.Load()
 	f.installSnapshot(time.Now())
 	events.ForwardHosts.Log(f.logger, "upstreams", len(list), "revision", uint64(view.Revision))
+	f.logDepartures(f.upstreams.Load().DepartedSince(previous), view)
+}
+
+// maxLoggedDepartures limits the log lines for one change of the list.
+const maxLoggedDepartures = 32
+
+// logDepartures logs which upstreams a view of the store shows as leaving or missing for the first time.
+func (f *ForwardServer) logDepartures(departed []hosts.Departure, view *replica.View) {
+	for _, d := range departed[:min(len(departed), maxLoggedDepartures)] {
+		events.ForwardDeparted.Log(f.logger, "upstream", d.ID, "upstream_started_ms", d.StartedMS, "listed", d.Listed, "departed", len(departed),
+			"revision", uint64(view.Revision), "source", view.Source)
+	}
 }
 
 // installSnapshot derives a snapshot of the upstreams at the time now from the newest
