Report each deletion of a key to followers, also of keys that the reader never had

Callers: requests reached upstreams that had left, for seconds to for ever (DRAIN). The pages of a list are read one after the other, so that a copy of revision F may lack a record that is deleted at F+2. The watch after the list reports that deletion, it changes nothing in the copy, and deletions for followers were found by comparing copies: none was recorded. A follower that knew F or F+1 from another reader kept the record until its next whole copy. The same for a host behind a follower that never had the record, and for followers of the last record (an empty list of keys was taken for no change). Change: deletions are recorded as the store or the peer reports them; a list, which reports none, sends its followers all its keys; an older version of a record does not replace a newer one, and an older deletion does not remove it. Why it works: a follower at revision R gets every deletion after R by its revision, or all keys. TestChangesSinceARevision compared two lists for a deletion, which is the fault; it now checks the watch, and that followers of a list end with the same copy.

--- a/replica/change.go
+++ b/replica/change.go
@@ -29,14 +29,16 @@
 	Packed []byte `cbor:"10,keyasint,omitempty"`
 	// Deleted lists the deletions after the requested revision.
 	Deleted []Deletion `cbor:"5,keyasint,omitempty"`
-	// Keys lists all keys of the copy. It is set only if the peer no longer has every deletion
-	// since the requested revision; it is about a tenth of the size of the copy.
+	// AllKeys is true if Keys lists all keys of the copy, because the peer does not have every deletion
+	// since the requested revision.
+	AllKeys bool `cbor:"11,keyasint,omitempty"`
+	// Keys is about a tenth of the size of the copy.
 	Keys []string `cbor:"9,keyasint,omitempty"`
 }
 
 // empty reports whether the change contains no differences.
 func (c *Change) empty() bool {
-	return !c.Full && len(c.Entries)+len(c.Packed)+len(c.Deleted)+len(c.Keys) == 0
+	return !c.Full && !c.AllKeys && len(c.Entries)+len(c.Packed)+len(c.Deleted) == 0
 }
 
 // confirmedAt returns when the key-value service confirmed the peer's copy, on the clock of the
@@ -64,7 +66,7 @@
 	switch {
 	case change.Full:
 	case after < v.Complete:
-		change.Keys = slices.Collect(maps.Keys(v.Entries))
+		change.AllKeys, change.Keys = true, slices.Collect(maps.Keys(v.Entries))
 	default:
 		for _, d := range v.Deleted {
 			if d.Revision > after {
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -110,12 +110,14 @@
 	if view := r.current.Load(); view != nil && !change.Full {
 		maps.Copy(entries, view.Entries)
 	}
+	complete := change.Revision
+	if view := r.current.Load(); view != nil && !change.Full && !change.AllKeys {
+		complete = view.Complete
+	}
 	for _, d := range change.Deleted {
-		if entries[d.Key].Version <= d.Revision {
-			delete(entries, d.Key)
-		}
+		deleteUpTo(entries, d.Key, d.Revision)
 	}
-	if len(change.Keys) > 0 {
+	if change.AllKeys {
 		present := make(map[string]bool, len(change.Keys))
 		for _, key := range change.Keys {
 			present[key] = true
@@ -123,7 +125,9 @@
 		maps.DeleteFunc(entries, func(key string, _ kv.Entry) bool { return !present[key] })
 	}
 	for _, e := range change.Entries {
-		entries[e.Key] = e
+		putNewer(entries, e)
 	}
-	r.install(entries, change.Revision, change.confirmedAt(requestedAt), labelPeer)
+	r.install(copied{
+		entries: entries, revision: change.Revision, readAt: change.confirmedAt(requestedAt), deleted: change.Deleted, complete: complete, source: labelPeer,
+	})
 }
--- a/replica/pack_test.go
+++ b/replica/pack_test.go
@@ -33,7 +33,7 @@
 		key := fmt.Sprint("p/i-", i)
 		entries[key] = kv.Entry{Key: key, Version: 6, Value: []byte(`{"service":"s","address":"10.1.64.` + fmt.Sprint(i) + `:8121","state":"ready"}`)}
 	}
-	r.install(entries, 6, time.Now(), labelList)
+	r.install(copied{entries: entries, revision: 6, readAt: time.Now(), source: labelList})
 	sent := 0
 	for range followers {
 		change := r.changesAfter(t.Context(), 4, 0)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -74,8 +74,9 @@
 	ReadAt time.Time
 	// Source is how the entries were read: list, watch or peer.
 	Source string
-	// Deleted lists the latest deletions in the order of their revisions. It includes every
-	// deletion with a revision after Complete.
+	// Deleted lists the latest deletions in the order of their revisions, also those of keys that
+	// this copy never had: another host's copy may have them. It includes every deletion with a
+	// revision after Complete.
 	Deleted []Deletion
 	// Complete is the revision after which Deleted lists every deletion.
 	Complete kv.Version
@@ -185,7 +186,7 @@
 	for _, e := range entries {
 		byKey[e.Key] = e
 	}
-	r.install(byKey, revision, began, labelList)
+	r.install(copied{entries: byKey, revision: revision, readAt: began, complete: revision, source: labelList})
 	return nil
 }
 
@@ -206,32 +207,69 @@
 	}
 	byKey := make(map[string]kv.Entry, len(view.Entries)+len(changes))
 	maps.Copy(byKey, view.Entries)
+	var deleted []Deletion
 	// The new revision is that of the newest change received, not the one that the watch
 	// returned: the latter may be higher than a change that the key-value service reports late.
 	revision := view.Revision
 	for _, change := range changes {
 		revision = max(revision, change.Version)
 		if change.Deleted {
-			delete(byKey, change.Key)
+			deleted = append(deleted, Deletion{Key: change.Key, Revision: change.Version})
+			deleteUpTo(byKey, change.Key, change.Version)
 		} else {
-			byKey[change.Key] = change.Entry
+			putNewer(byKey, change.Entry)
 		}
 	}
-	r.install(byKey, revision, time.Now(), labelWatch)
+	r.install(copied{entries: byKey, revision: revision, readAt: time.Now(), deleted: deleted, complete: view.Complete, source: labelWatch})
 	wait.For(ctx, r.watchTimeout/pauseDivisor)
 	return nil
 }
 
+// putNewer adds an entry unless a newer version of it is there. The pages of a list are read one after
+// the other, so that a copy has entries that are newer than its revision.
+func putNewer(entries map[string]kv.Entry, e kv.Entry) {
+	if entries[e.Key].Version <= e.Version {
+		entries[e.Key] = e
+	}
+}
+
+// deleteUpTo deletes an entry unless it was written after the revision of the deletion.
+func deleteUpTo(entries map[string]kv.Entry, key string, revision kv.Version) {
+	if entries[key].Version <= revision {
+		delete(entries, key)
+	}
+}
+
+// copied is a copy to install.
+type copied struct {
+	entries  map[string]kv.Entry
+	revision kv.Version
+	readAt   time.Time
+	// deleted lists the deletions since the current view. All deletions after complete are in it or
+	// in the current view.
+	deleted  []Deletion
+	complete kv.Version
+	source   string
+}
+
 // install replaces the current view and notifies the subscribers, unless the current view is newer.
-func (r *Replica) install(entries map[string]kv.Entry, revision kv.Version, readAt time.Time, source string) {
+func (r *Replica) install(c copied) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old := r.current.Load(); old != nil && revision < old.Revision {
+	old := r.current.Load()
+	if old != nil && c.revision < old.Revision {
 		return
 	}
-	Updates.Inc(source)
-	view := &View{Entries: entries, Revision: revision, ReadAt: readAt, Source: source, OutageBegan: r.outage.began, OutageEnded: r.outage.ended}
-	view.recordDeletions(r.current.Load())
+	Updates.Inc(c.source)
+	view := &View{
+		Entries: c.entries, Revision: c.revision, ReadAt: c.readAt, Source: c.source, Complete: c.complete,
+		OutageBegan: r.outage.began, OutageEnded: r.outage.ended,
+	}
+	if old != nil {
+		view.Deleted = append(view.Deleted, old.Deleted...)
+	}
+	view.Deleted = append(view.Deleted, c.deleted...)
+	view.trimDeletions()
 	r.current.Store(view)
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
@@ -265,21 +303,10 @@
 	r.current.Store(&next)
 }
 
-// recordDeletions extends the deletions of the old view by the keys that are no longer in v.
-func (v *View) recordDeletions(old *View) {
-	if old == nil {
-		v.Complete = v.Revision
-		return
-	}
-	v.Complete = old.Complete
-	v.Deleted = slices.Clone(old.Deleted)
-	for key := range old.Entries {
-		if _, exists := v.Entries[key]; !exists {
-			v.Deleted = append(v.Deleted, Deletion{Key: key, Revision: v.Revision})
-		}
-	}
+// trimDeletions removes the deletions up to Complete, and the oldest ones above maxDeletions.
+func (v *View) trimDeletions() {
 	if excess := len(v.Deleted) - maxDeletions; excess > 0 {
-		v.Complete = v.Deleted[excess-1].Revision
-		v.Deleted = slices.Delete(v.Deleted, 0, excess)
+		v.Complete = max(v.Complete, v.Deleted[excess-1].Revision)
 	}
+	v.Deleted = slices.DeleteFunc(v.Deleted, func(d Deletion) bool { return d.Revision <= v.Complete })
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -218,7 +218,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			now := time.Now()
 			r := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
-			r.install(map[string]kv.Entry{"p/a": entry("p/a", 3)}, 5, now.Add(-row.copyAge), labelList)
+			r.install(copied{entries: map[string]kv.Entry{"p/a": entry("p/a", 3)}, revision: 5, readAt: now.Add(-row.copyAge), complete: 5, source: labelList})
 			r.apply(&Change{Revision: 6, Deleted: []Deletion{{Key: "p/a", Revision: 6}}, OutageAgoMS: 50, OutageForMS: 3000}, now)
 			if view := r.Current(); len(view.Entries) != 0 || view.OutageEnded.IsZero() == row.wantOutage {
 				t.Errorf("entries %v (want none), end of the recorded outage %v", view.Entries, view.OutageEnded)
@@ -275,15 +275,17 @@
 // The changes of a view since a revision update a peer's copy of that revision to the same view.
 func TestChangesSinceARevision(t *testing.T) {
 	r := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
-	install := func(revision kv.Version, entries ...kv.Entry) {
+	listed := func(revision kv.Version, entries ...kv.Entry) copied {
 		byKey := map[string]kv.Entry{}
 		for _, e := range entries {
 			byKey[e.Key] = e
 		}
-		r.install(byKey, revision, time.Now(), labelList)
+		return copied{entries: byKey, revision: revision, readAt: time.Now(), complete: revision, source: labelList}
 	}
-	install(5, entry("p/a", 3), entry("p/b", 4))
-	install(7, entry("p/a", 3), entry("p/c", 7))
+	r.install(listed(5, entry("p/a", 3), entry("p/b", 4)))
+	watched := listed(7, entry("p/a", 3), entry("p/c", 7))
+	watched.complete, watched.deleted, watched.source = 5, []Deletion{{Key: "p/b", Revision: 6}}, labelWatch
+	r.install(watched)
 	change := r.Current().since(5, time.Now())
 	if change.Full || len(change.Entries) != 1 || len(change.Deleted) != 1 || change.Deleted[0].Key != "p/b" {
 		t.Errorf("changes since revision 5: %+v", change)
@@ -298,20 +300,65 @@
 		t.Errorf("changes since a revision before the first view: %+v", early)
 	}
 	late := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
-	late.install(map[string]kv.Entry{"p/a": entry("p/a", 3), "p/gone": entry("p/gone", 2)}, 3, time.Now(), labelList)
+	late.install(listed(3, entry("p/a", 3), entry("p/gone", 2)))
 	late.apply(early, time.Now())
 	if view := late.Current(); len(view.Entries) != 2 || view.Entries["p/c"].Version != 7 {
 		t.Errorf("the outdated copy was updated to %+v", view.Entries)
 	}
+	// A list does not say which keys were deleted since revision 5.
+	lister := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
+	lister.install(listed(5, entry("p/a", 3), entry("p/b", 4)))
+	lister.install(listed(7, entry("p/a", 3), entry("p/c", 7)))
+	for source, change := range map[string]*Change{labelWatch: change, labelList: lister.Current().since(5, time.Now())} {
+		follower := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
+		follower.install(listed(5, entry("p/a", 3), entry("p/b", 4)))
+		follower.apply(change, time.Now())
+		if view := follower.Current(); len(view.Entries) != 2 || view.Entries["p/c"].Version != 7 {
+			t.Errorf("the copy of revision 5 was updated by a %s to %+v", source, view.Entries)
+		}
+		follower.install(listed(6))
+		if follower.Current().Revision != 7 {
+			t.Error("an older view replaced a newer one")
+		}
+	}
+}
+
+// Guards against a record that stays in the copy of one host for good: it was deleted while another host read
+// the pages of a list, so that the copy of that host never had it at a revision that the first host asks after.
+func TestDeletionBetweenThePagesOfAList(t *testing.T) {
+	reader := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
 	follower := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
-	follower.install(map[string]kv.Entry{"p/a": entry("p/a", 3), "p/b": entry("p/b", 4)}, 5, time.Now(), labelList)
-	follower.apply(change, time.Now())
-	if view := follower.Current(); len(view.Entries) != 2 || view.Entries["p/c"].Version != 7 {
-		t.Errorf("the copy of revision 5 was updated to %+v", view.Entries)
+	read := func(revision kv.Version, keys ...string) copied {
+		c := copied{entries: map[string]kv.Entry{}, revision: revision, readAt: time.Now(), complete: revision, source: labelList}
+		for _, key := range keys {
+			c.entries[key] = entry(key, 2)
+		}
+		return c
 	}
-	follower.install(nil, 6, time.Now(), labelList)
-	if follower.Current().Revision != 7 {
-		t.Error("an older view replaced a newer one")
+	follower.install(read(6, "p/a", "p/b"))
+	reader.install(read(5, "p/b")) // p/a was deleted at revision 7, after the first page
+	watched := read(7, "p/b")
+	watched.deleted, watched.complete = []Deletion{{Key: "p/a", Revision: 7}}, 5
+	reader.install(watched)
+	follower.apply(reader.changesAfter(t.Context(), 6, 0), time.Now())
+	if _, kept := follower.Current().Entries["p/a"]; kept {
+		t.Errorf("the deleted record is still there at revision %d", follower.Current().Revision)
+	}
+	relayed := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
+	relayed.install(read(6, "p/a", "p/b"))
+	relayed.apply(follower.changesAfter(t.Context(), 6, 0), time.Now())
+	if _, kept := relayed.Current().Entries["p/a"]; kept {
+		t.Error("the deleted record is still there at a host behind the first one")
+	}
+}
+
+// Guards against a record that a late change takes back to an earlier version: a list may be newer than its revision.
+func TestOlderVersionDoesNotReplaceANewerOne(t *testing.T) {
+	r := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
+	r.install(copied{entries: map[string]kv.Entry{"p/a": entry("p/a", 9)}, revision: 5, readAt: time.Now(), complete: 5, source: labelList})
+	r.apply(&Change{Revision: 7, Entries: []kv.Entry{entry("p/a", 6)}, Deleted: []Deletion{{Key: "p/a", Revision: 7}}}, time.Now())
+	if got := r.Current().Entries["p/a"].Version; got != 9 {
+		t.Errorf("the record has version %d, want 9", got)
 	}
 }
 
@@ -363,7 +410,7 @@
 		seen = v.Revision
 	})
 	for revision := kv.Version(5); revision <= 7; revision++ {
-		r.install(map[string]kv.Entry{"p/a": entry("p/a", revision)}, revision, time.Now(), labelList)
+		r.install(copied{entries: map[string]kv.Entry{"p/a": entry("p/a", revision)}, revision: revision, readAt: time.Now(), complete: revision, source: labelList})
 		if got := r.Current().Revision; got != revision {
 			t.Errorf("the copy has revision %d after revision %d was installed", got, revision)
 		}
