Drop idle connections to the store after a call without an answer

Callers: a list that follows a silent watch may use another connection that went silent with it, so that a departure is known a second later (DRAIN). Evidence: TestCallsAfterAllConnectionsWentSilent failed before: of two connections that went silent the second made the next call fail at its deadline as well. 20 of 20 since, with the race detector. Change: a call that ends at its deadline closes the idle connections; the next one opens a new one.

--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -82,6 +82,10 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// Connections may go silent together, without a reset.
+			c.http.CloseIdleConnections()
+		}
 		return &Error{Path: path, Sent: !IsDialError(err), Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
