Replace a connection between hosts that delivers nothing

Cause: a call that timed out left its connection in use, for good. Evidence: TestConnectionThatWentSilentIsReplaced failed before, no call was answered for 1.5 s after the silence. Change: a connection that delivers nothing for 1 s while a call waits is closed when a call times out. A host that then completes no new connection is dialled at most twice a second, as a suspended host handles all dials once it continues. New counter inner_connections_replaced_total.

--- a/inner/client.go
+++ b/inner/client.go
@@ -7,6 +7,9 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/cardamompier/cardamompier/metrics"
 )
 
 const (
@@ -14,11 +17,24 @@
 	// redialPause is how long calls fail with the error of the last failed dial
 	// before the client dials again.
 	redialPause = 50 * time.Millisecond
+	// silentSpan is how long a connection may deliver nothing while a call on it waits for
+	// its response. A call that times out later closes the connection.
+	silentSpan = time.Second
+	// silentRedialPause replaces redialPause for a host whose connection went silent and
+	// that does not complete a new one: it may be suspended, and handles all dials of that
+	// time once it continues.
+	silentRedialPause = 500 * time.Millisecond
 	// idleTimeout is how long a connection stays open without a new call or message
 	// from this host.
 	idleTimeout = 30 * time.Second
 )
 
+// Replaced counts connections to other entry hosts that this host closed to open new ones, by reason.
+var Replaced = metrics.New("inner_connections_replaced_total", "Connections to other entry hosts that this host closed to open new ones, by reason.")
+
+// labelSilent is the reason of a connection that delivered nothing while calls waited.
+const labelSilent = "silent"
+
 // Transport sends messages to other entry hosts by address. Client implements it
 // with WebSocket connections.
 type Transport interface {
@@ -52,6 +68,8 @@
 	lastCallID   uint64
 	pending      map[uint64]chan envelope // response channels of pending calls, by call ID
 	idleTimer    *time.Timer              // closes conn when it is idle
+	waitingSince time.Time                // first call on conn since its last message; zero if there was none
+	wentSilent   bool                     // whether the last connection was closed because it delivered nothing
 	dialErr      error                    // error of the last failed dial
 	dialFailedAt time.Time
 }
@@ -84,6 +102,9 @@
 		}
 		return decodeResponse(response, address, kind, resp)
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.closeIfSilent(conn)
+		}
 		return fail(ReasonTimeout, ctx.Err())
 	}
 }
@@ -191,6 +212,7 @@
 	conn.SetReadLimit(maxMessageSize)
 	p.mu.Lock()
 	p.conn = conn
+	p.waitingSince, p.wentSilent = time.Time{}, false
 	p.idleTimer = time.AfterFunc(idleTimeout, func() { p.closeIfIdle(conn) })
 	p.mu.Unlock()
 	go p.readLoop(conn)
@@ -204,13 +226,17 @@
 	p.dialErr, p.dialFailedAt = err, time.Now()
 }
 
-// recentDialError returns the error of a dial that failed within redialPause, or
-// nil. It prevents the calls that waited for the failed dial from dialing one
+// recentDialError returns the error of a dial that failed within redialPause (or
+// silentRedialPause), or nil. It prevents the calls that waited for the failed dial from dialing one
 // after the other.
 func (p *peer) recentDialError() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if time.Since(p.dialFailedAt) > redialPause {
+	pause := redialPause
+	if p.wentSilent {
+		pause = silentRedialPause
+	}
+	if time.Since(p.dialFailedAt) > pause {
 		return nil
 	}
 	return p.dialErr
@@ -241,6 +267,21 @@
 	}
 }
 
+// closeIfSilent closes conn if it has delivered nothing for silentSpan although calls
+// waited. A connection may stop delivering without a reset.
+func (p *peer) closeIfSilent(conn *websocket.Conn) {
+	p.mu.Lock()
+	silent := p.conn == conn && !p.waitingSince.IsZero() && time.Since(p.waitingSince) >= silentSpan
+	if silent {
+		p.wentSilent = true
+	}
+	p.mu.Unlock()
+	if silent {
+		Replaced.Inc(labelSilent)
+		p.closeConn(conn)
+	}
+}
+
 // readLoop reads responses from conn and delivers them to the pending calls until
 // conn breaks or a response is malformed.
 func (p *peer) readLoop(conn *websocket.Conn) {
@@ -265,6 +306,7 @@
 func (p *peer) deliver(response envelope) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.waitingSince = time.Time{}
 	if responses, ok := p.pending[response.Call]; ok {
 		responses <- response
 		delete(p.pending, response.Call)
@@ -277,6 +319,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastCallID++
+	if p.waitingSince.IsZero() {
+		p.waitingSince = time.Now()
+	}
 	responses := make(chan envelope, 1)
 	p.pending[p.lastCallID] = responses
 	return p.lastCallID, responses
--- a/inner/inner_test.go
+++ b/inner/inner_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -151,3 +152,121 @@
 		t.Errorf("call after the panic returned %+v, %v", got, err)
 	}
 }
+
+// relay passes bytes on between a client and a server. Its connections can be made silent.
+type relay struct {
+	net.Listener
+	target string
+	mu     sync.Mutex
+	gate   *atomic.Bool
+	opened atomic.Int32
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: listener, target: target, gate: &atomic.Bool{}}
+	t.Cleanup(func() { _ = listener.Close() })
+	go r.accept()
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		from, err := r.Accept()
+		if err != nil {
+			return
+		}
+		r.opened.Add(1)
+		to, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		r.mu.Lock()
+		gate := r.gate
+		r.mu.Unlock()
+		go pass(to, from, gate)
+		go pass(from, to, gate)
+	}
+}
+
+// pass copies bytes until the connection ends, and drops them while the gate is closed.
+func pass(to, from net.Conn, silent *atomic.Bool) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// silence makes the open connections silent. New ones work.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.Store(true)
+	r.gate = &atomic.Bool{}
+}
+
+// TestConnectionThatWentSilentIsReplaced guards against calls between hosts that fail for good, because their connection
+// went silent without a reset: copies of the store and evidence of crashes then stay where they are.
+func TestConnectionThatWentSilentIsReplaced(t *testing.T) {
+	const callTime, bound = 200 * time.Millisecond, 1500 * time.Millisecond
+	_, target, _ := newPair(t)
+	r := newRelay(t, target)
+	client := inner.NewClient()
+	defer client.Close()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), callTime)
+		defer cancel()
+		return client.Call(ctx, r.Addr().String(), 1, echo{Text: "x"}, nil)
+	}
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	r.silence()
+	began := time.Now()
+	for call() != nil {
+		if time.Since(began) > bound {
+			t.Fatalf("no call was answered for %v after the connection went silent", bound)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestBusyHostKeepsItsConnection guards against a connection that is replaced, with all calls under way, because
+// some of its calls last long: a host that answers others is not silent.
+func TestBusyHostKeepsItsConnection(t *testing.T) {
+	_, target, _ := newPair(t)
+	r := newRelay(t, target)
+	client := inner.NewClient()
+	defer client.Close()
+	call := func(kind inner.MessageKind, span time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		return client.Call(ctx, r.Addr().String(), kind, echo{Text: "x"}, nil)
+	}
+	for began := time.Now(); time.Since(began) < 2*time.Second; {
+		if err := call(1, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if call(2, 300*time.Millisecond) == nil {
+			t.Fatal("a call of the handler that blocks was answered")
+		}
+	}
+	if n := r.opened.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+}
