Make no run live that leaves, whatever other writers put in its place

A record without born, seq and slots counted as another run, which is live; and a run that leaves and was missing for one reading, for example because of an unreadable record, was live again with an earlier record of its own. The soak's upstreams now write seq.

--- a/hosts/listing.go
+++ b/hosts/listing.go
@@ -46,7 +46,7 @@
 }
 
 // Next returns the snapshot for a reading. A host that was once leaving remains leaving, even if a
-// later list shows it as live. A host missing from the list within returnSpan after an outage
+// later list shows it as live, also after it was missing, if its start is known. A host missing from the list within returnSpan after an outage
 // remains in the snapshot, so that it has time to register again.
 func (l *Listing) Next(r Reading, now time.Time) *Snapshot {
 	if l.leaving == nil {
@@ -57,7 +57,8 @@
 	for _, h := range r.Hosts {
 		listed[h.ID] = true
 		key := identityOf(h)
-		if h.State == StateLeaving {
+		_, departed := l.departed[key]
+		if h.State == StateLeaving || departed && key.started != 0 {
 			l.leaving[key] = true
 		}
 		if l.leaving[key] {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -90,7 +90,7 @@
 			written = ""
 		}
 		value, _ := json.Marshal(map[string]any{
-			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": "1",
+			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": "1", "seq": 1,
 		})
 		if lease != 0 && written != string(value) {
 			key := "servers/" + u.id
--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -17,6 +17,21 @@
 	version kv.Version
 	host    hosts.Host
 	err     error
+	// startedMS is the start of the newest run that a record under the key has stated; zero if none has.
+	startedMS int64
+}
+
+// decode replaces d by the decoded entry. An upstream that has stated the start of its run states it in each record;
+// one without is no run of its own.
+func (d *decodedUpstream) decode(entry kv.Entry) {
+	d.version = entry.Version
+	if d.host, d.err = platform.DecodeRunner(entry.Key, entry.Value); d.err != nil {
+		return
+	}
+	if d.host.StartedMS == 0 && d.startedMS != 0 {
+		d.err = platform.NoStart(entry.Key)
+	}
+	d.startedMS = max(d.startedMS, d.host.StartedMS)
 }
 
 // applyUpstreams installs the upstreams of a new store view. It decodes only the records that
@@ -27,8 +42,7 @@
 	for key, entry := range view.Entries {
 		d, known := f.decoded[key]
 		if !known || d.version != entry.Version {
-			d.version = entry.Version
-			if d.host, d.err = platform.DecodeRunner(key, entry.Value); d.err != nil {
+			if d.decode(entry); d.err != nil {
 				events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", d.err)
 			}
 		}
