Bound what a process of the chat front end holds of its upstreams' replies

Cause: each reply had a limit of its own, 8 MiB of a plain service and 64 MiB of a load report or an exported cache, and all together had none. Change: replies that are kept whole share a budget of 32 MiB a process (upstream.ReplyBudget; the first 16 KiB of each are free), until the caller has them; a caller may take 30 s for one. A load report has at most 64 KiB, cache events 1 MiB, an exported cache 32 MiB; a cache beyond that is computed again, as after any failed export. What is refused is the call whose reply needs more than is left, with an unknown outcome as after any broken answer. New counter upstream_replies_cut_total.

--- a/cmd/experiment/path.go
+++ b/cmd/experiment/path.go
@@ -71,7 +71,7 @@
 	straight := o.load(func() error { return call(client, "http://"+o.desk+"/status", "") })
 	through := o.load(func() error { return call(client, "http://"+o.entry+"/services/"+o.callService+"/status", o.key) })
 	printPath("plain call", straight, through)
-	engine := enginehttp.NewClient("engine", o.engine, enginehttp.NewTransport())
+	engine := enginehttp.NewClient("engine", o.engine, enginehttp.NewTransport(), upstream.NewReplyBudget())
 	straight = o.load(func() error { return generateDirectly(engine, o.prompt(1), 1) })
 	through = o.load(func() error { return o.chat(client, 1) })
 	printPath("chat, one token", straight, through)
--- a/cmd/standin/leader.go
+++ b/cmd/standin/leader.go
@@ -87,7 +87,7 @@
 	for _, pair := range strings.Split(l.engines, ",") {
 		name, address, _ := strings.Cut(pair, "=")
 		if name == id {
-			return slowEngine{enginehttp.NewClient(id, address, enginehttp.NewTransport()), l}, true
+			return slowEngine{enginehttp.NewClient(id, address, enginehttp.NewTransport(), upstream.NewReplyBudget()), l}, true
 		}
 	}
 	return nil, false
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/retry"
+	"github.com/cardamompier/cardamompier/upstream"
 	"github.com/cardamompier/cardamompier/upstream/enginehttp"
 	"github.com/cardamompier/cardamompier/upstream/plainhttp"
 )
@@ -37,6 +38,7 @@
 	pools     sync.Map // from pool name to *pool
 	budgets   retry.Budgets
 	isolation *Isolation
+	replies   *upstream.ReplyBudget
 
 	mu           sync.Mutex
 	plainClients map[string]*plainhttp.Client // by host id and address
@@ -48,6 +50,6 @@
 func New(list *hosts.Poller, isolation *Isolation, logger hclog.Logger) *Dispatcher {
 	return &Dispatcher{
 		hosts: list, logger: logger, isolation: isolation,
-		transport: enginehttp.NewTransport(), plainClients: map[string]*plainhttp.Client{},
+		transport: enginehttp.NewTransport(), replies: upstream.NewReplyBudget(), plainClients: map[string]*plainhttp.Client{},
 	}
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -328,5 +328,5 @@
 }
 
 func (d *Dispatcher) engine(host hosts.Host) upstream.Engine {
-	return enginehttp.NewClient(host.ID, host.Address, d.transport)
+	return enginehttp.NewClient(host.ID, host.Address, d.transport, d.replies)
 }
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -214,9 +214,10 @@
 		return
 	}
 	next := &moveTarget{host: host, streamID: entry.run.streamID(), way: wayRecompute, exported: entry.run.Log.Count()}
-	cache, err := d.engine(entry.host).ExportCache(ctx, entry.attempt.StreamID)
+	cache, release, err := d.engine(entry.host).ExportCache(ctx, entry.attempt.StreamID)
 	if err == nil {
 		err = d.engine(host).ImportCache(ctx, next.streamID, cache)
+		release()
 	}
 	if err == nil {
 		next.way = wayCache
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -45,7 +45,7 @@
 	key := host.ID + "@" + host.Address
 	client, ok := d.plainClients[key]
 	if !ok {
-		client = plainhttp.NewClient(host.ID, host.Address)
+		client = plainhttp.NewClient(host.ID, host.Address, d.replies)
 		d.plainClients[key] = client
 	}
 	return client
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -41,6 +41,7 @@
 		g.writeRefusal(w, refusal, id)
 		return
 	}
+	defer reply.Release()
 	writeReply(w, reply)
 }
 
@@ -68,7 +69,14 @@
 	return body, nil
 }
 
+// replyWriteTimeout is how long a caller may take to receive a reply, which occupies memory of this host.
+const replyWriteTimeout = 30 * time.Second
+
 func writeReply(w http.ResponseWriter, reply upstream.Reply) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetWriteDeadline(time.Now().Add(replyWriteTimeout)); err == nil {
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	}
 	if reply.ContentType != "" {
 		w.Header().Set("Content-Type", reply.ContentType)
 	}
--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -75,6 +75,9 @@
 			"cut":        cmdCut,
 			"burst":      cmdBurst,
 			"joined":     cmdJoined,
+			"endless":    cmdEndless,
+			"flood":      cmdFlood,
+			"memory":     cmdMemory,
 
 			"ownedkey":        cmdOwnedKey,
 			"startorder":      cmdStartOrder,
--- a/standin/desk/desk_test.go
+++ b/standin/desk/desk_test.go
@@ -26,7 +26,7 @@
 // adapter must report that the order may have run, and must send it only once.
 func TestOrderIsNotReplayed(t *testing.T) {
 	d := &desk.Desk{}
-	client := plainhttp.NewClient("desk", serveDesk(t, d))
+	client := plainhttp.NewClient("desk", serveDesk(t, d), upstream.NewReplyBudget())
 	call := upstream.Call{RequestID: "r0", Method: http.MethodPost, Path: "/orders", Body: []byte("{}"), OrderKey: "a/k0"}
 	if _, err := client.Do(t.Context(), call); err != nil {
 		t.Fatal(err)
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -99,8 +99,9 @@
 	Resume(ctx context.Context, streamID string, from int) (TokenStream, error)
 	// Cancel ends an attempt on the engine. Cancelling an unknown attempt is no error.
 	Cancel(ctx context.Context, streamID string) error
-	// ExportCache returns the KV cache of an attempt in an opaque encoding.
-	ExportCache(ctx context.Context, streamID string) ([]byte, error)
+	// ExportCache returns the KV cache of an attempt in an opaque encoding. If there is no error, release
+	// must be called when the cache is no longer used.
+	ExportCache(ctx context.Context, streamID string) (cache []byte, release func(), err error)
 	// ImportCache loads an exported KV cache into the engine, so that Generate with the
 	// same stream id recomputes nothing.
 	ImportCache(ctx context.Context, streamID string, cache []byte) error
@@ -126,11 +127,24 @@
 	OrderKey string
 }
 
-// Reply is the response of a plain service.
+// Reply is the response of a plain service. Release must be called when its body is no longer used.
 type Reply struct {
 	Status      int
 	ContentType string
 	Body        []byte
+	release     func()
+}
+
+// NewReply returns a reply whose body is released by a call of release.
+func NewReply(status int, contentType string, body []byte, release func()) Reply {
+	return Reply{Status: status, ContentType: contentType, Body: body, release: release}
+}
+
+// Release returns the memory of the body to the budget that it was charged to, if there is one.
+func (r Reply) Release() {
+	if r.release != nil {
+		r.release()
+	}
 }
 
 // PlainService calls one plain service, an upstream that is not a model engine.
--- a/upstream/enginehttp/client.go
+++ b/upstream/enginehttp/client.go
@@ -21,7 +21,9 @@
 	idleConnTimeout = 60 * time.Second
 	maxIdlePerHost  = 256
 	maxErrorSize    = 4 << 10  // limit of an error body, in bytes
-	maxReplySize    = 64 << 20 // limit of a response body (an exported KV cache), in bytes
+	maxCacheSize    = 32 << 20 // limit of an exported KV cache, in bytes
+	maxReportSize   = 64 << 10 // limit of a load report, in bytes
+	maxEventsSize   = 1 << 20  // limit of a reply with cache events, in bytes
 	readBufferSize  = 4 << 10  // bytes per open stream
 	maxHeadBytes    = 64 << 10 // limit of the status line and headers of a response
 )
@@ -31,6 +33,8 @@
 	id   string
 	base string
 	http *http.Client
+	// replies is charged for exported KV caches.
+	replies *upstream.ReplyBudget
 }
 
 var _ upstream.Engine = (*Client)(nil)
@@ -47,9 +51,10 @@
 	}
 }
 
-// NewClient returns a client for the engine on host id. address is an IP address and port.
-func NewClient(id, address string, transport *http.Transport) *Client {
-	return &Client{id: id, base: "http://" + address, http: &http.Client{Transport: transport}}
+// NewClient returns a client for the engine on host id. address is an IP address and port. Exported KV
+// caches are charged to the given budget.
+func NewClient(id, address string, transport *http.Transport, replies *upstream.ReplyBudget) *Client {
+	return &Client{id: id, base: "http://" + address, http: &http.Client{Transport: transport}, replies: replies}
 }
 
 // Generate starts an attempt, one try of a request, and returns its token stream.
@@ -76,18 +81,19 @@
 	return c.discard(c.do(ctx, http.MethodPost, PathCancel+"?"+streamQuery(streamID), nil))
 }
 
-// ExportCache returns the KV cache of the attempt streamID, at most maxReplySize bytes.
-func (c *Client) ExportCache(ctx context.Context, streamID string) ([]byte, error) {
+// ExportCache returns the KV cache of the attempt streamID, at most maxCacheSize bytes and what is left of
+// the budget. The caller must call release when it no longer uses the cache.
+func (c *Client) ExportCache(ctx context.Context, streamID string) (cache []byte, release func(), err error) {
 	res, err := c.do(ctx, http.MethodGet, PathExport+"?"+streamQuery(streamID), nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	cache, err := io.ReadAll(io.LimitReader(res.Body, maxReplySize))
+	cache, release, err = c.replies.ReadAll(res.Body, maxCacheSize)
 	if err != nil {
-		return nil, c.fail(PathExport, upstream.ReasonBroken, err)
+		return nil, nil, c.fail(PathExport, upstream.ReasonBroken, err)
 	}
-	return cache, nil
+	return cache, release, nil
 }
 
 // ImportCache uploads a KV cache for the attempt streamID.
@@ -98,14 +104,14 @@
 // Load returns the engine's latest load report.
 func (c *Client) Load(ctx context.Context) (upstream.LoadReport, error) {
 	var report upstream.LoadReport
-	return report, c.get(ctx, PathLoad, &report)
+	return report, c.get(ctx, PathLoad, maxReportSize, &report)
 }
 
 // CacheEvents returns the engine's prefix cache events after the given sequence number.
 func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]upstream.CacheEvent, error) {
 	var events []upstream.CacheEvent
 	path := PathCacheEvents + "?" + url.Values{ParamAfter: {strconv.FormatUint(after, 10)}}.Encode()
-	return events, c.get(ctx, path, &events)
+	return events, c.get(ctx, path, maxEventsSize, &events)
 }
 
 // Order sends the engine its desired state: role, model, adapters and version.
@@ -113,14 +119,14 @@
 	return c.discard(c.post(ctx, PathOrder, order))
 }
 
-// get sends a GET request and decodes the JSON response into the given value.
-func (c *Client) get(ctx context.Context, path string, into any) error {
+// get sends a GET request and decodes the JSON response, of at most maxSize bytes, into the given value.
+func (c *Client) get(ctx context.Context, path string, maxSize int64, into any) error {
 	res, err := c.do(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplySize)).Decode(into); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxSize)).Decode(into); err != nil {
 		return c.fail(path, upstream.ReasonProtocol, err)
 	}
 	return nil
--- a/upstream/plainhttp/client.go
+++ b/upstream/plainhttp/client.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamompier/cardamompier/jsonhttp"
 	"github.com/cardamompier/cardamompier/upstream"
 )
@@ -45,20 +47,21 @@
 	// Connections are reused only if it does, because otherwise a late response to one
 	// request cannot be distinguished from the response to the next request.
 	echoesID atomic.Bool
+	replies  *upstream.ReplyBudget
 }
 
 var _ upstream.PlainService = (*Client)(nil)
 
 // NewClient returns a client for the plain service on host id. address is an IP address
-// and port.
-func NewClient(id, address string) *Client {
+// and port. The replies are charged to the given budget.
+func NewClient(id, address string, replies *upstream.ReplyBudget) *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	pooled := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadSize,
 	}
 	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadSize}
 	return &Client{
-		id: id, base: "http://" + address,
+		id: id, base: "http://" + address, replies: replies,
 		pooled: &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
 		single: &http.Client{Transport: single, CheckRedirect: returnRedirect},
 	}
@@ -70,7 +73,7 @@
 
 // Do sends a call to the service once and returns the response. Errors are of type
 // *upstream.Error. The reason is ReasonProtocol if the response carries another request's
-// id or its body exceeds 8 MiB.
+// id, or if its body exceeds 8 MiB or what is left of the budget.
 func (c *Client) Do(ctx context.Context, call upstream.Call) (upstream.Reply, error) {
 	req, err := c.request(ctx, call)
 	if err != nil {
@@ -85,20 +88,22 @@
 		return upstream.Reply{}, c.fail(reasonOfTransport(ctx, err), err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplySize+1))
+	body, release, err := c.replies.ReadAll(res.Body, maxReplySize)
+	var cut *upstream.SizeError
+	if errors.As(err, &cut) {
+		return upstream.Reply{}, c.fail(upstream.ReasonProtocol, err)
+	}
 	if err != nil {
 		return upstream.Reply{}, c.fail(upstream.ReasonBroken, err)
 	}
 	echoedID := res.Header.Get(HeaderRequestID)
 	if echoedID != "" && echoedID != call.RequestID { // response to another request
+		release()
 		c.pooled.CloseIdleConnections()
 		return upstream.Reply{}, c.fail(upstream.ReasonProtocol, &MismatchError{Got: echoedID})
 	}
 	c.echoesID.Store(echoedID != "")
-	if len(body) > maxReplySize {
-		return upstream.Reply{}, c.fail(upstream.ReasonProtocol, nil)
-	}
-	return upstream.Reply{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+	return upstream.NewReply(res.StatusCode, res.Header.Get("Content-Type"), body, release), nil
 }
 
 // MismatchError is the cause of a failed call whose response belongs to another request.
--- a/upstream/plainhttp/client_test.go
+++ b/upstream/plainhttp/client_test.go
@@ -62,7 +62,7 @@
 func TestDuplicateResponseReachesNoCaller(t *testing.T) {
 	for _, echo := range []bool{false, true} {
 		address, connections := serveDuplicates(t, echo)
-		client := NewClient("u", address)
+		client := NewClient("u", address, upstream.NewReplyBudget())
 		mismatches := 0
 		for i := range 6 {
 			id := fmt.Sprint("request-", i)
@@ -102,7 +102,7 @@
 		sent <- int(n)
 	}()
 	start := time.Now()
-	_, err = NewClient("u", listener.Addr().String()).Do(t.Context(), upstream.Call{Method: http.MethodGet, Path: "/", RequestID: "a"})
+	_, err = NewClient("u", listener.Addr().String(), upstream.NewReplyBudget()).Do(t.Context(), upstream.Call{Method: http.MethodGet, Path: "/", RequestID: "a"})
 	if err == nil || time.Since(start) > 5*time.Second {
 		t.Errorf("call returned error %v after %s, want an error within 5s", err, time.Since(start))
 	}
--- a/upstreamcheck.go
+++ b/upstreamcheck.go
@@ -13,12 +13,12 @@
 // is leaving. For an upstream in a pool that not only model services use, the check always
 // fails, because such an upstream has no load report.
 func checkEngine(follower *config.Follower) func(context.Context, hosts.Host) error {
-	transport := enginehttp.NewTransport()
+	transport, replies := enginehttp.NewTransport(), upstream.NewReplyBudget()
 	return func(ctx context.Context, h hosts.Host) error {
 		if !servesModels(follower.Current(), h.Pool) {
 			return &upstream.Error{Op: "check", Upstream: h.ID, Reason: upstream.ReasonRefused}
 		}
-		report, err := enginehttp.NewClient(h.ID, h.Address, transport).Load(ctx)
+		report, err := enginehttp.NewClient(h.ID, h.Address, transport, replies).Load(ctx)
 		if err == nil && report.Leaving {
 			err = &upstream.Error{Op: "check", Upstream: h.ID, Reason: upstream.ReasonLeaving}
 		}
