Read the store at once when a copy is too old or a watch fails

Callers: a departure known some tenths of a second after its limit (DRAIN). A host whose copy was too old asked one more peer, up to 0.3 s, and a reader whose watch had failed asked a peer and paused up to 0.4 s before it listed. A history that was muted for a second before it was dropped had used the rest of the 3 s. Change: a copy that is too old is listed before any peer is asked; a peer's fresh copy confirms the copy of a host that the store does not answer; after a failed watch the list follows after the pause between watches. Logs: the age of the list in the events of requests was the time since its last change, not since it was last confirmed; it is the latter now, and the histogram forward_list_age_ms shows it at each send.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -31,10 +31,11 @@
 	Repeats       = metrics.New("forward_repeats_total", "Repeated attempts, by reason, and repeats rejected by the retry budget or the attempt limit.")
 	Withdrawals   = metrics.New("forward_withdrawals_total", "Requests withdrawn from upstreams because their content was quarantined while they waited, by upstream pool.")
 	FirstByteTime = metrics.NewHistogram("forward_first_byte_ms", "Time from a request's arrival to the first byte of its answer.")
+	ListAge       = metrics.NewHistogram("forward_list_age_ms", "Age of the list of upstreams in force when a request is sent to one of them.")
 	AnswerTime    = metrics.NewHistogram("forward_whole_ms", "Time from a request's arrival to the end of its answer.")
 )
 
-// Config contains the settings and dependencies of a Forwarder. All are required.
+// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed.
 type Config struct {
 	// Domain is this host's failure domain.
 	Domain string
@@ -43,6 +44,9 @@
 	Table func() *routes.Table
 	// Upstreams returns the newest list of upstreams; nil while none is known.
 	Upstreams func() *hosts.Snapshot
+	// ListConfirmed returns when the list of upstreams was last confirmed to be current. If it is nil, the
+	// list counts as confirmed when it was read.
+	ListConfirmed func() time.Time
 	// Limits enforces the rate limits of client accounts.
 	Limits Limits
 	// Prompts finds the upstreams that have already processed a prompt that several
@@ -112,6 +116,14 @@
 	return &Forwarder{Config: parts, retryWindows: retry.NewWindows(parts.Retries)}
 }
 
+// listAge returns the time since the list of upstreams was last confirmed to be current.
+func (f *Forwarder) listAge(list *hosts.Snapshot) time.Duration {
+	if f.ListConfirmed == nil {
+		return list.Age()
+	}
+	return time.Since(f.ListConfirmed())
+}
+
 // idleCheckInterval is the interval between two searches for idle connections to
 // close.
 const idleCheckInterval = 500 * time.Millisecond
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -104,7 +104,7 @@
 		all = append(all, "account", e.account.Name, "cost", e.cost, "limit_by", e.limitDecidedBy)
 	}
 	if list := e.f.Upstreams(); list != nil {
-		all = append(all, "list_age_ms", list.Age().Milliseconds())
+		all = append(all, "list_age_ms", e.f.listAge(list).Milliseconds())
 	}
 	if !e.sentAt.IsZero() {
 		all = append(all, "sent_ms", e.sentAt.Sub(e.arrived).Milliseconds(), "sent_list_age_ms", e.sentBy.age.Milliseconds(), "sent_list_revision", e.sentBy.revision)
--- a/forward/send.go
+++ b/forward/send.go
@@ -283,7 +283,8 @@
 		e.sentAt = time.Now()
 		e.heardAt = e.sentAt
 		if list := e.f.Upstreams(); list != nil {
-			e.sentBy = sentList{revision: list.Revision, age: e.sentAt.Sub(list.ReadAt)}
+			e.sentBy = sentList{revision: list.Revision, age: e.f.listAge(list)}
+			ListAge.Observe(e.sentBy.age)
 		}
 		return nil
 	}
--- a/replica/change.go
+++ b/replica/change.go
@@ -41,6 +41,9 @@
 	return !c.Full && !c.AllKeys && len(c.Entries)+len(c.Packed)+len(c.Deleted) == 0
 }
 
+// age returns the time since the key-value service last confirmed the peer's copy.
+func (c *Change) age() time.Duration { return time.Duration(c.AgeMS) * time.Millisecond }
+
 // confirmedAt returns when the key-value service confirmed the peer's copy, on the clock of the
 // host that sent its request to the peer at requestedAt.
 func (c *Change) confirmedAt(requestedAt time.Time) time.Time {
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -87,6 +87,17 @@
 	faultAt atomic.Int64  // end of the last fault, in Unix nanoseconds
 	cutOff  atomic.Int64  // until when the store does not answer, in Unix nanoseconds
 	newest  atomic.Uint64 // newest version that was installed
+	replica atomic.Pointer[Replica]
+}
+
+// String returns the host's place in the tree and the state of its copy, for messages about late changes.
+func (h *fleetHost) String() string {
+	r := h.replica.Load()
+	view := r.Current()
+	if view == nil {
+		return h.id + " (no copy)"
+	}
+	return fmt.Sprintf("%s (depth %d, revision %d by %s, confirmed %v ago)", h.id, r.peers.Depth(), view.Revision, view.Source, time.Since(view.ReadAt))
 }
 
 // fleetPeers are the peers of a host on the in-memory network.
@@ -159,6 +170,7 @@
 // start starts the host's process.
 func (h *fleetHost) start() {
 	r := New(h.f.copied.store(h), h.f.copied.prefix, h.f.copied.watchTimeout, fleetPeers{h, h.f.network.Client(h.id)}, hclog.NewNullLogger())
+	h.replica.Store(r)
 	r.Subscribe(func(v *View) { h.f.copied.installed(h, v) })
 	server := inner.NewServer()
 	Serve(server, r)
--- a/replica/follow.go
+++ b/replica/follow.go
@@ -10,7 +10,7 @@
 )
 
 // copyFromPeer requests changes from one peer and applies them, for use while the key-value service
-// does not answer this host.
+// does not answer this host. A fresh copy of the peer confirms that of this host.
 func (r *Replica) copyFromPeer(ctx context.Context) {
 	if r.peers == nil {
 		return
@@ -28,25 +28,31 @@
 		r.peerConfirmedAt = latest(r.peerConfirmedAt, change.confirmedAt(requestedAt))
 		r.mu.Unlock()
 	}
-	if change == nil || change.Revision <= after {
+	if change == nil || change.Revision == 0 {
 		return
 	}
-	events.ReplicaFromPeer.Log(r.logger, "prefix", r.prefix, "revision", uint64(change.Revision), "known", uint64(after))
-	r.apply(change, time.Now())
+	if change.Revision > after {
+		events.ReplicaFromPeer.Log(r.logger, "prefix", r.prefix, "revision", uint64(change.Revision), "known", uint64(after))
+		r.apply(change, requestedAt)
+	}
+	if change.age() <= r.maxPeerAge() && r.current.Load() != nil {
+		r.confirm(max(change.Revision, r.revision()), change.confirmedAt(requestedAt))
+		return
+	}
+	r.peerIndex++
 }
 
 // followPeer updates the copy once from a peer's copy; a host without a copy fetches the whole
-// one. It returns false if none of the peers that were tried has a fresh copy. Once the copy is too
-// old, it tries one peer only: the key-value service is read next, and each further peer may take a
-// whole timeout.
+// one. It returns false if none of the peers that were tried has a fresh copy, or once its own copy is
+// too old: the key-value service is read next, and each peer may take a whole timeout.
 func (r *Replica) followPeer(ctx context.Context) bool {
 	known := r.revision()
 	peerWait, tries := r.peerWait(), peerTries
 	if known == 0 { // a host that just started reads the key-value service if this try fails
 		peerWait, tries = initialPeerWait, 1
 	}
-	for try := range tries {
-		if try > 0 && r.tooOld() {
+	for range tries {
+		if r.tooOld() {
 			return false
 		}
 		requestedAt := time.Now()
@@ -61,7 +67,7 @@
 			r.apply(change, requestedAt)
 			known = r.revision()
 		}
-		if known == 0 || time.Duration(change.AgeMS)*time.Millisecond > r.maxPeerAge() {
+		if known == 0 || change.age() > r.maxPeerAge() {
 			Failures.Inc(labelPeerStale)
 			r.peerIndex++
 			continue
@@ -83,7 +89,7 @@
 // the key-value service may delay its answer by up to watchTimeout/peerWaitDivisor, which adds to the age
 // of a healthy copy.
 func (r *Replica) maxPeerAge() time.Duration {
-	return r.watchTimeout + time.Duration(r.peers.Depth()-1)*r.watchTimeout/peerWaitDivisor
+	return r.watchTimeout + time.Duration(max(0, r.peers.Depth()-1))*r.watchTimeout/peerWaitDivisor
 }
 
 // peerWait returns how long the next peer may wait for a change. A copy that is about to be too old gets
--- a/replica/records_test.go
+++ b/replica/records_test.go
@@ -213,12 +213,12 @@
 	var late []string
 	for _, h := range inTouch {
 		if h.undisturbed(leftAt) && d.usedBy(h, key) {
-			late = append(late, h.id)
+			late = append(late, h.String())
 		}
 	}
 	if len(late) > 0 {
 		d.t.Errorf("%v after %s left (announced: %v), %d hosts still use it: %s", departureBound, key, announced, len(late),
-			strings.Join(late[:min(4, len(late))], " "))
+			strings.Join(late[:min(4, len(late))], ", "))
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -156,6 +156,7 @@
 			}
 		}
 		err := r.list(ctx)
+		listed := err == nil
 		for err == nil && ctx.Err() == nil && (r.peers == nil || r.peers.Depth() == 0) {
 			err = r.watch(ctx)
 		}
@@ -170,6 +171,10 @@
 			continue
 		}
 		r.recordFailure(err)
+		if listed { // a watch that failed says nothing about the next list
+			wait.For(ctx, r.watchTimeout/pauseDivisor)
+			continue
+		}
 		r.copyFromPeer(ctx)
 		wait.For(ctx, retryDelay/2+rand.N(retryDelay))
 	}
@@ -300,7 +305,7 @@
 	defer r.mu.Unlock()
 	old := r.current.Load()
 	next := *old
-	next.Revision, next.ReadAt = max(revision, old.Revision), readAt
+	next.Revision, next.ReadAt = max(revision, old.Revision), latest(old.ReadAt, readAt)
 	next.OutageBegan, next.OutageEnded = r.outage.began, r.outage.ended
 	r.current.Store(&next)
 }
--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// listConfirmed returns when the key-value service last confirmed the list of upstreams; zero before the first one.
+func (f *ForwardServer) listConfirmed() time.Time {
+	if view := f.runners.Current(); view != nil {
+		return view.ReadAt
+	}
+	return time.Time{}
+}
+
 // installSnapshot derives a snapshot of the upstreams at the time now from the newest
 // reading, and puts it in force.
 func (f *ForwardServer) installSnapshot(now time.Time) {
