--- a/forward/endless_rejection_test.go
+++ b/forward/endless_rejection_test.go
@@ -17,7 +17,7 @@
 	for name, endless := range map[string]bool{"whole": false, "endless": true} {
 		f := newFleet(t, 3, 4, func(u *simUpstream, r receivedRequest, conn net.Conn) bool {
 			if u.id != "u0" {
-				answerStream(conn, r, 2)
+				answerStream(conn, r, 3)
 				return true
 			}
 			if !endless {
--- a/replica/records_test.go
+++ b/replica/records_test.go
@@ -53,7 +53,7 @@
 	cut        chan struct{} // closed and replaced when the waiting watches are cut
 }
 
-func (s *recordStore) change(key, value string) kv.Version {
+func (s *recordStore) change(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -66,7 +66,6 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
 }
 
 // compact mutes all watches for muteSpan, then drops the history and cuts them.
