Soak: upstreams leave one after the other while hosts restart and the history is dropped

Half of the upstreams leave without an announcement and serve on for 6 s; the store's lists come in pages of three and its history is dropped every 2 s; hosts are killed, stopped, paused and cut off from the store, overlapping. A request that arrives more than 2 s after a departure, from a host without a fault from 3 s before it on, is a finding.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,7 +119,9 @@
 	log    requestLog
 	hosts  []*host
 	nextID atomic.Int64
-	config atomic.Uint64 // version of the newest published configuration
+	// dropped is the newest revision that the store's history no longer has.
+	dropped atomic.Uint64
+	config  atomic.Uint64 // version of the newest published configuration
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -185,7 +187,7 @@
 		log: requestLog{requests: map[string]*request{}, outcomes: map[string]int{}},
 	}
 	d.store.SetFaults(kvmem.Faults{Seed: seed})
-	server := httptest.NewServer(storeHandler(d.store))
+	server := httptest.NewServer(storeHandler(d.store, &d.dropped))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	d.publish(t)
 	for range 4 {
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cardamompier/cardamompier/kv"
@@ -25,8 +26,11 @@
 	return storeItem{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Lease: uint64(e.Lease)}
 }
 
+// pageItems is the number of keys in a page of a list. Pages are read one after the other and are no snapshot.
+const pageItems = 3
+
 // storeHandler serves an in-memory store through the platform's wire protocol.
-func storeHandler(store *kvmem.Store) http.Handler {
+func storeHandler(store *kvmem.Store, dropped *atomic.Uint64) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cardamompier/kv-key", func(w http.ResponseWriter, r *http.Request) {
 		entry, err := store.Get(r.Context(), r.FormValue("key"))
@@ -36,13 +40,20 @@
 		entries, revision, err := store.List(r.Context(), r.FormValue("prefix"))
 		items := []storeItem{}
 		for _, e := range entries {
-			items = append(items, itemOf(e))
+			if e.Key > r.FormValue("after") {
+				items = append(items, itemOf(e))
+			}
 		}
-		answerStore(w, map[string]any{"items": items, "truncated": false, "as_of": revision}, err)
+		page := items[:min(len(items), pageItems)]
+		answerStore(w, map[string]any{"items": page, "truncated": len(page) < len(items), "as_of": revision}, err)
 	})
 	mux.HandleFunc("GET /cardamompier/kv-watch", func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 		wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
+		if after < dropped.Load() {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 		defer cancel()
 		changes, revision, err := store.Watch(ctx, r.FormValue("prefix"), kv.Version(after))
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -48,6 +48,9 @@
 	// store has confirmed the record with state draining, it is the time of the confirmation in
 	// Unix ns.
 	leaves atomic.Int64
+	// departedAt is when the store confirmed that the upstream leaves or is gone, in Unix ns; 0 if it does not
+	// leave. It is set only by checks of all its requests.
+	departedAt atomic.Int64
 	// announcesLeaving is whether answers announce that the upstream leaves.
 	announcesLeaving atomic.Bool
 	// pauseSpan is the pause in ns that rejections name; 0 if the upstream rejects nothing.
@@ -140,6 +143,7 @@
 	u.mu.Lock()
 	u.arrived = append(u.arrived, time.Now())
 	u.mu.Unlock()
+	u.checkDeparted(r.Header.Get(entryHeader))
 	w.Header().Set(upstreamHeader, u.id)
 	sentAt := u.d.log.sentAt(id)
 	u.checkAnnouncements(r, sentAt)
