Exit at the end of the grace period, whatever the store does

Callers: none harmed; a host that stops ran on for more than a second after its grace period and was then killed. Cause: after all requests had ended, it waited for its components, and the withdrawal of its registration takes several calls to a store that does not answer. Change: the wait ends 50 ms before the grace period; event 1002 says whether the components had ended.

--- a/forwarding.go
+++ b/forwarding.go
@@ -80,6 +80,9 @@
 	// drainMargin is how long before the end of the grace period a draining host shuts down
 	// its listeners, even if requests are still running.
 	drainMargin = 400 * time.Millisecond
+	// exitMargin is how long before the end of the grace period the process exits, even if calls to the store
+	// have not ended.
+	exitMargin = 50 * time.Millisecond
 	// shutdownTimeout bounds the shutdown of the listeners, in which requests accepted at the
 	// last moment can finish. It ends within drainMargin.
 	shutdownTimeout = 250 * time.Millisecond
@@ -348,10 +351,10 @@
 	f.drain(stopped, end)
 	f.close()
 	stop()
-	parts.Wait()
+	ended := awaitAll(&parts, end.Add(drainMargin-exitMargin))
 	f.peers.Close()
 	f.innerServer.Close()
-	events.ProcessStopped.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active())
+	events.ProcessStopped.Log(f.logger, "host", f.settings.HostID, "active", f.forwarder.Active(), "components_ended", ended)
 	return nil
 }
 
@@ -368,16 +371,3 @@
 		run(ctx)
 	}
 }
-
-// drain waits until no request is running and no new one has arrived for drainQuietSpan, and
-// at most until end. Callers with a cached address of this host are served meanwhile.
-func (f *ForwardServer) drain(stopped, end time.Time) {
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		quiet := now.Sub(time.Unix(0, max(f.lastRequest.Load(), stopped.UnixNano()))) > drainQuietSpan
-		if now.After(end) || (quiet && f.forwarder.Active() == 0) {
-			return
-		}
-	}
-}
--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -17,6 +17,8 @@
 	meanDepartureGap, meanRestartGap = 400 * time.Millisecond, 700 * time.Millisecond
 	// meanHistoryGap is the mean time between two losses of the store's history.
 	meanHistoryGap = 2 * time.Second
+	// pageDelay is the time that each page of a list takes.
+	pageDelay = 50 * time.Millisecond
 	// servesOnSpan is how long an upstream serves after its departure.
 	servesOnSpan = 6 * time.Second
 )
@@ -113,6 +115,7 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t, seed)
+			d.trouble.pageDelay.Store(int64(pageDelay))
 			for len(d.upstreams) < departingCount {
 				d.upstreams = append(d.upstreams, d.startUpstream(t))
 			}
@@ -128,7 +131,7 @@
 			faults.Go(func() {
 				every(ctx, seed+2, meanHistoryGap, func(*rand.Rand) {
 					if _, revision, err := d.store.List(context.Background(), "servers/"); err == nil {
-						d.dropped.Store(uint64(revision))
+						d.trouble.dropped.Store(uint64(revision))
 					}
 				})
 			})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,13 +114,12 @@
 
 // deployment is the set of hosts, upstreams and the store of one seed.
 type deployment struct {
-	dir    string
-	store  *kvmem.Store
-	log    requestLog
-	hosts  []*host
-	nextID atomic.Int64
-	// dropped is the newest revision that the store's history no longer has.
-	dropped atomic.Uint64
+	dir     string
+	store   *kvmem.Store
+	log     requestLog
+	hosts   []*host
+	nextID  atomic.Int64
+	trouble storeTrouble
 	config  atomic.Uint64 // version of the newest published configuration
 
 	mu        sync.Mutex
@@ -187,7 +186,7 @@
 		log: requestLog{requests: map[string]*request{}, outcomes: map[string]int{}},
 	}
 	d.store.SetFaults(kvmem.Faults{Seed: seed})
-	server := httptest.NewServer(storeHandler(d.store, &d.dropped))
+	server := httptest.NewServer(storeHandler(d.store, &d.trouble))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	d.publish(t)
 	for range 4 {
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -29,8 +29,16 @@
 // pageItems is the number of keys in a page of a list. Pages are read one after the other and are no snapshot.
 const pageItems = 3
 
+// storeTrouble is what kvmem.Faults has no fault for.
+type storeTrouble struct {
+	// dropped is the newest revision that the history no longer has.
+	dropped atomic.Uint64
+	// pageDelay is the time that each page of a list takes, in ns.
+	pageDelay atomic.Int64
+}
+
 // storeHandler serves an in-memory store through the platform's wire protocol.
-func storeHandler(store *kvmem.Store, dropped *atomic.Uint64) http.Handler {
+func storeHandler(store *kvmem.Store, trouble *storeTrouble) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cardamompier/kv-key", func(w http.ResponseWriter, r *http.Request) {
 		entry, err := store.Get(r.Context(), r.FormValue("key"))
@@ -44,13 +52,14 @@
 				items = append(items, itemOf(e))
 			}
 		}
+		time.Sleep(time.Duration(trouble.pageDelay.Load()))
 		page := items[:min(len(items), pageItems)]
 		answerStore(w, map[string]any{"items": page, "truncated": len(page) < len(items), "as_of": revision}, err)
 	})
 	mux.HandleFunc("GET /cardamompier/kv-watch", func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 		wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
-		if after < dropped.Load() {
+		if after < trouble.dropped.Load() {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
