--- a/hosts/listing.go
+++ b/hosts/listing.go
@@ -46,8 +46,9 @@
 }
 
 // Next returns the snapshot for a reading. A host that was once leaving remains leaving, even if a
-// later list shows it as live, also after it was missing, if its start is known. A host missing from the list within returnSpan after an outage
-// remains in the snapshot, so that it has time to register again.
+// later list shows it as live, also after it was missing, if its start is known. A host missing from
+// the list within returnSpan after an outage remains in the snapshot, so that it has time to register
+// again.
 func (l *Listing) Next(r Reading, now time.Time) *Snapshot {
 	if l.leaving == nil {
 		l.leaving = map[identity]bool{}
