--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -138,12 +138,7 @@
 			faults.Wait()
 			endCalls()
 			calling.Wait()
-			d.log.mu.Lock()
-			defer d.log.mu.Unlock()
-			for _, v := range d.log.violations {
-				t.Error(v)
-			}
-			t.Logf("requests %d, outcomes %v", len(d.log.requests), d.log.outcomes)
+			d.log.report(t)
 		})
 	}
 }
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -170,7 +170,5 @@
 	if float64(served.Load()) < minServedBeside*float64(beside.Load()) {
 		t.Errorf("LOST: %d of %d other requests were served", served.Load(), beside.Load())
 	}
-	for _, v := range d.log.violations {
-		t.Error(v)
-	}
+	d.log.report(t)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -168,13 +168,18 @@
 	d.checkStops(t)
 	endCalls()
 	calling.Wait()
-	d.log.mu.Lock()
-	defer d.log.mu.Unlock()
-	for _, v := range d.log.violations {
+	t.Logf("faults %v", d.faults)
+	d.log.report(t)
+}
+
+// report reports the violations as errors and logs the outcomes.
+func (l *requestLog) report(t *testing.T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.violations {
 		t.Error(v)
 	}
-	t.Logf("faults %v", d.faults)
-	t.Logf("requests %d, outcomes %v", len(d.log.requests), d.log.outcomes)
+	t.Logf("requests %d, outcomes %v", len(l.requests), l.outcomes)
 }
 
 // newDeployment starts the store, 4 upstreams and the entry hosts, and waits until every host is
