--- a/replica/records_test.go
+++ b/replica/records_test.go
@@ -242,7 +242,7 @@
 	}
 }
 
-// failedRecordSeeds lists the seeds that have failed before.
+// failedRecordSeeds lists a seed that has failed before for each cause.
 var failedRecordSeeds = []uint64{
 	103, // hosts that stood behind two others and asked three peers in a row for a copy that was too old
 	104, // records that were deleted between the pages of a list
