Order upstreams by a demand that counts a load as soon as it begins

The scaling log shows the cause: the demand was an average over 4 s that grew from zero, so that 18 upstreams counted as needed at 2.5 s, 46 at 6.9 s and 70 at 12 s, and on-demand upstreams, which take 4 s to start, were ordered from 6.9 s on.

planner.RateMeter corrects the average for the time before the first arrival and may have a shorter window. The setting demand_window_seconds switches it on; without it the demand is as before.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -50,7 +50,9 @@
 	if p, ok := f.pools.Load(name); ok {
 		return p.(*poolState)
 	}
-	p, _ := f.pools.LoadOrStore(name, &poolState{})
+	created := &poolState{}
+	created.demand.rate = newRateMeter(f.DemandWindow)
+	p, _ := f.pools.LoadOrStore(name, created)
 	return p.(*poolState)
 }
 
@@ -194,7 +196,7 @@
 	out = append(out, f.localConditions(now)...)
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
-		if rate := int64(demand.rate(now)); rate > 0 {
+		if rate := int64(demand.perSecond(now)); rate > 0 {
 			out = append(out, loadshare.Load{Upstream: demandKey(name.(string)), PendingPromptTokens: rate})
 		}
 		if speed := int64(math.Float64frombits(demand.speedBits.Load())); speed > 0 {
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -27,12 +27,20 @@
 	speedWeight = 0.1
 )
 
+// newRateMeter returns the meter of a pool's demand at this host. A window of zero means
+// rateTimeConstant, with an average that grows from zero.
+func newRateMeter(window time.Duration) planner.RateMeter {
+	if window > 0 {
+		return planner.RateMeter{Window: window, Unbiased: true}
+	}
+	return planner.RateMeter{Window: rateTimeConstant}
+}
+
 // demandMeter measures the demand for an upstream pool at this host and holds the
-// demand that other hosts report. The zero value is ready for use.
+// demand that other hosts report. Its rate must be set.
 type demandMeter struct {
-	mu              sync.Mutex
-	tokensPerSecond float64 // demand at this host, in prompt tokens per second
-	updatedAt       time.Time
+	mu   sync.Mutex
+	rate planner.RateMeter // demand at this host, in prompt tokens
 
 	speedBits  atomic.Uint64 // measured prompt processing speed, in tokens per second, as float64 bits
 	peerDemand atomic.Int64  // demand at the other hosts, in prompt tokens per second
@@ -45,22 +53,13 @@
 func (m *demandMeter) add(tokens int, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.decay(now)
-	m.tokensPerSecond += float64(tokens) / rateTimeConstant.Seconds()
-}
-
-func (m *demandMeter) decay(now time.Time) {
-	if elapsed := now.Sub(m.updatedAt); elapsed > 0 {
-		m.tokensPerSecond *= math.Exp(-float64(elapsed) / float64(rateTimeConstant))
-		m.updatedAt = now
-	}
+	m.rate.Add(float64(tokens), now)
 }
 
-func (m *demandMeter) rate(now time.Time) float64 {
+func (m *demandMeter) perSecond(now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.decay(now)
-	return m.tokensPerSecond
+	return m.rate.Rate(now)
 }
 
 // recordPrefill updates the measured prompt processing speed. elapsed is the time in
@@ -104,7 +103,7 @@
 func (f *Forwarder) Demand(pool string) planner.Demand {
 	p := f.pool(pool)
 	d := planner.Demand{
-		TokensPerSecond:        p.demand.rate(time.Now()) + float64(p.demand.peerDemand.Load()),
+		TokensPerSecond:        p.demand.perSecond(time.Now()) + float64(p.demand.peerDemand.Load()),
 		PrefillTokensPerSecond: p.demand.prefillSpeed(),
 	}
 	if list := f.Upstreams(); list != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,6 +61,9 @@
 	// LimitSlack is how far a client account may exceed its limit, in tokens.
 	LimitSlack float64
 	Retries    retry.Bound
+	// DemandWindow is the time over which the demand for upstreams is averaged; the average then counts
+	// in full as soon as a load begins. Zero means 4 s, with an average that grows from zero.
+	DemandWindow time.Duration
 	// Permits paces the requests of all hosts to upstreams that name a limit.
 	Permits Permits
 	// Crashes decides which content is refused because it crashes upstreams.
--- a/forwarding.go
+++ b/forwarding.go
@@ -168,7 +168,7 @@
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Permits: f.pacer, Crashes: f.crashes,
+		Permits: f.pacer, Crashes: f.crashes, DemandWindow: seconds(s.DemandWindowSeconds),
 		Logger: logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -72,6 +72,10 @@
 	// sending requests to an upstream that is leaving. Both default to 2000.
 	RoutesMS  float64 `json:"routes_ms"`
 	LeavingMS float64 `json:"leaving_ms"`
+	// DemandWindowSeconds is the time over which the demand for upstreams is averaged when
+	// they are ordered. A short window follows bursts, and counts a load in full as soon as
+	// it begins. Default 0: 4 s, with an average that grows from zero.
+	DemandWindowSeconds float64 `json:"demand_window_seconds"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
@@ -158,6 +162,8 @@
 		return invalid("cores", expectedPositive)
 	case s.LinkMbps < 0:
 		return invalid("link_mbps", expectedPositive)
+	case s.DemandWindowSeconds < 0:
+		return invalid("demand_window_seconds", expectedPositive)
 	case s.RoutesMS <= 0:
 		return invalid("routes_ms", expectedPositive)
 	case s.LeavingMS <= 0:
