Measure the rate of an upstream relative to its pool

Upstreams of one pool read and answer at different speeds, and routing compares their work at one speed for the whole pool.

Nothing uses it yet.

--- a/routing/live.go
+++ b/routing/live.go
@@ -77,9 +77,10 @@
 	// the other hosts.
 	othersWaiting, othersInFlight atomic.Int64
 	othersOutcomes                atomic.Pointer[Outcomes]
-	slowUntil                     atomic.Int64 // expiry of the straggler mark, in Unix nanoseconds; zero if unmarked
-	failures                      atomic.Int64 // failures in a row
-	failedAt                      atomic.Int64 // when the last of failures was counted, in Unix nanoseconds
+	slowUntil                     atomic.Int64  // expiry of the straggler mark, in Unix nanoseconds; zero if unmarked
+	failures                      atomic.Int64  // failures in a row
+	failedAt                      atomic.Int64  // when the last of failures was counted, in Unix nanoseconds
+	rateBits                      atomic.Uint64 // rate as a multiple of the pool's median, as float64 bits; zero if unknown
 	// TokenGap estimates the time between two tokens of a stream.
 	TokenGap DurationEstimate
 }
