--- a/routing/evidence.go
+++ b/routing/evidence.go
@@ -56,6 +56,14 @@
 	return c.counts
 }
 
+// OthersEndRate returns the requests of the other hosts that end at the upstream per second.
+func (l *UpstreamStats) OthersEndRate() float64 {
+	if others := l.othersOutcomes.Load(); others != nil {
+		return others.Ended / outcomeDecay.Seconds()
+	}
+	return 0
+}
+
 func (c *outcomeCounter) decay(now time.Time) {
 	if elapsed := now.Sub(c.at); elapsed > 0 {
 		factor := math.Exp(-float64(elapsed) / float64(outcomeDecay))
