Balance by the rates of upstreams in the forwarder

With the switch balance_by_rate, or the platform's rule part health, each host measures the rates of the upstreams from the answers that it passes on, shares them in its load digests, and chooses by ExpectedFinish and LeastExpectedWait. Off by default: then nothing is measured, shared or chosen otherwise.

--- /dev/null
+++ b/events/balance.go
@@ -0,0 +1,8 @@
+package events
+
+import "github.com/hashicorp/go-hclog"
+
+// The events of uneven upstreams and of insufficient capacity have the numbers 2220 to 2239.
+var (
+	BalanceRate = define(2220, "upstream rate changed", hclog.Info, "The measured rate of an upstream, as a multiple of the median of its pool, has changed by more than a quarter since this event was last logged for it; weight is the number of answers on which it is based, with older answers counting less.")
+)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -21,6 +21,11 @@
 	mix     routing.WorkMix
 	demand  demandMeter
 	memory  routing.SentPrompts
+	// reference holds the typical speeds of the pool's answers.
+	reference routing.RateReference
+	// othersRequests and othersTokens are the requests and the prompt tokens that the other hosts send to
+	// the pool per second, as float64 bits. They are kept only with Balance.ByRate.
+	othersRequests, othersTokens atomic.Uint64
 }
 
 // poolView is a routing snapshot of one pool, with the list of upstreams from which it
@@ -30,6 +35,7 @@
 	hosts     []hosts.Host
 	liveByKey map[string]*routing.UpstreamStats
 	startedMS map[string]int64 // start of the listed run by upstream id
+	meters    map[condition.Run]*routing.RateMeter
 	snapshot  *routing.Snapshot
 }
 
@@ -37,6 +43,7 @@
 type selectedUpstream struct {
 	hosts.Host
 	live   *routing.UpstreamStats
+	meter  *routing.RateMeter
 	reason routing.Reason
 	// prefillTokens is the number of prompt tokens that the upstream is expected to
 	// process, without those that its prompt cache is expected to hold.
@@ -66,7 +73,10 @@
 	if old != nil && old.source == list {
 		return old
 	}
-	v := &poolView{source: list, hosts: list.Pool(name), liveByKey: map[string]*routing.UpstreamStats{}, startedMS: map[string]int64{}}
+	v := &poolView{
+		source: list, hosts: list.Pool(name), liveByKey: map[string]*routing.UpstreamStats{}, startedMS: map[string]int64{},
+		meters: map[condition.Run]*routing.RateMeter{},
+	}
 	upstreams := make([]routing.Upstream, 0, len(v.hosts))
 	for _, h := range v.hosts {
 		key := upstreamKey(h)
@@ -76,6 +86,7 @@
 		}
 		v.liveByKey[key] = live
 		v.startedMS[h.ID] = h.StartedMS
+		v.meters[runOf(h)] = meterOf(old, h, live)
 		upstreams = append(upstreams, routing.Upstream{
 			ID: h.ID, FailureDomain: h.FailureDomain, Leaving: h.State != hosts.StateLive, Slots: h.Slots, Live: live,
 		})
@@ -131,7 +142,10 @@
 		return selectedUpstream{}, false
 	}
 	host := v.hosts[choice.Index]
-	return selectedUpstream{Host: host, live: v.liveByKey[upstreamKey(host)], reason: choice.Reason, prefillTokens: choice.PrefillTokens, list: list}, true
+	return selectedUpstream{
+		Host: host, live: v.liveByKey[upstreamKey(host)], meter: v.meters[runOf(host)],
+		reason: choice.Reason, prefillTokens: choice.PrefillTokens, list: list,
+	}, true
 }
 
 // locateCachedPrompt finds the upstreams that have already processed the part of the
@@ -152,6 +166,9 @@
 // policy returns the routing policy that selects an upstream for the request.
 func (e *exchange) policy(now time.Time) routing.Policy {
 	if e.meta.PromptTokens == 0 {
+		if e.f.Balance.ByRate {
+			return routing.LeastExpectedWait{Domain: e.f.Domain, Arrived: e.f.arrivedSince(&e.f.pool(e.pool).othersRequests, now)}
+		}
 		return routing.LeastBacklog{Domain: e.f.Domain}
 	}
 	p := e.f.pool(e.pool)
@@ -159,6 +176,9 @@
 	if e.sharedPrompt != 0 {
 		policy.Cached = func(id string) bool { return slices.Contains(e.cachedOn, id) || p.memory.Has(e.sharedPrompt, id, now) }
 	}
+	if e.f.Balance.ByRate {
+		return routing.ExpectedFinish{Prefill: policy, Arrived: e.f.arrivedSince(&p.othersTokens, now)}
+	}
 	return policy
 }
 
@@ -192,6 +212,7 @@
 		}
 	})
 	out = append(out, f.localConditions(now)...)
+	out = append(out, f.localRates(now)...)
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
 		if rate := int64(demand.rate(now)); rate > 0 {
@@ -218,6 +239,7 @@
 		live.SetOthers(l.PendingPromptTokens, l.InFlight, routing.Outcomes{Ended: float64(l.Ended) / outcomeScale, Failed: float64(l.Failed) / outcomeScale})
 	})
 	f.applyPeerConditions(byKey)
+	f.applyPeerRates(byKey, time.Now())
 	f.pools.Range(func(name, value any) bool {
 		demand := &value.(*poolState).demand
 		demand.peerDemand.Store(byKey[demandKey(name.(string))].PendingPromptTokens)
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -51,6 +51,7 @@
 	listMu    sync.Mutex // serializes changes of snapshot
 	snapshot  atomic.Pointer[hosts.Snapshot]
 	calls     atomic.Int64
+	changes   []func(*forward.Config) // of each host's configuration
 }
 
 // fleetHost is one entry host of a fleet.
@@ -81,10 +82,11 @@
 // Sent implements forward.Prompts.
 func (noPrompts) Sent(uint64, string) {}
 
-// newFleet starts entry hosts and upstreams. Each upstream answers with the given function.
-func newFleet(t *testing.T, entryHosts, upstreams int, answer simAnswer) *fleet {
+// newFleet starts entry hosts and upstreams. Each upstream answers with the given function. The changes apply
+// to the configuration of each host.
+func newFleet(t *testing.T, entryHosts, upstreams int, answer simAnswer, changes ...func(*forward.Config)) *fleet {
 	t.Helper()
-	f := &fleet{network: innermem.New(1)}
+	f := &fleet{network: innermem.New(1), changes: changes}
 	f.network.SetDelay(2 * time.Millisecond)
 	var list []hosts.Host
 	for i := range upstreams {
@@ -122,12 +124,16 @@
 			h.Withdraw(set)
 		}
 	})
-	h.Forwarder = forward.New(forward.Config{
+	config := forward.Config{
 		Domain: "d", Codec: platform.Headers{}, Limits: noLimits{}, Prompts: noPrompts{}, Hosts: func() int { return len(view.Members) },
 		Table: func() *routes.Table { return table }, Upstreams: f.snapshot.Load, OnStarted: func(string) {},
 		Retries: retry.Bound{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second},
 		Permits: pacer, Crashes: tracker, Logger: hclog.NewNullLogger(),
-	})
+	}
+	for _, change := range f.changes {
+		change(&config)
+	}
+	h.Forwarder = forward.New(config)
 	f.network.Serve(name, server)
 	sharer := loadshare.New(name, f.network.Client(name), server, hosts, h.LocalLoads, h.SetPeerLoads)
 	sharer.Attach(tracker)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
+	"github.com/cardamompier/cardamompier/routing"
 	"github.com/cardamompier/cardamompier/upstream/condition"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
 )
@@ -35,7 +36,7 @@
 	AnswerTime    = metrics.NewHistogram("forward_whole_ms", "Time from a request's arrival to the end of its answer.")
 )
 
-// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed.
+// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed and Balance.
 type Config struct {
 	// Domain is this host's failure domain.
 	Domain string
@@ -65,6 +66,8 @@
 	Permits Permits
 	// Crashes decides which content is refused because it crashes upstreams.
 	Crashes *quarantine.Tracker
+	// Balance switches on how uneven upstreams are handled. The zero value switches all of it off.
+	Balance Balance
 	Logger  hclog.Logger
 }
 
@@ -107,6 +110,7 @@
 	active       atomic.Int64
 	endChecks    endChecks
 	conditions   condition.Table
+	loadAge      routing.LoadAge
 	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -230,6 +230,7 @@
 	}
 	prefillTokens := t.prefillTokens
 	idle := t.live.Backlog() < idleBacklogTokens && t.reason != routing.ReasonAffinity
+	sample := e.beginSample(t)
 	sent := time.Now()
 	e.f.pool(e.pool).demand.add(prefillTokens, sent)
 	t.live.Begin()
@@ -242,8 +243,8 @@
 		}
 	}
 	prefillDone := func() {
-		if !prefillEnded && idle {
-			e.f.pool(e.pool).demand.recordPrefill(prefillTokens, time.Since(sent))
+		if !prefillEnded {
+			e.recordPrefill(prefillTokens, idle, sent, sample)
 		}
 		endPrefill()
 	}
@@ -269,9 +270,19 @@
 		return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
 	}
 	e.possibleRuns++
+	sample.answered(answer.StatusCode, e.sentAt)
 	return e.relay(t, answer, verdict, prefillDone)
 }
 
+// recordPrefill records the time since a request was sent, when the upstream has read its prompt or, for a
+// request without prompt tokens, has answered. idle is whether the upstream was about idle before.
+func (e *exchange) recordPrefill(tokens int, idle bool, sent time.Time, sample *rateSample) {
+	if idle {
+		e.f.pool(e.pool).demand.recordPrefill(tokens, time.Since(sent))
+	}
+	sample.end(time.Now())
+}
+
 // send sends the request to one upstream and returns the head of the upstream's answer. It is the
 // only way by which requests reach upstreams. If the upstream takes no requests any more since it was
 // chosen, nothing is sent and the cause of the error is errClosed.
--- a/forwarding.go
+++ b/forwarding.go
@@ -168,7 +168,7 @@
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Permits: f.pacer, Crashes: f.crashes,
+		Permits: f.pacer, Crashes: f.crashes, Balance: balanceOf(s),
 		Logger: logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
@@ -179,6 +179,12 @@
 	return f, f.listen()
 }
 
+// balanceOf returns how uneven upstreams are handled: as the settings say, or as the platform's rules call for.
+func balanceOf(s settings.Forwarding) forward.Balance {
+	features := platform.FeaturesOf(s.RuleParts)
+	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/forwarding_test.go
+++ b/forwarding_test.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/cardamompier/cardamompier/forward"
+	"github.com/cardamompier/cardamompier/settings"
 )
 
 // TestRequestAcceptedAsTheHostCloses stops a host under load. A request accepted while the
@@ -56,3 +59,21 @@
 		})
 	}
 }
+
+// TestBalanceByTheRulesOfThePlatform checks that uneven upstreams are handled where the settings or the
+// platform's rule parts ask for it, and nowhere else.
+func TestBalanceByTheRulesOfThePlatform(t *testing.T) {
+	for _, c := range []struct {
+		settings settings.Forwarding
+		want     forward.Balance
+	}{
+		{settings.Forwarding{}, forward.Balance{}},
+		{settings.Forwarding{RuleParts: []string{"base", "pool"}}, forward.Balance{}},
+		{settings.Forwarding{RuleParts: []string{"base", "health"}}, forward.Balance{ByRate: true}},
+		{settings.Forwarding{BalanceByRate: true}, forward.Balance{ByRate: true}},
+	} {
+		if got := balanceOf(c.settings); got != c.want {
+			t.Errorf("rule parts %q, balance_by_rate %v: got %+v, want %+v", c.settings.RuleParts, c.settings.BalanceByRate, got, c.want)
+		}
+	}
+}
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -72,6 +72,14 @@
 	// sending requests to an upstream that is leaving. Both default to 2000.
 	RoutesMS  float64 `json:"routes_ms"`
 	LeavingMS float64 `json:"leaving_ms"`
+	// BalanceByRate measures the rate of each upstream and chooses upstreams by the
+	// expected time until they answer. Default false.
+	BalanceByRate bool `json:"balance_by_rate"`
+	// RuleParts are the names of the rule parts of the platform that are in force for
+	// this deployment. They switch on the features that these parts call for, in
+	// addition to those that the other settings switch on. Names that are not known
+	// are ignored. Default none.
+	RuleParts []string `json:"rule_parts"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
