--- a/forwarding.go
+++ b/forwarding.go
@@ -168,7 +168,7 @@
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Permits: f.pacer, Crashes: f.crashes, DemandWindow: seconds(s.DemandWindowSeconds), Balance: balanceOf(s),
+		Permits: f.pacer, Crashes: f.crashes, DemandWindow: demandWindowOf(s), Balance: balanceOf(s),
 		Logger: logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
@@ -185,6 +185,12 @@
 	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate}
 }
 
+// demandWindowOf returns the time over which the demand for upstreams is averaged: as the settings say, or as
+// the platform's rules call for.
+func demandWindowOf(s settings.Forwarding) time.Duration {
+	return lo.CoalesceOrEmpty(seconds(s.DemandWindowSeconds), platform.FeaturesOf(s.RuleParts).DemandWindow)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
