Share what upstreams hold of a prompt by part

Cause: all shared parts of a prompt are one digest, and its owner is chosen by it. A prompt that shares only its first part asks another owner and counts as new.

Change: queries and reports can carry the chain of shared parts; the owner is chosen by the first part. The answer lists the runs of upstreams with the leading tokens that they hold. A report after a failed attempt withdraws the one before, so that there is still one query and one message for each attempt. The fields are additions: hosts of the earlier release ignore them and are answered as before.

--- a/prefixes/prefixes.go
+++ b/prefixes/prefixes.go
@@ -18,6 +18,7 @@
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/promptcache"
 )
 
 const (
@@ -55,11 +56,17 @@
 // prompt's owner.
 type query struct {
 	Prompt uint64 `cbor:"1,keyasint"`
+	// Chain holds the prompt's shared parts if the sender tracks prompts by part.
+	// Hosts of earlier releases ignore it.
+	Chain promptcache.Chain `cbor:"2,keyasint,omitempty"`
 }
 
 // queryReply lists the upstreams to which a prompt was sent, latest first.
 type queryReply struct {
 	Upstreams []string `cbor:"1,keyasint,omitempty"`
+	// Holders answers a query with a chain: the upstreams that hold most of it
+	// first.
+	Holders []holder `cbor:"2,keyasint,omitempty"`
 }
 
 // sentReport reports that a prompt was sent to an upstream. It is sent to the
@@ -67,6 +74,15 @@
 type sentReport struct {
 	Prompt   uint64 `cbor:"1,keyasint"`
 	Upstream string `cbor:"2,keyasint"`
+	// The other fields are set if the sender tracks prompts by part. Hosts of
+	// earlier releases ignore them.
+	StartedMS int64             `cbor:"3,keyasint,omitempty"`
+	Chain     promptcache.Chain `cbor:"4,keyasint,omitempty"`
+	// Own is the number of prompt tokens after the chain.
+	Own int `cbor:"5,keyasint,omitempty"`
+	// NotRead is the upstream of the report before about the same request, if it
+	// has not read the prompt.
+	NotRead *holder `cbor:"6,keyasint,omitempty"`
 }
 
 // Directory sends queries and reports to the owners of prompts, and stores the
@@ -77,6 +93,7 @@
 	hosts       func() *membership.View
 	unreachable inner.Backoff
 	sent        sentPrompts
+	tracker     *promptcache.Tracker // nil unless prompts are tracked by part
 }
 
 // New returns the directory of the host self and registers its message handlers
@@ -84,10 +101,14 @@
 func New(self string, client inner.Transport, server *inner.Server, hosts func() *membership.View) *Directory {
 	d := &Directory{self: self, client: client, hosts: hosts}
 	inner.Register(server, inner.KindPrefixLookup, func(_ context.Context, q query) (queryReply, error) {
+		if d.tracker != nil && len(q.Chain) > 0 {
+			return queryReply{Holders: d.ownHolders(q.Chain, time.Now())}, nil
+		}
 		return queryReply{Upstreams: d.sent.upstreams(q.Prompt, time.Now())}, nil
 	})
 	inner.Register(server, inner.KindPrefixAnnounce, func(_ context.Context, r sentReport) (struct{}, error) {
 		d.sent.add(r.Prompt, r.Upstream, time.Now())
+		d.trackReport(r, time.Now())
 		return struct{}{}, nil
 	})
 	return d
@@ -95,6 +116,9 @@
 
 // owner returns the owner of a prompt; ok is false if this host is the owner or
 // no host is listed.
+//
+// The owner of a prompt that is tracked by part is that of the digest of its first part, so that
+// prompts that share only this part have the same owner.
 func (d *Directory) owner(prompt uint64) (owner membership.Member, ok bool) {
 	chosen := d.hosts().Chosen(ownerKeyPrefix+strconv.FormatUint(prompt, 16), 1)
 	if len(chosen) == 0 || chosen[0].ID == d.self {
