--- a/promptcache/promptcache.go
+++ b/promptcache/promptcache.go
@@ -1,6 +1,5 @@
 // Package promptcache estimates which prompt prefixes the upstreams hold in their prompt
-// caches, and weighs the reading time that a held prefix saves against the wait at the
-// upstream. It does no I/O.
+// caches. It does no I/O. Package routing weighs what is held against the wait at the upstream.
 //
 // A prefix is held at one run of an upstream; a restarted upstream holds nothing. The
 // estimate follows the requests that this host sent and those that other hosts reported.
--- a/promptcache/tracker.go
+++ b/promptcache/tracker.go
@@ -34,15 +34,17 @@
 // tokens.
 func (t *Tracker) SetCapacity(run Run, tokens int) { t.upstream(run).capacity.Store(int64(tokens)) }
 
-// Retain forgets all runs that are not listed, because they have ended.
-func (t *Tracker) Retain(listed func(Run) bool) {
+// Retain forgets all runs that are not listed, because they have ended. It returns their number.
+func (t *Tracker) Retain(listed func(Run) bool) (ended int) {
 	t.upstreams.Range(func(key, value any) bool {
 		if !listed(key.(Run)) {
 			value.(*upstream).gone.Store(true)
 			t.upstreams.Delete(key)
+			ended++
 		}
 		return true
 	})
+	return ended
 }
 
 // AddUnseen records that other hosts have let the given runs, which take equal shares, read tokens
