Estimate held prompt parts in the forwarder, off by default

Cause: the forwarder tracked whole shared prompts by what was sent, and could not show whether an upstream held what was expected.

Change: with the setting weigh_cached_parts, a host asks the owner of a prompt's first part what the upstreams hold, chooses by HeldPrefill and follows each request: its first event shows that the prompt was read; an attempt that fails, is rejected or withdrawn is taken back with the report of the next attempt. The tracker gets each upstream's memory and what the other hosts let it read four times a second, and forgets runs that have ended. Without the setting the requests take the path of before.

Measured: go test -race ./forward -run 'Prompt|Parts|Restarted|Whole|Small' -count 10 passes (6 new tests).

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -100,10 +100,7 @@
 		if t.permitted, ok = e.takePermit(t.Host); !ok {
 			continue
 		}
-		if e.sharedPrompt != 0 {
-			e.f.pool(e.pool).memory.Sent(e.sharedPrompt, t.ID, now)
-			e.f.Prompts.Sent(e.sharedPrompt, t.ID)
-		}
+		e.reportSent(t, now)
 		return t, true
 	}
 	return selectedUpstream{}, false
@@ -137,6 +134,10 @@
 // locateCachedPrompt finds the upstreams that have already processed the part of the
 // prompt that other requests share.
 func (e *exchange) locateCachedPrompt() {
+	if e.f.CachedParts != nil {
+		e.locateCachedParts()
+		return
+	}
 	if e.meta.sharedTokens() < minSharedTokens {
 		return
 	}
@@ -159,7 +160,7 @@
 	if e.sharedPrompt != 0 {
 		policy.Cached = func(id string) bool { return slices.Contains(e.cachedOn, id) || p.memory.Has(e.sharedPrompt, id, now) }
 	}
-	return policy
+	return e.weighHeld(policy)
 }
 
 // sharedTokens returns the number of prompt tokens in the parts that other requests
@@ -226,6 +227,7 @@
 		demand.peerSpeedCount.Store(speed.InFlight)
 		return true
 	})
+	f.updatePromptTracker(time.Now())
 }
 
 // refreshViews builds the routing view of every upstream pool in the current route
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/promptcache"
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
@@ -35,7 +36,8 @@
 	AnswerTime    = metrics.NewHistogram("forward_whole_ms", "Time from a request's arrival to the end of its answer.")
 )
 
-// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed.
+// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed, CachedParts and
+// PromptTracker.
 type Config struct {
 	// Domain is this host's failure domain.
 	Domain string
@@ -52,6 +54,10 @@
 	// Prompts finds the upstreams that have already processed a prompt that several
 	// requests share.
 	Prompts Prompts
+	// CachedParts estimates which prompt parts the upstreams hold, and PromptTracker is its tracker of
+	// this host's requests. If CachedParts is nil, whole shared prompts are tracked by Prompts.
+	CachedParts   CachedParts
+	PromptTracker *promptcache.Tracker
 	// Hosts returns the number of entry hosts (hosts that accept callers' requests)
 	// that share the rate limits.
 	Hosts func() int
@@ -107,7 +113,8 @@
 	active       atomic.Int64
 	endChecks    endChecks
 	conditions   condition.Table
-	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
+	trackedAt    atomic.Int64 // last call of updatePromptTracker, in Unix nanoseconds
+	exchanges    sync.Map     // *exchange to nil: the requests that were read and have not ended
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
@@ -282,5 +289,6 @@
 		return
 	}
 	e.locateCachedPrompt()
+	defer func() { e.endReading(time.Now()) }()
 	e.serve()
 }
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -37,6 +37,7 @@
 	sharedPrompt  uint64   // digest of the prompt parts that other requests may share; zero if unset
 	cachedOn      []string // upstreams that processed the shared prompt parts, most recent first
 	cachedOnKnown bool     // whether the lookup of cachedOn succeeded
+	parts         promptParts
 
 	cost           float64 // cost charged to the client account's limit
 	limitDecidedBy string  // host that decided whether the client account is within its limit
--- a/forward/send.go
+++ b/forward/send.go
@@ -242,6 +242,7 @@
 		}
 	}
 	prefillDone := func() {
+		e.recordRead()
 		if !prefillEnded && idle {
 			e.f.pool(e.pool).demand.recordPrefill(prefillTokens, time.Since(sent))
 		}
--- a/forwarding.go
+++ b/forwarding.go
@@ -28,6 +28,7 @@
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/prefixes"
 	"github.com/cardamompier/cardamompier/presence"
+	"github.com/cardamompier/cardamompier/promptcache"
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/replica"
@@ -164,13 +165,18 @@
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.LeaseValid)
 	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.hosts)
 	f.trackCrashes()
-	f.forwarder = forward.New(forward.Config{
+	prompts := prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts)
+	config := forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
-		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
+		Limits: f.limits, Prompts: prompts, Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
 		Permits: f.pacer, Crashes: f.crashes,
 		Logger: logger.Named("forward"),
-	})
+	}
+	if s.WeighCachedParts {
+		weighCachedParts(&config, prompts)
+	}
+	f.forwarder = forward.New(config)
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
 		f.forwarder.LocalLoads, f.forwarder.SetPeerLoads)
 	f.sharer.Attach(f.crashes)
@@ -179,6 +185,13 @@
 	return f, f.listen()
 }
 
+// weighCachedParts lets a forwarder estimate which prompt parts the upstreams hold.
+func weighCachedParts(config *forward.Config, prompts *prefixes.Directory) {
+	config.PromptTracker = promptcache.NewTracker(time.Now())
+	prompts.TrackParts(config.PromptTracker)
+	config.CachedParts = prompts
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -72,6 +72,9 @@
 	// sending requests to an upstream that is leaving. Both default to 2000.
 	RoutesMS  float64 `json:"routes_ms"`
 	LeavingMS float64 `json:"leaving_ms"`
+	// WeighCachedParts is whether an upstream for a prompt is chosen by estimates of which parts of the
+	// prompt each upstream holds in its prompt cache. Default false.
+	WeighCachedParts bool `json:"weigh_cached_parts"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
