--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -29,6 +29,7 @@
 		ordersExperiment(),
 		pathExperiment(),
 		policyExperiment(),
+		promptsExperiment(),
 		streamsExperiment(),
 	}
 	for _, e := range experiments {
