--- a/cmd/experiment/promptpolicy.go
+++ b/cmd/experiment/promptpolicy.go
@@ -57,9 +57,11 @@
 }
 
 // prefillPolicy is routing.Prefill with the directory of whole shared prompts.
-type prefillPolicy struct{}
+type prefillPolicy struct {
+	byRate bool // routing.ExpectedFinish takes the place of routing.Prefill
+}
 
-func (prefillPolicy) pick(s *promptSim, h *simHost, p *simPrompt) chosenUpstream {
+func (f prefillPolicy) pick(s *promptSim, h *simHost, p *simPrompt) chosenUpstream {
 	policy := routing.Prefill{Tokens: p.tokens, Shared: p.shared(), ShortShare: h.mix.ShortShare()}
 	r := &routing.Request{Now: simTime(s.now)}
 	if p.shared() >= simMinShared {
@@ -72,7 +74,11 @@
 		policy.Cached = func(id string) bool { return slices.Contains(ids, id) || h.memory.Has(p.digest(), id, r.Now) }
 		r.Blocks = []uint64{p.digest()}
 	}
-	choice := policy.Pick(h.snapshot, r, s.random.Uint64())
+	var used routing.Policy = policy
+	if f.byRate {
+		used = routing.ExpectedFinish{Prefill: policy, Arrived: s.arrived(h)}
+	}
+	choice := used.Pick(h.snapshot, r, s.random.Uint64())
 	chosen := chosenUpstream{index: choice.Index, unread: choice.PrefillTokens}
 	if id := s.upstreams[choice.Index].run.ID; policy.Cached != nil {
 		if policy.Cached(id) {
@@ -83,12 +89,19 @@
 	return chosen
 }
 
+// arrived returns the work that the other hosts are expected to have sent since their newest loads, in
+// tokens.
+func (s *promptSim) arrived(h *simHost) float64 {
+	return h.others * float64(s.now-h.loadsAt) / float64(simDigestInterval)
+}
+
 // weighPolicy is routing.HeldPrefill with estimates of what the upstreams hold.
 type weighPolicy struct {
 	surcharge float64
 	exact     bool    // what the upstreams hold is known
 	ownOnly   bool    // no owner is asked
 	wrongBy   float64 // estimates are wrong by up to this share
+	byRate    bool    // routing.ExpectedFinish takes the place of routing.HeldPrefill
 }
 
 // held returns what each upstream is estimated to hold.
@@ -121,10 +134,11 @@
 			}
 		}
 	}
-	policy := routing.HeldPrefill{
-		Prefill:       routing.Prefill{Tokens: p.tokens, Shared: p.shared(), ShortShare: h.mix.ShortShare()},
-		CopySurcharge: w.surcharge,
-		Held:          func(id string) int { return held[promptcache.Run{ID: id}] },
+	prefill := routing.Prefill{Tokens: p.tokens, Shared: p.shared(), ShortShare: h.mix.ShortShare()}
+	at := func(id string) int { return held[promptcache.Run{ID: id}] }
+	var policy routing.Policy = routing.HeldPrefill{Prefill: prefill, CopySurcharge: w.surcharge, Held: at}
+	if w.byRate {
+		policy = routing.ExpectedFinish{Prefill: prefill, CopySurcharge: w.surcharge, Held: at, Arrived: s.arrived(h)}
 	}
 	r := &routing.Request{Now: simTime(s.now)}
 	if p.shared() >= simMinShared {
--- a/cmd/experiment/prompts.go
+++ b/cmd/experiment/prompts.go
@@ -30,6 +30,8 @@
 		{"two-choices", blindPolicy{routing.TwoChoices{}}},
 		{"least-backlog", blindPolicy{routing.LeastBacklog{}}},
 		{"prefill", prefillPolicy{}},
+		{"expected-finish", prefillPolicy{byRate: true}},
+		{"weigh-by-rate", weighPolicy{surcharge: routing.DefaultCopySurcharge, byRate: true}},
 		{"weigh", weighPolicy{surcharge: routing.DefaultCopySurcharge}},
 		{"weigh-surcharge-0", weighPolicy{}},
 		{"weigh-surcharge-0.7", weighPolicy{surcharge: 0.7}},
--- a/cmd/experiment/promptsim.go
+++ b/cmd/experiment/promptsim.go
@@ -78,6 +78,10 @@
 	memory   routing.SentPrompts
 	tracker  *promptcache.Tracker
 	sent     float64 // tokens sent since the last exchange
+	// others is the work of the other hosts in the interval before the newest loads, in tokens, and
+	// loadsAt the time of these loads.
+	others  float64
+	loadsAt time.Duration
 }
 
 // promptSim is one run of the experiment in virtual time.
@@ -186,7 +190,11 @@
 		for i, l := range h.stats {
 			own[i] = [2]int64{l.Unread(), int64(l.InFlight())}
 		}
-		s.at(s.now+simDigestDelay, func() { s.apply(h, waiting, inFlight, own, unseen) })
+		taken := s.now
+		s.at(s.now+simDigestDelay, func() {
+			h.others, h.loadsAt = unseen, taken
+			s.apply(h, waiting, inFlight, own, unseen)
+		})
 	}
 	if s.now < s.end {
 		s.at(s.now+simDigestInterval, s.exchange)
--- a/forward/cachedparts.go
+++ b/forward/cachedparts.go
@@ -100,6 +100,14 @@
 	return routing.HeldPrefill{Prefill: policy, Held: e.heldAt, CopySurcharge: routing.DefaultCopySurcharge}
 }
 
+// weighHeldByRate is weighHeld for upstreams of different rates.
+func (e *exchange) weighHeldByRate(policy routing.ExpectedFinish) routing.Policy {
+	if e.f.CachedParts != nil {
+		policy.Held, policy.CopySurcharge = e.heldAt, routing.DefaultCopySurcharge
+	}
+	return policy
+}
+
 // reportSent reports that the prompt is sent to an upstream, which reads it from now on.
 func (e *exchange) reportSent(t selectedUpstream, now time.Time) {
 	if e.f.CachedParts == nil {
--- a/forwarding.go
+++ b/forwarding.go
@@ -170,7 +170,7 @@
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
 		Limits: f.limits, Prompts: prompts, Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Permits: f.pacer, Crashes: f.crashes,
+		Permits: f.pacer, Crashes: f.crashes, Balance: balanceOf(s),
 		Logger: logger.Named("forward"),
 	}
 	if s.WeighCachedParts {
@@ -192,6 +192,12 @@
 	config.CachedParts = prompts
 }
 
+// balanceOf returns how uneven upstreams are handled: as the settings say, or as the platform's rules call for.
+func balanceOf(s settings.Forwarding) forward.Balance {
+	features := platform.FeaturesOf(s.RuleParts)
+	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/routing/held_test.go
+++ b/routing/held_test.go
@@ -61,6 +61,23 @@
 	})
 }
 
+// The same with ExpectedFinish, which chooses at random among upstreams whose cost is at most a tenth or
+// runningCost above the lowest one. The cost of the idle upstream is at most twice the prompt and crossPartCost.
+func TestIdleUpstreamBeatsHolderWithLongExpectedWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawHeldPool(t)
+		policy := ExpectedFinish{Prefill: p.policy.Prefill, CopySurcharge: DefaultCopySurcharge, Held: func(id string) int { return p.held[id] }}
+		chosen := &p.snapshot.Upstreams[policy.Pick(p.snapshot, &Request{Now: time.Unix(1000, 0)}, rapid.Uint64().Draw(t, "random")).Index]
+		for i := range p.snapshot.Upstreams {
+			u := &p.snapshot.Upstreams[i]
+			limit := float64(p.policy.Tokens) + max(nearShare*float64(2*p.policy.Tokens+crossPartCost), runningCost)
+			if u.Live.Backlog() == 0 && float64(chosen.Live.Backlog()) > limit {
+				t.Fatalf("upstream with a backlog of %d was chosen for a prompt of %d tokens beside an idle one", chosen.Live.Backlog(), p.policy.Tokens)
+			}
+		}
+	})
+}
+
 // A hot prefix is copied to an upstream that finishes no sooner than one that holds it, so that the copy
 // only displaces other prefixes.
 func TestCopyOnlyWhereHolderFinishesLater(t *testing.T) {
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -75,6 +75,14 @@
 	// WeighCachedParts is whether an upstream for a prompt is chosen by estimates of which parts of the
 	// prompt each upstream holds in its prompt cache. Default false.
 	WeighCachedParts bool `json:"weigh_cached_parts"`
+	// BalanceByRate measures the rate of each upstream and chooses upstreams by the
+	// expected time until they answer. Default false.
+	BalanceByRate bool `json:"balance_by_rate"`
+	// RuleParts are the names of the rule parts of the platform that are in force for
+	// this deployment. They switch on the features that these parts call for, in
+	// addition to those that the other settings switch on. Names that are not known
+	// are ignored. Default none.
+	RuleParts []string `json:"rule_parts"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
