--- a/forward/send.go
+++ b/forward/send.go
@@ -243,6 +243,7 @@
 		}
 	}
 	prefillDone := func() {
+		e.recordRead()
 		if !prefillEnded {
 			e.recordPrefill(prefillTokens, idle, sent, sample)
 		}
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -23,6 +23,9 @@
 	// Held returns the number of leading tokens of the prompt that an upstream holds in its cache; nil
 	// means that the assumptions of Prefill are used.
 	Held func(id string) int
+	// CopySurcharge is the additional cost of reading a token again that another upstream holds, as a
+	// multiple of reading it; see DefaultCopySurcharge. It is used with Held only.
+	CopySurcharge float64
 	// Arrived is the work, in tokens, that the other hosts are expected to have sent to the pool since the
 	// loads that they report; zero if the reports are current.
 	Arrived float64
@@ -35,13 +38,19 @@
 	held, known := p.held(s, r)
 	loads, fixed := p.costs(s, r)
 	rate := func(i int) float64 { return s.Upstreams[i].Live.Rate() }
-	maxSurcharge := math.Inf(1)
-	if p.Held != nil { // an idle upstream is chosen once the wait at those that hold the prompt exceeds the reading
-		maxSurcharge = float64(p.Tokens) - slices.Max(append(held, 0))
+	most, weighed := 0.0, false // the most that an upstream holds, and whether that is known
+	for i := range held {
+		most, weighed = max(most, held[i]), weighed || p.Held != nil && known[i]
+	}
+	if weighed && int(most) < p.Shared {
+		p.preferByHash(s, r, fixed, float64(p.Shared)-most)
 	}
 	cost := func(i int, held float64) float64 {
-		unread := float64(p.Tokens) - held + min(rereadSurcharge*max(0, float64(p.Shared)-held), maxSurcharge)
-		return loads[i] + unread/rate(i) + fixed[i]
+		surcharge := rereadSurcharge * max(0, float64(p.Shared)-held)
+		if weighed {
+			surcharge = float64(CopyCost(int(most-held), p.Tokens-int(most), p.CopySurcharge, loads[i] == 0))
+		}
+		return loads[i] + (float64(p.Tokens)-held+surcharge)/rate(i) + fixed[i]
 	}
 	level := fillLevel(loads, p.Arrived, rate)
 	best, least := -1, math.Inf(1)
@@ -72,6 +81,19 @@
 	return c
 }
 
+// preferByHash lowers the costs of the first two upstreams in the hash order of a prompt of which no upstream
+// holds the last unheld shared tokens, as much as in Prefill, so that all hosts let the same upstreams read
+// them.
+func (p ExpectedFinish) preferByHash(s *Snapshot, r *Request, fixed []float64, unheld float64) {
+	first, second := p.preferredTwo(s, r)
+	if first >= 0 {
+		fixed[first] -= firstCachedShare * (1 + rereadSurcharge) * unheld
+	}
+	if second >= 0 {
+		fixed[second] -= secondCachedShare * (1 + rereadSurcharge) * unheld
+	}
+}
+
 // costs returns, for each upstream, the time to work off its load and the costs that do not depend on the
 // prompt, in tokens at the pool's median rate. The load of an upstream that is not allowed is infinite.
 func (p ExpectedFinish) costs(s *Snapshot, r *Request) (loads, fixed []float64) {
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -76,6 +76,9 @@
 	// they are ordered. A short window follows bursts, and counts a load in full as soon as
 	// it begins. Default 0: 4 s, with an average that grows from zero.
 	DemandWindowSeconds float64 `json:"demand_window_seconds"`
+	// WeighCachedParts is whether an upstream for a prompt is chosen by estimates of which parts of the
+	// prompt each upstream holds in its prompt cache. Default false.
+	WeighCachedParts bool `json:"weigh_cached_parts"`
 	// BalanceByRate measures the rate of each upstream and chooses upstreams by the
 	// expected time until they answer. Default false.
 	BalanceByRate bool `json:"balance_by_rate"`
