Add settings for the limits of callers

caller_memory_share, max_descriptors and caller_silence_seconds for the forwarder, memory_mb and max_descriptors for the chat front end, each with a default and a check when the settings are read. The checks of cores and link_mbps move to the same function.

--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -44,6 +44,15 @@
 	Duties string `json:"duties"`
 	// MemoryMB is the memory available to the process, in MiB. Default no limit.
 	MemoryMB int64 `json:"memory_mb"`
+	// CallerMemoryShare is the share of MemoryMB that callers may hold: the heads and bodies of their
+	// requests, answers that they do not read, and messages of other hosts. Default 0.25.
+	CallerMemoryShare float64 `json:"caller_memory_share"`
+	// MaxDescriptors is the number of files and connections that the process may have
+	// open. Default the limit of the operating system.
+	MaxDescriptors int `json:"max_descriptors"`
+	// CallerSilenceSeconds is the time after which a caller is disconnected that sends
+	// nothing of its request's body, or reads nothing of its answer. Default 10.
+	CallerSilenceSeconds float64 `json:"caller_silence_seconds"`
 	// Cores is the number of processor cores available to the process, which may be
 	// a fraction; LinkMbps is the bandwidth of its network link in Mbit/s. Hosts with
 	// more of both do a larger share of the work for all hosts. Default unknown.
@@ -106,6 +115,8 @@
 // withDefaults returns s with each zero setting that has a default replaced by it.
 func (s Forwarding) withDefaults() Forwarding {
 	s.StoreCalls = lo.CoalesceOrEmpty(s.StoreCalls, 400)
+	s.CallerMemoryShare = lo.CoalesceOrEmpty(s.CallerMemoryShare, defaultCallerMemoryShare)
+	s.CallerSilenceSeconds = lo.CoalesceOrEmpty(s.CallerSilenceSeconds, 10)
 	s.GraceSeconds = lo.CoalesceOrEmpty(s.GraceSeconds, 8)
 	s.AddressSeconds = lo.CoalesceOrEmpty(s.AddressSeconds, 2)
 	s.RetryRatio = lo.CoalesceOrEmpty(s.RetryRatio, 0.2)
@@ -131,6 +142,9 @@
 			return invalid(a.field, "an IP number and port that can be connected to")
 		}
 	}
+	if field, expected := s.invalidLimit(); field != "" {
+		return invalid(field, expected)
+	}
 	switch {
 	case !isName(s.HostID):
 		return invalid("host_id", expectedName)
@@ -154,10 +168,6 @@
 		return invalid("limit_excess", expectedPositive)
 	case s.UsageWindowSeconds <= 0:
 		return invalid("usage_window_seconds", expectedPositive)
-	case s.Cores < 0:
-		return invalid("cores", expectedPositive)
-	case s.LinkMbps < 0:
-		return invalid("link_mbps", expectedPositive)
 	case s.RoutesMS <= 0:
 		return invalid("routes_ms", expectedPositive)
 	case s.LeavingMS <= 0:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,12 @@
 	Seeds []string `json:"seeds,omitempty"`
 	// Platform holds the URLs of the platform's services.
 	Platform Platform `json:"platform"`
+	// MemoryMB is the memory available to the process, in MiB. Default no limit; callers
+	// are then limited as on a host of 160 MiB.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxDescriptors is the number of files and connections that the process may have
+	// open. Default the limit of the operating system.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
@@ -139,6 +145,10 @@
 		return invalid("platform.weights", "an http URL, as platform.cloud has one")
 	case s.Platform.Cloud == "" && s.Platform.Weights != "":
 		return invalid("platform.cloud", "an http URL, as platform.weights has one")
+	case s.MemoryMB < 0:
+		return invalid("memory_mb", expectedPositive)
+	case s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors:
+		return invalid("max_descriptors", expectedDescriptors)
 	case hclog.LevelFromString(s.LogLevel) == hclog.NoLevel:
 		return invalid("log_level", "trace, debug, info, warn or error")
 	}
