Bound the memory and the connections of callers

Callers that stop short of the end of heads and bodies, or read no answers, ended a process: a head, a body and an answer were kept without a common bound, bodies in doubling buffers, and connections until the descriptors were used up.

callerconn wraps every listener of both front ends. It charges connections, heads, bodies, answers and messages between hosts to one membudget.Budget (caller_memory_share of memory_mb) and bounds connections by max_descriptors, so that some stay free for upstreams and the store. Stalled callers are shed when either is used up, and after caller_silence_seconds in any case. Refusals are 429, 503 and 408 "not run" with Retry-After, 431 for heads over the limit of the route table. Bodies are read in blocks that are not joined.

--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -39,6 +39,7 @@
 	CodePlatformUnavailable Code = "platform_unavailable"
 	CodeUnknownRequest      Code = "unknown_request"
 	CodeRequestLost         Code = "request_lost"
+	CodeRequestTimeout      Code = "request_timeout"
 	CodeInternal            Code = "internal"
 )
 
@@ -80,6 +81,7 @@
 	CodePlatformUnavailable: http.StatusServiceUnavailable,
 	CodeUnknownRequest:      http.StatusNotFound,
 	CodeRequestLost:         http.StatusGone,
+	CodeRequestTimeout:      http.StatusRequestTimeout,
 	CodeInternal:            http.StatusInternalServerError,
 }
 
--- a/cardamompier.go
+++ b/cardamompier.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
 
+	"github.com/cardamompier/cardamompier/callerconn"
 	"github.com/cardamompier/cardamompier/config"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/gateway"
@@ -60,6 +61,7 @@
 	callerListener, innerListener net.Listener
 	background, registryDone      sync.WaitGroup
 	stop                          context.CancelFunc
+	guard                         *callerconn.Guard
 }
 
 // New creates a server and opens its listeners. Its error is a *settings.Error or a
@@ -81,6 +83,8 @@
 	do.MustInvoke[*provision.Controller](injector)
 	srv.callers = srv.gateway.Server()
 	srv.inner = srv.innerServer()
+	limitMemory(s.MemoryMB)
+	srv.guardChat()
 	return srv, srv.listen()
 }
 
@@ -93,6 +97,7 @@
 		_ = s.callerListener.Close()
 		return &ListenError{Address: s.settings.InnerListen, Cause: err}
 	}
+	s.callerListener, s.innerListener = s.guard.Callers(s.callerListener), s.guard.Peers(s.innerListener)
 	return nil
 }
 
@@ -112,6 +117,7 @@
 	if keeper := do.MustInvoke[*provision.Controller](s.injector); keeper != nil {
 		s.start(func() { keeper.Run(background) })
 	}
+	s.start(func() { s.guard.Run(background) })
 	s.start(func() { s.serve(s.callers, s.callerListener) })
 	s.start(func() { s.serve(s.inner, s.innerListener) })
 	events.ProcessStarted.Log(s.logger, "host", s.settings.HostID, "listen", s.settings.Listen)
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -40,7 +40,9 @@
 	for _, text := range []string{e.r.Method, e.r.Host, requestTarget(e.r), e.accountName()} {
 		_, _ = digest.WriteString(text + "\x00")
 	}
-	_, _ = digest.Write(e.body)
+	for _, block := range e.body {
+		_, _ = digest.Write(block)
+	}
 	keys := []quarantine.Key{quarantine.Key(digest.Sum64())}
 	if n := len(e.meta.Prompt); n > 1 {
 		for _, part := range e.meta.Prompt[max(0, n-1-maxPartKeys) : n-1] {
--- a/forward/eventstream.go
+++ b/forward/eventstream.go
@@ -72,6 +72,8 @@
 // writes events to the caller.
 func (p *eventRelay) copy(body io.Reader, beginAnswer func()) error {
 	p.received = 0
+	// The events that are relayed are copied from the buffer, so that it counts twice.
+	_ = p.e.chargeAnswer(2 * streamReadSize)
 	buffer := make([]byte, 0, streamReadSize)
 	searchedLen := 0 // length of the buffer's prefix that contains no end of an event
 	for {
@@ -79,6 +81,7 @@
 			return oversizeEventError{}
 		}
 		if len(buffer) == cap(buffer) {
+			_ = p.e.chargeAnswer(2 * int64(len(buffer)))
 			buffer = slices.Grow(buffer, len(buffer))
 		}
 		n, err := body.Read(buffer[len(buffer):min(cap(buffer), maxEventBytes)])
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/membudget"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/retry"
@@ -242,11 +243,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// runBytes is the memory of a request that runs, without its body and its answer: the upstream's connection with its
+// buffer of 8 KiB, two goroutines and the headers. docs/CAPACITY.md says how it was measured.
+const runBytes = 24 << 10
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	e := &exchange{f: f, w: w, r: r, arrived: time.Now()}
+	e := &exchange{f: f, w: w, r: r, arrived: time.Now(), holder: membudget.FromContext(r.Context())}
 	defer e.reportPanic()
 	if refused := e.identify(); refused != nil {
 		e.refuse(refused)
@@ -264,6 +269,10 @@
 		e.refuse(refused)
 		return
 	}
+	if err := e.holder.Grow(runBytes); err != nil {
+		e.refuse(e.bodyError(err))
+		return
+	}
 	e.keys = e.contentKeys()
 	// The request is registered before the check, so that no quarantine that begins
 	// meanwhile is missed.
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/membudget"
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/routes"
 )
@@ -31,8 +32,11 @@
 	meta     Metadata
 	deadline time.Time
 	pool     string
-	body     []byte
-	keys     []quarantine.Key // of the content; the first one is that of the whole request
+	holder   *membudget.Holder // of the caller's connection
+	body     membudget.Body
+	// bodyUnread is whether the body was not read to its end, so that the connection cannot be used again.
+	bodyUnread bool
+	keys       []quarantine.Key // of the content; the first one is that of the whole request
 
 	sharedPrompt  uint64   // digest of the prompt parts that other requests may share; zero if unset
 	cachedOn      []string // upstreams that processed the shared prompt parts, most recent first
@@ -126,27 +130,53 @@
 	if e.r.ContentLength > limit {
 		return apierr.New(apierr.CodeRequestTooLarge, "the body is too large")
 	}
-	if e.r.ContentLength > 0 {
-		e.body = make([]byte, 0, e.r.ContentLength)
+	if e.r.ContentLength == 0 {
+		return nil
 	}
-	reader := http.MaxBytesReader(e.w, e.r.Body, limit)
+	e.holder.Begin(membudget.PhaseBody)
+	defer e.holder.Begin(membudget.PhaseRunning)
+	reader := deadlineReader{r: http.MaxBytesReader(e.w, e.r.Body, limit), deadline: e.deadline}
 	var err error
-	if e.r.ContentLength > 0 {
-		e.body = e.body[:e.r.ContentLength]
-		_, err = io.ReadFull(reader, e.body)
-	} else if e.r.ContentLength < 0 {
-		e.body, err = io.ReadAll(reader)
+	if e.body, err = membudget.ReadBody(reader, e.r.ContentLength, e.holder.Grow); err != nil {
+		e.bodyUnread = true
+		return e.bodyError(err)
 	}
+	return nil
+}
+
+// shedRetryAfter is the Retry-After time when the memory for callers is used up: about the time until callers that
+// make no progress are shed.
+const shedRetryAfter = time.Second
+
+// bodyError returns the error for a body that was not read. No upstream has received any of it.
+func (e *exchange) bodyError(err error) *apierr.Error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var exhausted *membudget.ExhaustedError
+	switch {
+	case errors.As(err, &tooLarge):
 		return apierr.New(apierr.CodeRequestTooLarge, "the body is too large")
+	case errors.As(err, &exhausted) || e.holder.ShedFor() == membudget.ShedMemory || e.holder.ShedFor() == membudget.ShedConnections:
+		return apierr.New(apierr.CodeOverloaded, "the memory for callers is used up").WithRetryAfter(withJitter(shedRetryAfter)).WithCause(err)
+	case e.holder.WasShed() || errors.Is(err, errDeadline):
+		return apierr.New(apierr.CodeRequestTimeout, "the body did not arrive in time").WithRetryAfter(withJitter(shedRetryAfter)).WithCause(err)
+	default:
+		return apierr.New(apierr.CodeInvalidRequest, "the body broke off").WithCause(err)
 	}
-	if err != nil {
-		refused := apierr.New(apierr.CodeInvalidRequest, "the body broke off")
-		refused.Cause = err
-		return refused
+}
+
+// deadlineReader ends with errDeadline once the request's deadline has passed: a body that arrives later is of no use.
+type deadlineReader struct {
+	r        io.Reader
+	deadline time.Time
+}
+
+// Read implements io.Reader.
+func (r deadlineReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if err == nil && time.Now().After(r.deadline) {
+		return 0, errDeadline
 	}
-	return nil
+	return n, err
 }
 
 // hostName returns the host name of a request without the port.
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -29,7 +29,7 @@
 // refuse answers the request with an error from this host and refunds the request's
 // cost if no upstream ran it.
 func (e *exchange) refuse(refused *apierr.Error) {
-	if e.r.Context().Err() != nil {
+	if e.r.Context().Err() != nil && !e.holder.WasShed() { // net/http ends the context also when a body is interrupted
 		e.recordCallerGone()
 		return
 	}
@@ -50,7 +50,7 @@
 	if refused.RetryAfter > 0 {
 		e.f.Codec.SetRetryAfter(header, refused.RetryAfter)
 	}
-	if e.f.draining.Load() != nil || refused.Code == apierr.CodeRequestTooLarge {
+	if e.f.draining.Load() != nil || refused.Code == apierr.CodeRequestTooLarge || e.bodyUnread {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "application/json")
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/membudget"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
 )
 
@@ -51,14 +52,15 @@
 
 // relayWhole relays an answer that is not an event stream.
 func (e *exchange) relayWhole(t selectedUpstream, a *connpool.Answer, v AnswerMetadata, prefillDone func()) (outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer))
+	body, err := membudget.ReadAnswer(io.LimitReader(a.Body, maxBufferedAnswer), min(a.ContentLength, maxBufferedAnswer), e.chargeAnswer)
 	if err != nil {
 		a.Close(false)
 		return attemptFailed, e.lossError(t, err)
 	}
 	prefillDone()
 	e.reportStarted()
-	exceedsBuffer := len(body) == maxBufferedAnswer
+	size := body.Len()
+	exceedsBuffer := size == maxBufferedAnswer
 	failed := a.StatusCode >= http.StatusInternalServerError
 	if v.RetryAfter == 0 { // a pause is no failure
 		t.live.RecordOutcome(failed, time.Now())
@@ -81,29 +83,45 @@
 	}
 	e.copyAnswerHeaders(a)
 	if !exceedsBuffer && e.r.Method != http.MethodHead {
-		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		e.w.Header().Set("Content-Length", strconv.Itoa(size))
 	}
 	e.w.WriteHeader(a.StatusCode)
 	e.answerBegun.Store(true)
 	e.recordFirstByte()
-	if _, err := e.w.Write(body); err != nil {
+	if _, err := body.WriteTo(e.w); err != nil {
 		a.Close(!exceedsBuffer)
 		e.recordCallerGone()
 		return attemptDone, nil
 	}
 	if exceedsBuffer {
-		if _, err := io.Copy(e.w, a.Body); err != nil {
-			a.Close(false)
-			e.reportBroken(t)
-			e.abortAnswer(t, err)
-		}
-		e.reportAnswered()
+		e.copyRest(t, a)
 	}
 	a.Close(true)
 	e.recordFinished(t, a.StatusCode)
 	return attemptDone, nil
 }
 
+// copyRest relays the rest of an answer that exceeds maxBufferedAnswer. It panics if the answer breaks off.
+func (e *exchange) copyRest(t selectedUpstream, a *connpool.Answer) {
+	_ = e.chargeAnswer(copyBufferBytes)
+	if _, err := io.Copy(e.w, a.Body); err != nil {
+		a.Close(false)
+		e.reportBroken(t)
+		e.abortAnswer(t, err)
+	}
+	e.reportAnswered()
+}
+
+// copyBufferBytes is the size of the buffer with which net/http copies an answer.
+const copyBufferBytes = 32 << 10
+
+// chargeAnswer charges memory for an answer. The request has run, so that it is answered also when the memory for
+// callers is used up.
+func (e *exchange) chargeAnswer(n int64) error {
+	e.holder.Force(n)
+	return nil
+}
+
 // reserveServerErrorRetry returns whether a request that an upstream answered with a
 // server error (5xx) may be repeated, and reserves the repeated attempt.
 func (e *exchange) reserveServerErrorRetry() bool {
--- a/forward/send.go
+++ b/forward/send.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -205,8 +204,8 @@
 	if strings.HasPrefix(req.URL.Opaque, "//") { // the Opaque value would be parsed as an authority (host name)
 		req.URL = e.r.URL
 	}
-	if len(e.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(e.body)), int64(len(e.body))
+	if size := e.body.Len(); size > 0 {
+		req.Body, req.ContentLength = io.NopCloser(e.body.Reader()), int64(size)
 	}
 	return req
 }
--- a/forwarding.go
+++ b/forwarding.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"github.com/cardamompier/cardamompier/callerconn"
 	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/directory"
 	"github.com/cardamompier/cardamompier/events"
@@ -121,6 +121,7 @@
 	reading hosts.Reading
 	decoded map[string]decodedUpstream // by store key; used only by applyUpstreams
 
+	guard       *callerconn.Guard
 	stopping    atomic.Bool
 	lastRequest atomic.Int64 // arrival of the newest request, in Unix nanoseconds
 	listeners   []boundServer
@@ -146,9 +147,7 @@
 	if err := s.Validate("given"); err != nil {
 		return nil, err
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitShare))
-	}
+	limitMemory(s.MemoryMB)
 	f := &ForwardServer{
 		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
 		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
@@ -225,6 +224,10 @@
 
 // listen opens the listeners and creates their servers; Run starts the servers.
 func (f *ForwardServer) listen() error {
+	f.guard = newGuard(callerconn.Options{
+		MemoryBytes: f.settings.CallerBytes(), Descriptors: f.settings.MaxDescriptors, Silence: seconds(f.settings.CallerSilenceSeconds),
+		HeadBytes: f.headBytes, Logger: f.logger.Named("callers"),
+	})
 	edge := (&platform.Edge{Ready: f.ready, Addresses: f.addresses}).Handler()
 	internal := http.NewServeMux()
 	internal.Handle(inner.Path, f.innerServer)
@@ -249,7 +252,12 @@
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 			ErrorLog: f.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
-		f.listeners = append(f.listeners, boundServer{server: server, listener: listener})
+		f.guard.Attach(server)
+		guarded := f.guard.Callers(listener)
+		if l.address == f.settings.InnerListen {
+			guarded = f.guard.Peers(listener)
+		}
+		f.listeners = append(f.listeners, boundServer{server: server, listener: guarded})
 	}
 	return nil
 }
@@ -321,7 +329,7 @@
 	for component, run := range map[string]func(context.Context){
 		"routes": f.afterMembersRead(f.routes.Run), "upstreams": f.afterMembersRead(f.runners.Run), "members": f.members.Run,
 		"presence": f.presence.Run, "forward": f.forwarder.Run, "upstream list": f.refreshUpstreams, "usage": f.counter.Run,
-		"loadshare": f.sharer.Run, "limits": f.limits.Run, "pacer": f.pacer.Run, "quarantine": f.persister.Run,
+		"loadshare": f.sharer.Run, "limits": f.limits.Run, "callers": f.guard.Run, "pacer": f.pacer.Run, "quarantine": f.persister.Run,
 	} {
 		parts.Go(func() { guard.Run(background, f.logger, component, run) })
 	}
--- a/inner/server.go
+++ b/inner/server.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/events"
+	"github.com/cardamompier/cardamompier/membudget"
 	"github.com/cardamompier/cardamompier/metrics"
 )
 
@@ -86,18 +87,19 @@
 	}
 	defer s.untrack(conn)
 	conn.SetReadLimit(maxMessageSize)
-	s.readLoop(conn)
+	s.readLoop(conn, membudget.FromContext(r.Context()))
 }
 
 // readLoop reads messages from conn and runs their handlers, each in its own
-// goroutine, until conn closes or a message is malformed.
-func (s *Server) readLoop(conn *websocket.Conn) {
+// goroutine, until conn closes or a message is malformed. The messages are charged to holder until they are handled.
+func (s *Server) readLoop(conn *websocket.Conn, holder *membudget.Holder) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	slots := make(chan struct{}, maxConcurrentCalls)
 	for {
-		_, data, err := conn.Read(ctx)
+		data, charged, err := readMessage(ctx, conn, holder)
 		if err != nil {
+			holder.Shrink(charged)
 			return
 		}
 		Bytes.Add(labelReceived, int64(len(data)))
@@ -109,12 +111,35 @@
 		}
 		slots <- struct{}{}
 		go func() {
-			defer func() { <-slots }()
+			defer func() {
+				holder.Shrink(charged)
+				<-slots
+			}()
 			s.handle(ctx, conn, message)
 		}()
 	}
 }
 
+// readMessage reads one message. charged is what it charged to holder, also if it fails.
+func readMessage(ctx context.Context, conn *websocket.Conn, holder *membudget.Holder) (data []byte, charged int64, err error) {
+	_, reader, err := conn.Reader(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	body, err := membudget.ReadBody(reader, -1, func(n int64) error {
+		n *= messageCost
+		if err := holder.Grow(n); err != nil {
+			return err
+		}
+		charged += n
+		return nil
+	})
+	return body.Join(), charged, err
+}
+
+// messageCost is the memory for each byte of a message: its blocks, which are joined to be decoded.
+const messageCost = 2
+
 // handle runs the handler of a message and, if the message is a call, sends the
 // response.
 func (s *Server) handle(ctx context.Context, conn *websocket.Conn, message envelope) {
--- a/status.go
+++ b/status.go
@@ -93,5 +93,5 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.poller.Current().Hosts)
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: innerHeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
 }
