--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,54 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// EvidenceKey identifies the counts of one version on one route. An empty route stands for all routes that
+// have no counts of their own.
+type EvidenceKey struct{ Version, Route string }
+
+// Buckets is the number of latency buckets. Bucket i counts latencies from 2^(i/4) ms, the first one also all
+// shorter ones, and the last one also all longer ones (from 3.4 s).
+const Buckets = 48
+
+// Counts are the ended requests of one version on one route.
+type Counts struct {
+	// Ended counts the requests that have ended, and Failed those of them that failed: a 5xx answer, a broken,
+	// empty or missing answer, or a time-out. Rejections that state "not run" and requests whose caller
+	// disconnected are in neither.
+	Ended, Failed int64
+	// Latency counts the answers of requests that did not fail, by the time to their first byte.
+	Latency [Buckets]int64
+}
+
+// Bucket returns the index in Counts.Latency of a latency.
+func Bucket(latency time.Duration) int {
+	if latency <= time.Millisecond {
+		return 0
+	}
+	return min(int(4*math.Log2(float64(latency)/float64(time.Millisecond))), Buckets-1)
+}
+
+// Add adds the counts of other to c.
+func (c *Counts) Add(other Counts) {
+	c.Ended += other.Ended
+	c.Failed += other.Failed
+	for i, n := range other.Latency {
+		c.Latency[i] += n
+	}
+}
+
+// Evidence holds the counts by version and route. Its CBOR encoding is bounded: MaxKeys keys, names of MaxName
+// bytes and no negative counts.
+type Evidence map[EvidenceKey]Counts
+
+// Add adds the counts of other to e, which must not be nil.
+func (e Evidence) Add(other Evidence) {
+	for key, counts := range other {
+		sum := e[key]
+		sum.Add(counts)
+		e[key] = sum
+	}
+}
