--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -31,12 +34,12 @@
 	return min(int(4*math.Log2(float64(latency)/float64(time.Millisecond))), Buckets-1)
 }
 
-// Add adds the counts of other to c.
+// Add adds the counts of other to c, up to the maximum that can be encoded.
 func (c *Counts) Add(other Counts) {
-	c.Ended += other.Ended
-	c.Failed += other.Failed
+	c.Ended = min(c.Ended+other.Ended, maxCount)
+	c.Failed = min(c.Failed+other.Failed, maxCount)
 	for i, n := range other.Latency {
-		c.Latency[i] += n
+		c.Latency[i] = min(c.Latency[i]+n, maxCount)
 	}
 }
 
@@ -44,11 +47,26 @@
 // bytes and no negative counts.
 type Evidence map[EvidenceKey]Counts
 
-// Add adds the counts of other to e, which must not be nil.
+// Add adds the counts of other to e, which must not be nil. Beyond MaxKeys keys it adds them to those of the version
+// without a route, or drops them if there are none.
 func (e Evidence) Add(other Evidence) {
-	for key, counts := range other {
-		sum := e[key]
+	for _, key := range other.keys() {
+		counts := other[key]
+		sum, known := e[key]
+		if !known && len(e) >= MaxKeys {
+			key.Route = ""
+			if sum, known = e[key]; !known {
+				continue
+			}
+		}
 		sum.Add(counts)
 		e[key] = sum
 	}
 }
+
+// keys returns the keys, sorted.
+func (e Evidence) keys() []EvidenceKey {
+	return slices.SortedFunc(maps.Keys(e), func(a, b EvidenceKey) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route))
+	})
+}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -1,5 +1,13 @@
 package rollout
 
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/samber/lo"
+)
+
 // Verdict compares the target of a roll-out with the old versions.
 type Verdict struct {
 	// Bad reports that the target is worse than the old versions. Sure reports that the evidence suffices for a
@@ -14,5 +22,172 @@
 	BadAnswers int64
 }
 
-// Judge returns the verdict on the target over the routes one by one and together.
-func Judge(target string, old []string, e Evidence) Verdict { return Verdict{} }
+const (
+	// sureZ and suspectZ are the values of the test statistic from which a difference is sure and suspected.
+	// Chance exceeds them in 3 of 100,000 and 13 of 10,000 comparisons.
+	sureZ, suspectZ = 4.0, 3.0
+	// minFailed and minSlow are the least numbers of bad answers for a sure verdict, and minSuspect that for a
+	// suspicion. A few slow answers are more common than a few failed ones.
+	minFailed, minSlow, minSuspect = 5, 8, 3
+	// excessVerdict is the number of bad answers beyond the old versions' share that is a verdict by itself. It
+	// is below the 50 bad answers from which the time to roll back counts.
+	excessVerdict = 40
+	// slowBuckets is the distance from the bucket of the old versions' 90th percentile to the first slow bucket:
+	// 1.5 is 2.3 quarter octaves, and answers are spread over the bucket of the percentile.
+	slowBuckets = 3
+	// minPercentile is the least number of old answers from which a 90th percentile is taken.
+	minPercentile = 20
+	// promotedFailed and promotedSlow are the least differences of shares for a verdict after the promotion. The
+	// old versions get no requests then, so that a burst or content that crashes upstreams shows at the target
+	// only. Bad targets fail or delay one answer in seven or more.
+	promotedFailed, promotedSlow = 0.03, 0.5
+)
+
+// leastDifference holds the least differences between the shares of the target and the old versions that count.
+type leastDifference struct{ failed, slow float64 }
+
+// Judge returns the verdict on the target over the routes one by one and together. The evidence of all versions
+// must be from the same time.
+func Judge(target string, old []string, e Evidence) Verdict {
+	return judge(target, old, e, leastDifference{})
+}
+
+// JudgePromoted is Judge for PhasePromoting, in which the evidence of the old versions is from an earlier time:
+// small differences in failures and moderate ones in slowness do not count.
+func JudgePromoted(target string, old []string, e Evidence) Verdict {
+	return judge(target, old, e, leastDifference{failed: promotedFailed, slow: promotedSlow})
+}
+
+func judge(target string, old []string, e Evidence, least leastDifference) Verdict {
+	type pair struct{ target, old Counts }
+	routes, total := map[string]*pair{}, &pair{}
+	for key, counts := range e {
+		p := routes[key.Route]
+		if p == nil {
+			p = &pair{}
+			routes[key.Route] = p
+		}
+		switch {
+		case key.Version == target:
+			p.target.Add(counts)
+			total.target.Add(counts)
+		case slices.Contains(old, key.Version):
+			p.old.Add(counts)
+			total.old.Add(counts)
+		}
+	}
+	out := compare("", &total.target, &total.old, least)
+	names := lo.Keys(routes)
+	slices.Sort(names)
+	for _, name := range names {
+		v := compare(name, &routes[name].target, &routes[name].old, least)
+		v.BadAnswers = max(v.BadAnswers, out.BadAnswers)
+		out.BadAnswers = v.BadAnswers
+		if v.Bad && !out.Bad || v.Sure && !out.Sure {
+			out = v
+		}
+	}
+	return out
+}
+
+// compare returns the verdict on one route, or on all of them if the route is empty.
+func compare(route string, target, old *Counts, least leastDifference) Verdict {
+	failed := proportions{kind: "failed", bad: target.Failed, all: target.Ended, oldBad: old.Failed, oldAll: old.Ended}
+	slow := slowAnswers(target, old)
+	out := Verdict{Route: route, BadAnswers: int64(failed.excess() + slow.excess())}
+	for _, test := range []struct {
+		proportions
+		least   int64
+		minimum float64
+	}{{failed, minFailed, least.failed}, {slow, minSlow, least.slow}} {
+		p := test.proportions
+		if p.difference() <= test.minimum {
+			continue
+		}
+		sure := p.bad >= test.least && p.z() >= sureZ || p.excess() >= excessVerdict && p.smoothed().z() >= suspectZ
+		suspect := p.bad >= minSuspect && p.z() >= suspectZ
+		if (sure || suspect) && !out.Sure && (sure || !out.Bad) {
+			out.Bad, out.Sure, out.Reason = true, sure, p.String()
+		}
+	}
+	if !out.Bad {
+		out.Route = ""
+	}
+	return out
+}
+
+// slowAnswers returns the answers slower than 1.5 times the old versions' 90th percentile.
+func slowAnswers(target, old *Counts) proportions {
+	out := proportions{kind: "slow", all: lo.Sum(target.Latency[:]), oldAll: lo.Sum(old.Latency[:])}
+	if out.oldAll < minPercentile {
+		return proportions{kind: out.kind}
+	}
+	percentile, below := 0, old.Latency[0]
+	for ; below*10 < out.oldAll*9; below += old.Latency[percentile] {
+		percentile++
+	}
+	if first := percentile + slowBuckets; first < Buckets {
+		out.bad, out.oldBad = lo.Sum(target.Latency[first:]), lo.Sum(old.Latency[first:])
+	}
+	return out
+}
+
+// proportions are the bad answers among all answers of the target and of the old versions.
+type proportions struct {
+	kind                     string
+	bad, all, oldBad, oldAll int64
+}
+
+// String returns the numbers for a verdict's reason.
+func (p proportions) String() string {
+	return fmt.Sprintf("%d of %d answers %s, %d of %d at old versions", p.bad, p.all, p.kind, p.oldBad, p.oldAll)
+}
+
+// smoothed adds one good and one bad answer to those of the old versions, so that a target without any
+// comparison is bad only if most of its answers are.
+func (p proportions) smoothed() proportions {
+	p.oldBad++
+	p.oldAll += 2
+	return p
+}
+
+// excess returns the number of the target's bad answers beyond the smoothed share of the old versions, or 0.
+func (p proportions) excess() float64 {
+	s := p.smoothed()
+	return max(0, float64(s.bad)-float64(s.all)*float64(s.oldBad)/float64(s.oldAll))
+}
+
+// difference returns by how much the target's share of bad answers is larger than that of the old versions. It is
+// 0 without bad answers.
+func (p proportions) difference() float64 {
+	if p.all == 0 {
+		return 0
+	}
+	if p.oldAll == 0 {
+		p = p.smoothed()
+	}
+	return float64(p.bad)/float64(p.all) - float64(p.oldBad)/float64(p.oldAll)
+}
+
+// z returns the signed root of the likelihood ratio for two proportions, or 0 if the target's is not the larger one.
+// Unlike the difference over its standard error, it is close to normal for few bad answers among many.
+func (p proportions) z() float64 {
+	if p.all == 0 || p.oldAll == 0 || p.difference() <= 0 {
+		return 0
+	}
+	pooled := float64(p.bad+p.oldBad) / float64(p.all+p.oldAll)
+	ratio := likelihoodRatio(p.bad, p.all, pooled) + likelihoodRatio(p.oldBad, p.oldAll, pooled)
+	return math.Sqrt(max(0, 2*ratio))
+}
+
+// likelihoodRatio returns the logarithm of how much likelier bad of all answers are under their own share than
+// under the pooled one.
+func likelihoodRatio(bad, all int64, pooled float64) float64 {
+	term := func(n int64, pooled float64) float64 {
+		if n <= 0 {
+			return 0
+		}
+		return float64(n) * math.Log(float64(n)/float64(all)/pooled)
+	}
+	return term(bad, pooled) + term(all-bad, 1-pooled)
+}
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -1,6 +1,11 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/samber/lo"
+)
 
 // HostReport is the answer of one process of a host to a directive.
 type HostReport struct {
@@ -53,6 +58,184 @@
 	BadAnswers int64
 }
 
+const (
+	// enoughSlots is the least share of the old upstreams' slots that the target's need.
+	enoughSlots = 0.8
+	// earliestPromotion, latestPromotion and latestUpstreams are parts of the time limit: when the promotion may
+	// start, when it starts although requests may run beyond the limit, and when the target's upstreams must be
+	// there.
+	earliestPromotion, latestPromotion, latestUpstreams = 0.5, 0.6, 0.8
+	// promotionReserve is the time for the promotion besides the longest time-out of a request.
+	promotionReserve = 2 * time.Second
+	// promotionTime is the time after which all requests go to the target. Each step takes a third of it.
+	promotionTime = time.Second
+	// reportAge is the maximum age of a report that counts for the completion.
+	reportAge = 500 * time.Millisecond
+	// finishTime is the time before the limit from which resumable streams are withdrawn, and from which hosts
+	// that have been silent for silentAge are ignored.
+	finishTime = time.Second
+	silentAge  = 2 * time.Second
+)
+
 // Next decides what follows in a situation. It depends on nothing but its arguments, so that a successor of the
 // coordinator decides the same.
-func Next(r Record, s Situation) Decision { return Decision{} }
+func Next(r Record, s Situation) Decision {
+	verdict := r.verdict(s.Hosts)
+	d := Decision{Phase: r.Phase, BadAnswers: verdict.BadAnswers}
+	switch {
+	case r.Phase.Final():
+		d.Reason = r.Reason
+		return d
+	case verdict.Sure:
+		return d.rollBack(verdict.text())
+	case r.Phase == PhasePromoting:
+		return r.promoting(d, s)
+	default:
+		return r.canary(d, s, verdict)
+	}
+}
+
+// Evidence returns the evidence of the processes that have ended and of those that report on the same order.
+func (r Record) Evidence(reports []HostReport) Evidence {
+	sum := Evidence{}
+	sum.Add(r.Ended)
+	for _, h := range reports {
+		if h.Revision == r.Revision {
+			sum.Add(h.Evidence)
+		}
+	}
+	return sum
+}
+
+// verdict returns the verdict on all evidence.
+func (r Record) verdict(reports []HostReport) Verdict {
+	if r.Phase == PhaseCanary {
+		return Judge(r.Target, r.Old, r.Evidence(reports))
+	}
+	return JudgePromoted(r.Target, r.Old, r.Evidence(reports))
+}
+
+// text returns the reason of a verdict with its route.
+func (v Verdict) text() string {
+	if v.Route == "" {
+		return v.Reason
+	}
+	return "route " + v.Route + ": " + v.Reason
+}
+
+func (d Decision) rollBack(reason string) Decision {
+	return Decision{Phase: PhaseRolledBack, Reason: reason, BadAnswers: d.BadAnswers}
+}
+
+// part returns the time from the start to a part of the time limit.
+func (o Order) part(share float64) time.Duration { return time.Duration(share * float64(o.Duration)) }
+
+// promotionStart returns the time from the start to the promotion: as late as the time limit allows, since
+// evidence before the promotion is worth more.
+func (o Order) promotionStart(longestTimeout time.Duration) time.Duration {
+	return min(max(o.part(earliestPromotion), o.Duration-longestTimeout-promotionReserve), o.part(latestPromotion))
+}
+
+// enoughUpstreams reports whether the target's upstreams can carry the load of the old ones.
+func (s Situation) enoughUpstreams() bool {
+	return s.TargetUpstreams > 0 && float64(s.TargetSlots) >= enoughSlots*float64(s.OldSlots)
+}
+
+// canary decides in PhaseCanary. No sure verdict is known.
+func (r Record) canary(d Decision, s Situation, verdict Verdict) Decision {
+	elapsed, start := s.Now.Sub(r.Started), r.promotionStart(s.LongestTimeout)
+	enough := s.enoughUpstreams()
+	switch {
+	case len(r.Old) == 0 && s.TargetUpstreams > 0 && s.OldSlots == 0:
+		d.Phase, d.Reason = PhaseComplete, "the target is in force already"
+	case elapsed >= r.Duration:
+		return d.rollBack("time limit without a promotion")
+	case elapsed >= r.part(latestUpstreams) && !enough:
+		return d.rollBack("too few upstreams of the target")
+	case elapsed >= r.part(latestPromotion) && verdict.Bad:
+		return d.rollBack("suspected: " + verdict.text())
+	case elapsed >= start && enough && !verdict.Bad:
+		d.Phase, d.Step, d.Reason = PhasePromoting, promotionStep(0), "no fault found"
+	default:
+		d.Open, d.Step = s.exposure(elapsed, start)
+	}
+	return d
+}
+
+// exposure returns whether the canaries get requests at a time after the start, and the probability with which a
+// request goes to them while they do. All hosts send at the same moments, so that their load adds up to what the
+// canaries carry later. A period begins with its pause, in which hosts earn the credit for the open part.
+func (s Situation) exposure(elapsed, promotion time.Duration) (open bool, probability float64) {
+	n := s.TargetUpstreams
+	if n == 0 || !s.Bounds.Enabled() {
+		return false, 0
+	}
+	probability = float64(canaryCount(n, s.Bounds.Share)) / float64(n)
+	part := usedShare * min(s.Bounds.Share, 1) / probability
+	if part >= 1 {
+		return true, probability
+	}
+	// The open part lasts 1 s, or less if fewer than three periods fit before the promotion.
+	period := min(time.Duration(float64(time.Second)/part), promotion/3)
+	if period <= 0 {
+		return false, probability
+	}
+	pause := time.Duration(math.Round((1 - part) * float64(period)))
+	return max(elapsed, 0)%period >= pause, probability
+}
+
+// promotionStep returns the share of the requests that goes to the target at a time after the promotion began.
+func promotionStep(elapsed time.Duration) float64 {
+	switch {
+	case elapsed < promotionTime/3:
+		return 0.25
+	case elapsed < promotionTime*2/3:
+		return 0.5
+	default:
+		return 1
+	}
+}
+
+// promoting decides in PhasePromoting. No sure verdict is known.
+func (r Record) promoting(d Decision, s Situation) Decision {
+	elapsed, promoted := s.Now.Sub(r.Started), s.Now.Sub(r.Since)
+	d.Step = promotionStep(promoted)
+	d.Withdraw = d.Step == 1 && elapsed >= r.Duration-finishTime
+	switch {
+	case promoted < promotionTime:
+	case !s.enoughUpstreams():
+		if elapsed >= r.Duration {
+			return d.rollBack("too few upstreams of the target")
+		}
+	case r.released(s):
+		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "nothing in hand at old upstreams"
+	case elapsed >= r.Duration+s.LongestTimeout && promoted >= promotionTime+s.LongestTimeout:
+		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "longest time-out after the time limit"
+	}
+	return d
+}
+
+// released reports whether every listed host has promoted and has nothing in hand at old upstreams. Shortly before
+// the limit a host that has been silent for long is ignored: it has been cut off or has ended.
+func (r Record) released(s Situation) bool {
+	finishing := s.Now.Sub(r.Started) >= r.Duration-finishTime
+	reports := lo.GroupBy(s.Hosts, func(h HostReport) string { return h.Host })
+	return lo.EveryBy(s.Listed, func(name string) bool {
+		all := reports[name]
+		if len(all) == 0 {
+			return finishing && s.Now.Sub(r.Since) >= silentAge
+		}
+		newest := lo.MinBy(all, func(a, b HostReport) bool { return a.ReportedAgo < b.ReportedAgo })
+		if finishing && newest.ReportedAgo >= silentAge {
+			return true
+		}
+		return newest.ReportedAgo <= reportAge && r.releasedBy(newest, s.Now)
+	})
+}
+
+// releasedBy reports whether a process has promoted and has nothing in hand at old upstreams. A report from before
+// the last step does not count: its host may have sent requests to old upstreams since.
+func (r Record) releasedBy(h HostReport, now time.Time) bool {
+	lastStep := r.Since.Add(promotionTime)
+	return h.Applied == PhasePromoting && h.Revision == r.Revision && h.AtOld == 0 && !now.Add(-h.ReportedAgo).Before(lastStep)
+}
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -1,12 +1,17 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Record is the stored state of a roll-out, under rollout/POOL.
 type Record struct {
 	Order
 	Phase Phase
-	// Old are the versions of the pool's upstreams when the roll-out started, without the target.
+	// Old are the versions of the pool's upstreams when the roll-out started, without the target, sorted.
 	Old []string
 	// Started is when the time limit of the order began, and Since when the phase began.
 	Started, Since time.Time
@@ -16,39 +21,52 @@
 	Reason string
 }
 
-// RecordError reports a stored record that cannot be encoded or decoded.
-type RecordError struct {
-	// Field is the field that is missing or out of range; empty if the value as a whole is at fault.
-	Field string
-	// Cause may be nil if Field is set.
-	Cause error
-}
+// maxReason is the maximum length of a reason, in bytes.
+const maxReason = 512
 
-// Error returns the text with the field, if there is one, and the cause.
-func (e *RecordError) Error() string {
-	msg := "roll-out record"
-	if e.Field != "" {
-		msg += ": field " + e.Field
+// Begin returns the record with which a roll-out starts. The previous record of the pool, if there is one,
+// decides what an order under a new revision means: the same target while its roll-out runs keeps phase and
+// evidence, and the time limit starts anew; anything else is a new roll-out. An order that is not newer than the
+// record changes nothing.
+func Begin(previous *Record, o Order, old []string, now time.Time) Record {
+	if previous != nil && o.Revision <= previous.Revision {
+		return *previous
 	}
-	if e.Cause != nil {
-		msg += ": " + e.Cause.Error()
+	if previous != nil && previous.Target == o.Target && !previous.Phase.Final() {
+		renewed := *previous
+		renewed.Order, renewed.Started, renewed.Ended = o, now, maps.Clone(previous.Ended)
+		renewed.Old = mergeVersions(o.Target, append(slices.Clone(previous.Old), old...))
+		return renewed
 	}
-	return msg
+	return Record{Order: o, Phase: PhaseCanary, Old: mergeVersions(o.Target, old), Started: now, Since: now, Ended: Evidence{}}
 }
 
-// Unwrap returns the cause, or nil.
-func (e *RecordError) Unwrap() error { return e.Cause }
-
-// EncodeRecord returns the stored form of a record. Its errors are of type *RecordError.
-func EncodeRecord(r Record) ([]byte, error) { return nil, nil }
-
-// DecodeRecord decodes the stored form of a record. Its errors are of type *RecordError.
-func DecodeRecord(value []byte) (Record, error) { return Record{}, nil }
+// Observe returns the record with the versions of the pool's live upstreams added to the old ones, and whether it has
+// changed. An order may arrive before any upstream of an old version is known.
+func (r Record) Observe(versions []string) (Record, bool) {
+	old := mergeVersions(r.Target, append(slices.Clone(r.Old), versions...))
+	if r.Phase != PhaseCanary || slices.Equal(old, r.Old) {
+		return r, false
+	}
+	r.Old = old
+	return r, true
+}
 
-// Begin returns the record with which a roll-out starts. The previous record of the pool, if there is one,
-// decides what an order under a new revision means: the same target while its roll-out runs keeps phase and
-// evidence, and the time limit starts anew; anything else is a new roll-out.
-func Begin(previous *Record, o Order, old []string, now time.Time) Record { return Record{} }
+// mergeVersions returns the versions without duplicates and without the target, sorted.
+func mergeVersions(target string, versions []string) []string {
+	out := slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return v == target })
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return out[:min(len(out), maxOld)]
+}
 
-// Apply returns the record after a decision at the given time. A final phase is never changed.
-func (r Record) Apply(d Decision, now time.Time) Record { return r }
+// Apply returns the record after a decision at the given time. A final phase is never changed, and a promotion is
+// never taken back to PhaseCanary.
+func (r Record) Apply(d Decision, now time.Time) Record {
+	if r.Phase.Final() || d.Phase == r.Phase || !d.Phase.Valid() || d.Phase == PhaseCanary {
+		return r
+	}
+	r.Phase, r.Since = d.Phase, now
+	r.Reason = strings.ToValidUTF8(d.Reason[:min(len(d.Reason), maxReason)], "")
+	return r
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -24,9 +24,8 @@
 const (
 	// MaxName is the maximum length of a pool's, version's or route's name, in bytes.
 	MaxName = 128
-	// MinDuration and MaxDuration bound the time limit of an order. Promotion and completion take about 3 s.
-	MinDuration = 4 * time.Second
-	MaxDuration = 24 * time.Hour
+	// MaxDuration is the maximum time limit of an order. A longer one is taken for a mistake of unit.
+	MaxDuration = 30 * 24 * time.Hour
 )
 
 // OrderError reports an order that cannot be carried out.
@@ -49,7 +48,7 @@
 		return &OrderError{Field: "Pool", Value: shorten(o.Pool)}
 	case !validName(o.Target):
 		return &OrderError{Field: "Target", Value: shorten(o.Target)}
-	case o.Duration < MinDuration || o.Duration > MaxDuration:
+	case o.Duration <= 0 || o.Duration > MaxDuration:
 		return &OrderError{Field: "Duration", Value: o.Duration.String()}
 	}
 	return nil
