--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -33,6 +33,8 @@
 	// StartedMS is the start time of the host's process in Unix milliseconds; zero means unknown. A
 	// process that restarts under the same id counts as another host.
 	StartedMS int64 `json:"started_ms,omitempty"`
+	// Version is the version of the host's software; empty if unknown.
+	Version string `json:"version,omitempty"`
 	// ChecksFence reports whether the host's engine rejects orders with an old fencing number.
 	ChecksFence bool `json:"checks_fence,omitempty"`
 }
