--- a/rollout/next.go
+++ b/rollout/next.go
@@ -36,6 +36,10 @@
 	Hosts []HostReport
 	// Listed are the hosts that have to apply the roll-out.
 	Listed []string
+	// Asking is the time for which this coordinator has been sending directives to all listed hosts. A host without a
+	// report counts as silent only after a while, so that a successor neither promotes nor completes a roll-out
+	// before it has the hosts' evidence.
+	Asking time.Duration
 	// OldSlots and TargetSlots are the sums of the slots of live upstreams of other versions and of the target.
 	OldSlots, TargetSlots int
 	// TargetUpstreams is the number of the target's live upstreams.
@@ -154,7 +158,7 @@
 		return d.rollBack("too few upstreams of the target")
 	case elapsed >= r.part(latestPromotion) && verdict.Bad:
 		return d.rollBack("suspected: " + verdict.text())
-	case elapsed >= start && enough && !verdict.Bad:
+	case elapsed >= start && enough && !verdict.Bad && s.heard():
 		d.Phase, d.Step, d.Reason = PhasePromoting, promotionStep(0), "no fault found"
 	default:
 		d.Open, d.Step = s.exposure(elapsed, start)
@@ -209,7 +213,7 @@
 		}
 	case r.released(s):
 		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "nothing in hand at old upstreams"
-	case elapsed >= r.Duration+s.LongestTimeout && promoted >= promotionTime+s.LongestTimeout:
+	case elapsed >= r.Duration+s.LongestTimeout && promoted >= promotionTime+s.LongestTimeout && s.heard():
 		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "longest time-out after the time limit"
 	}
 	return d
@@ -219,17 +223,36 @@
 // the limit a host that has been silent for long is ignored: it has been cut off or has ended.
 func (r Record) released(s Situation) bool {
 	finishing := s.Now.Sub(r.Started) >= r.Duration-finishTime
-	reports := lo.GroupBy(s.Hosts, func(h HostReport) string { return h.Host })
-	return lo.EveryBy(s.Listed, func(name string) bool {
-		all := reports[name]
-		if len(all) == 0 {
-			return finishing && s.Now.Sub(r.Since) >= silentAge
+	return s.everyHost(func(newest *HostReport, silent time.Duration) bool {
+		if silent >= silentAge {
+			return finishing
+		}
+		return newest != nil && silent <= reportAge && r.releasedBy(*newest, s.Now)
+	})
+}
+
+// heard reports whether the evidence of every listed host is known as far as possible.
+func (s Situation) heard() bool {
+	return s.everyHost(func(newest *HostReport, silent time.Duration) bool {
+		return newest != nil && silent <= finishTime || silent >= silentAge
+	})
+}
+
+// everyHost reports whether a condition holds for every listed host, given its newest report, if there is one, and the
+// time for which it has been silent.
+func (s Situation) everyHost(condition func(newest *HostReport, silent time.Duration) bool) bool {
+	newest := make(map[string]*HostReport, len(s.Hosts))
+	for i := range s.Hosts {
+		h := &s.Hosts[i]
+		if known := newest[h.Host]; known == nil || h.ReportedAgo < known.ReportedAgo {
+			newest[h.Host] = h
 		}
-		newest := lo.MinBy(all, func(a, b HostReport) bool { return a.ReportedAgo < b.ReportedAgo })
-		if finishing && newest.ReportedAgo >= silentAge {
-			return true
+	}
+	return lo.EveryBy(s.Listed, func(name string) bool {
+		if h := newest[name]; h != nil {
+			return condition(h, h.ReportedAgo)
 		}
-		return newest.ReportedAgo <= reportAge && r.releasedBy(newest, s.Now)
+		return condition(nil, s.Asking)
 	})
 }
 
