--- a/rollout/credit.go
+++ b/rollout/credit.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Ready reports whether Take would succeed.
+func (c *Credit) Ready() bool { return c.balance.Load() >= creditUnit }
+
 // Refund returns the payment for a request that has not been sent after all.
 func (c *Credit) Refund() { c.add(creditUnit) }
 
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -69,10 +69,16 @@
 	// start, when it starts although requests may run beyond the limit, and when the target's upstreams must be
 	// there.
 	earliestPromotion, latestPromotion, latestUpstreams = 0.5, 0.6, 0.8
+	// maxProbability leaves half of the requests of an open exposure to the old versions, for the comparison, if the
+	// target has a single upstream.
+	maxProbability = 0.5
 	// promotionReserve is the time for the promotion besides the longest time-out of a request.
 	promotionReserve = 2 * time.Second
 	// promotionTime is the time after which all requests go to the target. Each step takes a third of it.
 	promotionTime = time.Second
+	// provingTime is the time for which the target carries all requests before the completion, unless the limit is
+	// nearer than promotionReserve. Faults that show under the whole load only are found in it.
+	provingTime = 2 * time.Second
 	// reportAge is the maximum age of a report that counts for the completion.
 	reportAge = 500 * time.Millisecond
 	// finishTime is the time before the limit from which resumable streams are withdrawn, and from which hosts
@@ -162,6 +168,7 @@
 		d.Phase, d.Step, d.Reason = PhasePromoting, promotionStep(0), "no fault found"
 	default:
 		d.Open, d.Step = s.exposure(elapsed, start)
+		d.Open = d.Open && !r.canariesFull(s)
 	}
 	return d
 }
@@ -174,13 +181,13 @@
 	if n == 0 || !s.Bounds.Enabled() {
 		return false, 0
 	}
-	probability = float64(canaryCount(n, s.Bounds.Share)) / float64(n)
+	probability = min(float64(canaryCount(n, s.Bounds.Share))/float64(n), maxProbability)
 	part := usedShare * min(s.Bounds.Share, 1) / probability
 	if part >= 1 {
 		return true, probability
 	}
-	// The open part lasts 1 s, or less if fewer than three periods fit before the promotion.
-	period := min(time.Duration(float64(time.Second)/part), promotion/3)
+	// The open part lasts 1 s, or less if fewer than two periods fit before the promotion.
+	period := min(time.Duration(float64(time.Second)/part), promotion/2)
 	if period <= 0 {
 		return false, probability
 	}
@@ -188,6 +195,19 @@
 	return max(elapsed, 0)%period >= pause, probability
 }
 
+// canariesFull reports whether the canaries have as many requests in hand as they have slots. More would wait there
+// while the old upstreams, among which a burst is shared, have room.
+func (r Record) canariesFull(s Situation) bool {
+	inHand := lo.SumBy(s.Hosts, func(h HostReport) int64 {
+		if h.Revision != r.Revision || h.ReportedAgo >= silentAge {
+			return 0
+		}
+		return h.AtTarget
+	})
+	slots := s.TargetSlots * canaryCount(s.TargetUpstreams, s.Bounds.Share) / max(s.TargetUpstreams, 1)
+	return s.TargetSlots > 0 && inHand >= int64(slots)
+}
+
 // promotionStep returns the share of the requests that goes to the target at a time after the promotion began.
 func promotionStep(elapsed time.Duration) float64 {
 	switch {
@@ -206,7 +226,7 @@
 	d.Step = promotionStep(promoted)
 	d.Withdraw = d.Step == 1 && elapsed >= r.Duration-finishTime
 	switch {
-	case promoted < promotionTime:
+	case promoted < promotionTime || promoted < promotionTime+provingTime && elapsed < r.Duration-promotionReserve:
 	case !s.enoughUpstreams():
 		if elapsed >= r.Duration {
 			return d.rollBack("too few upstreams of the target")
--- a/rollout/recorder.go
+++ b/rollout/recorder.go
@@ -16,8 +16,9 @@
 // Recorder counts the outcomes of one host's requests, by version and route. The zero value is ready to use.
 // Record takes no lock except for the first request of a key.
 //
-// The verdict compares versions over the same time: callers record the old versions' requests only if they
-// were sent while the target could get requests as well, that is, while the exposure was open or promoting.
+// The verdict compares versions over the same time. Callers therefore record a request at an old version only if chance
+// alone kept it from the target: the exposure was open with credit left (Credit.Ready), or the phase is PhasePromoting.
+// Otherwise a fault of all versions counts against the version that had more of its requests at that time.
 type Recorder struct {
 	table atomic.Pointer[recorderTable]
 }
