--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -65,6 +65,7 @@
 			}
 		}
 	}
+	t.Logf("%d false alarms in %d plays", alarms, plays)
 	if alarms > 1 {
 		t.Errorf("%d false alarms in %d plays of 500 evaluations, want at most 1", alarms, plays)
 	}
--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// TestGoodTargetsCompleteInOverload guards against roll-backs of good targets by bursts of a third above the capacity of
-// all upstreams, in which requests wait for longer at the canaries than at the old upstreams.
+// TestGoodTargetsCompleteInOverload guards against roll-backs of good targets by bursts of a fifth to a third above the
+// capacity of all upstreams, in which requests wait for longer at the canaries than at the old upstreams.
 func TestGoodTargetsCompleteInOverload(t *testing.T) {
 	for name, rate := range map[string]func(time.Duration) float64{"bursts": burstsOf(4), "start": burstAtStart(4), "promotion": burstInPromotion(4)} {
 		t.Run(name, func(t *testing.T) {
