--- a/forward/choose.go
+++ b/forward/choose.go
@@ -126,7 +126,12 @@
 			return closed
 		}
 	}
-	choice := e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
+	var choice routing.Choice
+	if e.f.Versions == nil {
+		choice = e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
+	} else {
+		choice = e.pickByVersion(e.policy(now), v, &req, rand.Uint64())
+	}
 	if choice.Index < 0 {
 		return selectedUpstream{}, false
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -35,7 +35,8 @@
 	AnswerTime    = metrics.NewHistogram("forward_whole_ms", "Time from a request's arrival to the end of its answer.")
 )
 
-// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed.
+// Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed and
+// Versions.
 type Config struct {
 	// Domain is this host's failure domain.
 	Domain string
@@ -65,7 +66,9 @@
 	Permits Permits
 	// Crashes decides which content is refused because it crashes upstreams.
 	Crashes *quarantine.Tracker
-	Logger  hclog.Logger
+	// Versions restricts which upstreams get requests during roll-outs; nil means that there are none.
+	Versions Versions
+	Logger   hclog.Logger
 }
 
 // Limits enforces the rate limits of client accounts across all hosts that accept
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -54,6 +54,9 @@
 	firstByteAt    time.Time     // when the first byte of the answer was sent to the caller
 	maxEventGap    time.Duration // longest time between two writes of events to the caller
 	retryReserved  bool          // whether the retry budget was already charged for the next attempt
+
+	versioned *versionedSend                // the current attempt; nil without Config.Versions
+	movable   atomic.Pointer[versionedSend] // the current attempt once it is sent, for WithdrawStreams
 }
 
 const (
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -40,7 +40,7 @@
 func (e *exchange) relay(t selectedUpstream, a *connpool.Answer, v AnswerMetadata, prefillDone func()) (outcome, error) {
 	success := a.StatusCode < http.StatusMultipleChoices
 	if success && !v.Sealed || a.Header.Get("Content-Encoding") != "" {
-		a.Close(false)
+		e.closeBroken(a)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode, Unsealed: true}
 	}
 	if success && e.route.Kind.Streaming() {
@@ -53,7 +53,7 @@
 func (e *exchange) relayWhole(t selectedUpstream, a *connpool.Answer, v AnswerMetadata, prefillDone func()) (outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer))
 	if err != nil {
-		a.Close(false)
+		e.closeBroken(a)
 		return attemptFailed, e.lossError(t, err)
 	}
 	prefillDone()
@@ -61,7 +61,7 @@
 	exceedsBuffer := len(body) == maxBufferedAnswer
 	failed := a.StatusCode >= http.StatusInternalServerError
 	if v.RetryAfter == 0 { // a pause is no failure
-		t.live.RecordOutcome(failed, time.Now())
+		e.recordWhole(t, a, failed, len(body))
 	}
 	if failed && !exceedsBuffer && e.reserveServerErrorRetry() {
 		a.Close(true)
@@ -93,7 +93,7 @@
 	}
 	if exceedsBuffer {
 		if _, err := io.Copy(e.w, a.Body); err != nil {
-			a.Close(false)
+			e.closeBroken(a)
 			e.reportBroken(t)
 			e.abortAnswer(t, err)
 		}
@@ -116,6 +116,7 @@
 	stream := &eventRelay{e: e, dedupe: e.route.Kind.Repeatable()}
 	beginAnswer := func() {
 		prefillDone()
+		e.recordStreamBegun()
 		e.reportStarted()
 		if e.answerBegun.Load() {
 			return
@@ -134,6 +135,7 @@
 		a.Close(err == nil)
 		if err == nil {
 			t.live.RecordOutcome(false, time.Now())
+			e.recordStreamEnd(stream.received)
 			beginAnswer() // begins the answer even if the stream has no events
 			t.live.Succeed()
 			if a.Framed() {
@@ -149,14 +151,14 @@
 			e.recordCallerGone()
 			return attemptDone, nil
 		}
-		if e.ctx.Err() == nil {
-			t.live.RecordOutcome(true, time.Now())
-			t.live.Fail(time.Now())
-		}
-		if !e.answerBegun.Load() {
+		if moved := e.noteStreamEnd(t); !e.answerBegun.Load() {
+			if moved {
+				return attemptFailed, errMoved
+			}
 			return attemptFailed, e.lossError(t, err)
+		} else if !moved {
+			e.reportBroken(t)
 		}
-		e.reportBroken(t)
 		next, answer, ok := e.resume(t, stream, err)
 		if !ok {
 			e.abortAnswer(t, e.contextCause(err))
@@ -193,13 +195,14 @@
 		}
 		if err != nil {
 			_, err = e.classifyFailure(t, err)
-			e.log(events.ForwardAttempt, "upstream", t.ID, "outcome", "resume_failed", "error", err)
+			e.log(events.ForwardAttempt, append(e.versionField(t), "upstream", t.ID, "outcome", "resume_failed", "error", err)...)
 			e.tried = append(e.tried, t.ID)
 			continue
 		}
 		if answer.StatusCode != http.StatusOK || !v.Sealed {
 			answer.Close(false)
 			if !v.NotRun && !v.WrongInstance {
+				e.recordVersion(true)
 				e.possibleRuns++
 			}
 			e.tried = append(e.tried, t.ID)
@@ -248,9 +251,9 @@
 func (e *exchange) recordFinished(t selectedUpstream, status int) {
 	Requests.Inc(outcomeServed)
 	AnswerTime.Observe(time.Since(e.arrived))
-	e.log(events.ForwardFinished, "upstream", t.ID, "domain", t.FailureDomain, "chosen_by", string(t.reason),
+	e.log(events.ForwardFinished, append(e.versionField(t), "upstream", t.ID, "domain", t.FailureDomain, "chosen_by", string(t.reason),
 		"unread", t.prefillTokens, "prompt_tokens", e.meta.PromptTokens, "readers", len(e.cachedOn), "located", e.cachedOnKnown,
-		"status", status, "sends", e.sends, "first_ms", e.firstByteAt.Sub(e.arrived).Milliseconds(), "pause_ms", e.maxEventGap.Milliseconds())
+		"status", status, "sends", e.sends, "first_ms", e.firstByteAt.Sub(e.arrived).Milliseconds(), "pause_ms", e.maxEventGap.Milliseconds())...)
 }
 
 // abortAnswer closes the caller's connection after a part of the answer was relayed,
--- a/forward/send.go
+++ b/forward/send.go
@@ -104,8 +104,8 @@
 		default:
 			repeat, reason = e.mayRepeat(err), repeatFailed
 		}
-		e.log(events.ForwardAttempt, "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address, "chosen_by", string(t.reason),
-			"outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)
+		e.log(events.ForwardAttempt, append(e.versionField(t), "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address,
+			"chosen_by", string(t.reason), "outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)...)
 		if !repeat {
 			e.refuse(e.attemptError(result, err))
 			return
@@ -250,6 +250,7 @@
 	defer func() {
 		endPrefill()
 		t.live.End()
+		e.endVersion()
 	}()
 	e.headReceived = false
 	answer, verdict, err := e.send(t, resumeAfter)
@@ -276,8 +277,9 @@
 // only way by which requests reach upstreams. If the upstream takes no requests any more since it was
 // chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
+	ctx := e.prepareVersion(t)
 	open := func() error {
-		if !e.f.admits(t) {
+		if !e.f.admits(t) || !e.admitsVersion() {
 			return errClosed
 		}
 		e.sentAt = time.Now()
@@ -288,7 +290,7 @@
 		}
 		return nil
 	}
-	answer, err := e.f.conns.Exchange(e.ctx, connpool.Call{
+	answer, err := e.f.conns.Exchange(ctx, connpool.Call{
 		Address: t.Address, Request: e.newRequest(t, resumeAfter), ID: e.meta.RequestID, Check: open,
 		Matches: func(h http.Header) bool { return e.f.Codec.AnswerMetadata(0, h).RequestID == e.meta.RequestID },
 	})
@@ -312,6 +314,13 @@
 // records the failure for the upstream.
 func (e *exchange) classifyFailure(t selectedUpstream, err error) (outcome, error) {
 	var failed *connpool.Error
+	sent := !errors.As(err, &failed) || failed.Stage == connpool.StageSent
+	if e.moved() {
+		return e.classifyMoved(sent)
+	}
+	if sent {
+		e.recordVersion(true)
+	}
 	if e.ctx.Err() == nil {
 		t.live.Fail(time.Now())
 	}
@@ -320,7 +329,7 @@
 		// each have to detect an unreachable upstream by failed requests of their own.
 		t.live.RecordOutcome(true, time.Now())
 	}
-	if errors.As(err, &failed) && failed.Stage != connpool.StageSent {
+	if !sent {
 		return attemptUnsent, err
 	}
 	e.sends++
--- a/inner/message.go
+++ b/inner/message.go
@@ -64,6 +64,9 @@
 	// the numbers 800 to 899.
 	KindPrefixLookup   MessageKind = 800
 	KindPrefixAnnounce MessageKind = 801
+	// KindRolloutDirective is the message of the packages below rollout, which have
+	// the numbers 900 to 909.
+	KindRolloutDirective MessageKind = 900
 	// KindProvisionRate is the message of package provision, which has the
 	// numbers 400 to 499.
 	KindProvisionRate MessageKind = 400
