--- a/routes/routes.go
+++ b/routes/routes.go
@@ -184,6 +184,21 @@
 	return nil
 }
 
+// LongestTimeout returns the longest time limit of the routes with a pool among their targets; zero if there is none.
+func (t *Table) LongestTimeout(pool string) time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			for _, target := range r.Targets {
+				if target.Pool == pool {
+					longest = max(longest, r.Timeout)
+				}
+			}
+		}
+	}
+	return longest
+}
+
 // AccountOf returns the client account of an API key, or nil if the key is unknown.
 func (t *Table) AccountOf(key string) *Account { return t.byKey[key] }
 
