--- a/duties.go
+++ b/duties.go
@@ -27,7 +27,7 @@
 	}
 	scaler := &scaling.Scaler{
 		Cloud: api, Table: f.table.Load, Upstreams: f.upstreams.Load, Demand: f.forwarder.Demand,
-		Domains: slices.Sorted(maps.Keys(f.settings.FailureDomains)), Logger: f.logger.Named("scaling"),
+		Domains: slices.Sorted(maps.Keys(f.settings.FailureDomains)), Held: f.rolloutRuns, Logger: f.logger.Named("scaling"),
 	}
 	campaign := lease.New(f.store, dutiesLease, f.settings.HostID, f.logger.Named("lease"), lease.Options{Candidate: f.candidate})
 	return func(ctx context.Context) {
--- a/forwarding.go
+++ b/forwarding.go
@@ -111,6 +111,7 @@
 	sharer                   *loadshare.Sharer
 	crashes                  *quarantine.Tracker
 	persister                *quarantine.Persister
+	rollouts                 *rollouts // nil if the deployment has no roll-outs
 	peers                    *inner.Client
 	innerServer              *inner.Server
 
@@ -164,11 +165,12 @@
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.hosts, f.hostCount, f.presence.LeaseValid)
 	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.hosts)
 	f.trackCrashes()
+	f.rollouts = f.newRollouts()
 	f.forwarder = forward.New(forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
 		Limits: f.limits, Prompts: prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts), Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
-		Permits: f.pacer, Crashes: f.crashes,
+		Permits: f.pacer, Crashes: f.crashes, Versions: f.rollouts.versions(),
 		Logger: logger.Named("forward"),
 	})
 	f.sharer = loadshare.New(s.HostID, f.peers, f.innerServer, f.hosts,
@@ -294,8 +296,9 @@
 }
 
 // applyTable decodes the stored route table and puts it in force if it is newer than the
-// current one.
+// current one. It also takes over the orders of roll-outs.
 func (f *ForwardServer) applyTable(view *replica.View) {
+	defer f.rollouts.applyOrders(view, f.table.Load)
 	entry, ok := view.Entries[platform.ConfigKey]
 	if !ok {
 		return
@@ -321,7 +324,7 @@
 	for component, run := range map[string]func(context.Context){
 		"routes": f.afterMembersRead(f.routes.Run), "upstreams": f.afterMembersRead(f.runners.Run), "members": f.members.Run,
 		"presence": f.presence.Run, "forward": f.forwarder.Run, "upstream list": f.refreshUpstreams, "usage": f.counter.Run,
-		"loadshare": f.sharer.Run, "limits": f.limits.Run, "pacer": f.pacer.Run, "quarantine": f.persister.Run,
+		"loadshare": f.sharer.Run, "limits": f.limits.Run, "pacer": f.pacer.Run, "quarantine": f.persister.Run, "rollouts": f.rollouts.run,
 	} {
 		parts.Go(func() { guard.Run(background, f.logger, component, run) })
 	}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -54,6 +54,9 @@
 	Domains []string
 	// Demand returns the current load of a pool over all hosts.
 	Demand func(pool string) planner.Demand
+	// Held reports whether the orders of a pool must not be lowered, because a roll-out of the pool runs. Nil means
+	// that they may always be.
+	Held   func(pool string) bool
 	Logger hclog.Logger
 
 	needs   map[string][]needSample // recent needs by pool
@@ -165,6 +168,12 @@
 	if last.refused || live < o.Count {
 		resendInterval = repeatInterval
 	}
+	if s.Held != nil && s.Held(o.Pool) {
+		if !known && o.Count < live {
+			return // the order of the previous holder may be higher
+		}
+		o.Count = max(o.Count, last.count)
+	}
 	if known && last.count == o.Count && time.Since(last.at) < resendInterval || !term.Valid() {
 		return
 	}
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -72,11 +72,38 @@
 	// sending requests to an upstream that is leaving. Both default to 2000.
 	RoutesMS  float64 `json:"routes_ms"`
 	LeavingMS float64 `json:"leaving_ms"`
+	// Rollout bounds the harm of roll-outs of upstream versions. Default none: there are no roll-outs.
+	Rollout Rollout `json:"rollout"`
 	// LogLevel is the lowest level that is logged: "trace", "debug", "info", "warn" or
 	// "error". Default "info".
 	LogLevel string `json:"log_level"`
 }
 
+// Rollout holds the bounds of roll-outs of upstream versions; the zero value means that there are none.
+type Rollout struct {
+	// Share is the share of a pool's requests that a bad version may get from all hosts together, above 0 and at
+	// most 1, and Slack the number of requests beyond it.
+	Share float64 `json:"share"`
+	Slack int     `json:"slack"`
+	// RollbackMS is the time in milliseconds within which a version that has shown to be bad gets no more requests.
+	RollbackMS float64 `json:"rollback_ms"`
+}
+
+// validate returns the first invalid field with what was expected; empty if all are valid.
+func (r Rollout) validate() (field, expected string) {
+	switch {
+	case r == Rollout{}:
+		return "", ""
+	case !(r.Share > 0 && r.Share <= 1):
+		return "rollout.share", "a number above zero, at most one"
+	case r.Slack < 0:
+		return "rollout.slack", "a number not below zero"
+	case !(r.RollbackMS > 0):
+		return "rollout.rollback_ms", expectedPositive
+	}
+	return "", ""
+}
+
 // ReadForwarding reads a settings file, fills in the defaults and validates the
 // result. It returns an *Error.
 func ReadForwarding(path string) (Forwarding, error) {
@@ -122,14 +149,11 @@
 // file name for the error.
 func (s Forwarding) Validate(file string) error {
 	invalid := func(field, expected string) error { return &Error{File: file, Field: field, Expected: expected} }
-	addresses := []struct{ field, value string }{
-		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"directory_listen", s.DirectoryListen},
-		{"inner_listen", s.InnerListen}, {"metrics_listen", s.MetricsListen}, {"store", s.Store},
+	if field := s.invalidAddress(); field != "" {
+		return invalid(field, "an IP number and port that can be connected to")
 	}
-	for _, a := range addresses {
-		if !netaddr.IsDialable(a.value) {
-			return invalid(a.field, "an IP number and port that can be connected to")
-		}
+	if field, expected := s.Rollout.validate(); field != "" {
+		return invalid(field, expected)
 	}
 	switch {
 	case !isName(s.HostID):
@@ -168,5 +192,18 @@
 	return nil
 }
 
+// invalidAddress returns the field of the first required address that is missing or invalid; empty if there is none.
+func (s Forwarding) invalidAddress() string {
+	for _, a := range []struct{ field, value string }{
+		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"directory_listen", s.DirectoryListen},
+		{"inner_listen", s.InnerListen}, {"metrics_listen", s.MetricsListen}, {"store", s.Store},
+	} {
+		if !netaddr.IsDialable(a.value) {
+			return a.field
+		}
+	}
+	return ""
+}
+
 // expectedPositive is the error text for a number that is out of range.
 const expectedPositive = "a number above zero"
