--- a/cmd/cardamompier/main.go
+++ b/cmd/cardamompier/main.go
@@ -91,7 +91,7 @@
 func commandsOf(o *options) []command {
 	return []command{
 		checkCommand(o), publishCommand(o), statusCommand(), diffCommand(o),
-		historyCommand(), rollbackCommand(o), resolveCommand(o),
+		historyCommand(), rollbackCommand(o), resolveCommand(o), rolloutsCommand(o),
 	}
 }
 
