--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -130,6 +130,8 @@
 	fatal      fatalRuns
 	ways       []wayOfEnding // in which fatal requests end upstreams
 	heard      heardNotices
+	// extra holds settings of the hosts besides those that all tests have.
+	extra map[string]any
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -186,18 +188,31 @@
 // ready.
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{
+	d := emptyDeployment(t)
+	d.store.SetFaults(kvmem.Faults{Seed: seed})
+	for range 4 {
+		u := d.startUpstream(t)
+		d.upstreams = append(d.upstreams, u)
+	}
+	d.startHosts(t)
+	return d
+}
+
+// emptyDeployment returns a deployment without upstreams and hosts.
+func emptyDeployment(t *testing.T) *deployment {
+	return &deployment{
 		dir: t.TempDir(), store: kvmem.New(), faults: map[string]int{},
 		log: requestLog{requests: map[string]*request{}, outcomes: map[string]int{}},
 	}
-	d.store.SetFaults(kvmem.Faults{Seed: seed})
+}
+
+// startHosts starts the store's server and the entry hosts, and waits until every host is ready. At the end of the
+// test it ends the upstreams and the hosts.
+func (d *deployment) startHosts(t *testing.T) {
+	t.Helper()
 	server := httptest.NewServer(storeHandler(d.store, &d.trouble))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	d.publish(t)
-	for range 4 {
-		u := d.startUpstream(t)
-		d.upstreams = append(d.upstreams, u)
-	}
 	t.Cleanup(func() {
 		for _, u := range d.upstreams {
 			u.crash()
@@ -218,7 +233,6 @@
 	for _, h := range d.hosts {
 		await(t, 10*time.Second, h.name+" is ready", func() bool { return h.isReady() })
 	}
-	return d
 }
 
 // publish writes a new configuration with a route that no older configuration contains, and returns
@@ -296,11 +310,13 @@
 	if i > 0 {
 		seeds = append(seeds, d.hosts[0].inner)
 	}
-	settings, err := json.Marshal(map[string]any{
+	all := map[string]any{
 		"host_id": h.name, "failure_domain": "a", "region": "r", "failure_domains": map[string]string{"a": "r"},
 		"listen": h.listen, "ready_listen": h.ready, "directory_listen": freePort(t), "inner_listen": h.inner,
 		"metrics_listen": freePort(t), "seeds": seeds, "store": h.store.address(), "grace_seconds": graceSeconds, "retry_burst": 500,
-	})
+	}
+	maps.Copy(all, d.extra)
+	settings, err := json.Marshal(all)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -39,11 +39,13 @@
 	d      *deployment
 	id     string
 	server *httptest.Server
-	proxy  *proxy
-	mode   atomic.Int32
-	stop   context.CancelFunc
-	ended  sync.WaitGroup // waits for register to return
-	born   atomic.Int64   // start of the current run, in Unix ms
+	// version is the version of its software.
+	version string
+	proxy   *proxy
+	mode    atomic.Int32
+	stop    context.CancelFunc
+	ended   sync.WaitGroup // waits for register to return
+	born    atomic.Int64   // start of the current run, in Unix ms
 	// leaves is 0 while the upstream is ready and 1 once it must announce that it leaves. After the
 	// store has confirmed the record with state draining, it is the time of the confirmation in
 	// Unix ns.
@@ -64,14 +66,19 @@
 
 // startUpstream starts an upstream behind a proxy and registers it in the store.
 func (d *deployment) startUpstream(t *testing.T) *upstream {
-	u := &upstream{d: d, id: "u" + strconv.FormatInt(d.nextID.Add(1), 10)}
-	u.server = httptest.NewServer(http.HandlerFunc(u.serve))
+	u := &upstream{d: d, id: "u" + strconv.FormatInt(d.nextID.Add(1), 10), version: "1"}
+	u.start(t, u.serve)
+	return u
+}
+
+// start starts the upstream's server with the given handler, and registers the upstream.
+func (u *upstream) start(t *testing.T, serve http.HandlerFunc) {
+	u.server = httptest.NewServer(serve)
 	u.proxy = newProxy(t, u.server.Listener.Addr().String())
 	u.born.Store(time.Now().UnixMilli())
 	ctx, stop := context.WithCancel(context.Background())
 	u.stop = stop
 	u.ended.Go(func() { u.register(ctx) })
-	return u
 }
 
 // register writes the upstream's record to the store and renews its lease until ctx ends. It writes
@@ -93,7 +100,7 @@
 			written = ""
 		}
 		value, _ := json.Marshal(map[string]any{
-			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": "1", "seq": 1,
+			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": u.version, "seq": 1,
 		})
 		if lease != 0 && written != string(value) {
 			key := "servers/" + u.id
