--- a/rollout/agent/attempt.go
+++ b/rollout/agent/attempt.go
@@ -122,14 +122,15 @@
 	}
 	t := &Attempt{counters: c, kind: kind, version: h.Version, route: route, resumable: resumable}
 	s := v.state
+	// The versions are compared over the same requests: one at an old version is evidence only if chance alone kept it
+	// from the target.
+	if s.exposes(now) && (kind == classTarget || s.affordable()) || s.undecided() && s.promotedShare(now) > 0 {
+		t.recorder = s.recorder
+	}
 	if s.undecided() {
 		s.credit.Earn()
 		Sends.Inc(string(kind))
 	}
-	// The versions are compared over the same time: while the target gets requests as well.
-	if s.exposes(now) || s.undecided() && s.promotedShare(now) > 0 {
-		t.recorder = s.recorder
-	}
 	return t, true
 }
 
