--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -39,7 +39,7 @@
 )
 
 // Config contains the settings and dependencies of a Forwarder. All are required except ListConfirmed, Balance,
-// CachedParts and PromptTracker.
+// CachedParts, PromptTracker and Versions.
 type Config struct {
 	// Domain is this host's failure domain.
 	Domain string
@@ -78,7 +78,9 @@
 	Crashes *quarantine.Tracker
 	// Balance switches on how uneven upstreams are handled. The zero value switches all of it off.
 	Balance Balance
-	Logger  hclog.Logger
+	// Versions restricts which upstreams get requests during roll-outs; nil means that there are none.
+	Versions Versions
+	Logger   hclog.Logger
 }
 
 // Limits enforces the rate limits of client accounts across all hosts that accept
