Roll-outs: judge the target after the promotion by what came since

Cause: in a roll-out of 120 s the good answers of the canary phase hid a fault of one in seven that began after the promotion until the roll-out was complete (by calculation: 5 in 100 more are reached after 3.2 s, the proof under the whole load takes 3 s). Change: Record.Before (also in Decision, not for hosts) keeps the evidence at the promotion; from the last step on the target's later answers count alone as well, unless the old versions shared the fault during the steps. Counting later answers from the first step on, or comparing with the old versions' later answers at z >= 4, failed in trials.

--- a/rollout/encode.go
+++ b/rollout/encode.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxRecordBytes bounds a stored record: MaxKeys keys of two names and Buckets counts with their encoding.
-	maxRecordBytes = 256 << 10
+	// maxRecordBytes bounds a stored record: twice MaxKeys keys of two names and Buckets counts with their encoding.
+	maxRecordBytes = 512 << 10
 	// maxOld is the maximum number of old versions of a pool.
 	maxOld = 32
 	// maxCount is the maximum of a count. Sums of the counts of many processes stay below the end of int64.
@@ -54,6 +54,7 @@
 	SinceNS    int64    `cbor:"8,keyasint"` // Unix time
 	Ended      Evidence `cbor:"9,keyasint"`
 	Reason     string   `cbor:"10,keyasint"`
+	Before     Evidence `cbor:"11,keyasint,omitempty"`
 }
 
 // wireCounts is one entry of encoded evidence. Latency ends with the last bucket that is not empty.
@@ -79,7 +80,7 @@
 	}
 	value, err := cbor.Marshal(wireRecord{
 		Pool: r.Pool, Target: r.Target, DurationNS: int64(r.Duration), Revision: r.Revision, Phase: r.Phase, Old: r.Old,
-		StartedNS: r.Started.UnixNano(), SinceNS: r.Since.UnixNano(), Ended: r.Ended, Reason: r.Reason,
+		StartedNS: r.Started.UnixNano(), SinceNS: r.Since.UnixNano(), Ended: r.Ended, Reason: r.Reason, Before: r.Before,
 	})
 	if err != nil {
 		return nil, &RecordError{Cause: err}
@@ -98,7 +99,7 @@
 	}
 	r := Record{
 		Order: Order{Pool: w.Pool, Target: w.Target, Duration: time.Duration(w.DurationNS), Revision: w.Revision},
-		Phase: w.Phase, Old: w.Old, Started: time.Unix(0, w.StartedNS), Since: time.Unix(0, w.SinceNS), Ended: w.Ended, Reason: w.Reason,
+		Phase: w.Phase, Old: w.Old, Started: time.Unix(0, w.StartedNS), Since: time.Unix(0, w.SinceNS), Ended: w.Ended, Reason: w.Reason, Before: w.Before,
 	}
 	if r.Ended == nil {
 		r.Ended = Evidence{}
--- a/rollout/encode_test.go
+++ b/rollout/encode_test.go
@@ -26,16 +26,17 @@
 		Order: Order{Pool: "p", Target: "v2", Duration: 12 * time.Second, Revision: 7},
 		Phase: PhasePromoting, Old: []string{"", "v1"}, Started: testStart, Since: testStart.Add(time.Second),
 		Ended: Evidence{{Version: "v1", Route: "r"}: counts, {Version: "v2"}: {}}, Reason: "no fault found",
+		Before: Evidence{{Version: "v2", Route: "r"}: counts},
 	}
 }
 
 // equalRecords compares records by the points in time that they name.
 func equalRecords(a, b Record) bool {
-	if !a.Started.Equal(b.Started) || !a.Since.Equal(b.Since) || !maps.Equal(a.Ended, b.Ended) || !slices.Equal(a.Old, b.Old) {
+	if !a.Started.Equal(b.Started) || !a.Since.Equal(b.Since) || !maps.Equal(a.Ended, b.Ended) || !maps.Equal(a.Before, b.Before) || !slices.Equal(a.Old, b.Old) {
 		return false
 	}
 	for _, r := range []*Record{&a, &b} {
-		r.Started, r.Since, r.Ended, r.Old = time.Time{}, time.Time{}, nil, nil
+		r.Started, r.Since, r.Ended, r.Before, r.Old = time.Time{}, time.Time{}, nil, nil, nil
 	}
 	return reflect.DeepEqual(a, b)
 }
@@ -81,6 +82,7 @@
 		name := strings.Repeat("n", MaxName-3) + strconv.Itoa(100+i)
 		r.Ended[EvidenceKey{Version: name, Route: name}] = counts
 	}
+	r.Before = r.Ended
 	value, err := EncodeRecord(r)
 	if err != nil {
 		t.Fatal(err)
@@ -127,7 +129,7 @@
 		"no phase": with(5, nil), "unknown phase": with(5, "paused"), "many old versions": with(6, make([]string, maxOld+1)),
 		"long old version": with(6, []string{long}), "no start": with(7, nil), "start before 1970": with(7, -1),
 		"no start of the phase": with(8, nil), "long reason": with(10, strings.Repeat("x", maxReason+1)),
-		"further field": with(11, 1), "evidence of another type": with(9, "e"), "entry too short": with(9, entry("v", "r", 1)),
+		"further field": with(12, 1), "earlier evidence of another type": with(11, 1), "evidence of another type": with(9, "e"), "entry too short": with(9, entry("v", "r", 1)),
 		"entry too long": with(9, entry("v", "r", 1, 0, []int64{}, 1)), "negative count": with(9, entry("v", "r", -1, -1, []int64{})),
 		"more failed than ended": with(9, entry("v", "r", 1, 2, []int64{})), "negative latencies": with(9, entry("v", "r", 1, 0, []int64{-1})),
 		"many buckets": with(9, entry("v", "r", 1, 0, make([]int64, Buckets+1))), "count without end": with(9, entry("v", "r", uint64(1<<63), 0, []int64{})),
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// since returns the counts beyond those of an earlier time. Counts of a process whose last report is lost may be missing
+// from c, so that none is negative.
+func (c Counts) since(earlier Counts) Counts {
+	out := Counts{Ended: max(0, c.Ended-earlier.Ended)}
+	out.Failed = min(max(0, c.Failed-earlier.Failed), out.Ended)
+	for i, n := range c.Latency {
+		out.Latency[i] = max(0, n-earlier.Latency[i])
+	}
+	return out
+}
+
 // Evidence holds the counts by version and route. Its CBOR encoding is bounded: MaxKeys keys, names of MaxName
 // bytes and no negative counts.
 type Evidence map[EvidenceKey]Counts
@@ -64,6 +75,17 @@
 	}
 }
 
+// since returns the evidence with only those counts of some versions that are beyond those of an earlier time.
+func (e Evidence) since(earlier Evidence, versions ...string) Evidence {
+	out := maps.Clone(e)
+	for key, counts := range e {
+		if slices.Contains(versions, key.Version) {
+			out[key] = counts.since(earlier[key])
+		}
+	}
+	return out
+}
+
 // keys returns the keys, sorted.
 func (e Evidence) keys() []EvidenceKey {
 	return slices.SortedFunc(maps.Keys(e), func(a, b EvidenceKey) int {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -26,6 +26,9 @@
 	// sureZ and suspectZ are the values of the test statistic from which a difference is sure and suspected.
 	// Chance exceeds them in 3 of 100,000 and 2 of 10,000 comparisons.
 	sureZ, suspectZ = 4.0, 3.5
+	// sharedZ is the value below which the target and the old versions have the same fault. Few old answers are known
+	// from the steps of the promotion.
+	sharedZ = 1.5
 	// minFailed and minSlow are the least numbers of bad answers for a sure verdict, and minSuspect is that of
 	// failed ones for a suspicion.
 	minFailed, minSlow, minSuspect = 5, 8, 4
@@ -72,23 +75,7 @@
 }
 
 func judge(target string, old []string, e Evidence, least criteria) Verdict {
-	type pair struct{ target, old Counts }
-	routes, total := map[string]*pair{}, &pair{}
-	for key, counts := range e {
-		p := routes[key.Route]
-		if p == nil {
-			p = &pair{}
-			routes[key.Route] = p
-		}
-		switch {
-		case key.Version == target:
-			p.target.Add(counts)
-			total.target.Add(counts)
-		case slices.Contains(old, key.Version):
-			p.old.Add(counts)
-			total.old.Add(counts)
-		}
-	}
+	routes, total := byRoute(target, old, e)
 	out := compare("", &total.target, &total.old, least)
 	names := lo.Keys(routes)
 	slices.Sort(names)
@@ -103,9 +90,46 @@
 	return out
 }
 
+// sharedByOld reports whether evidence, of which that on a route or on all routes (empty) is enough for a comparison, shows
+// no difference between the target and the old versions.
+func sharedByOld(target string, old []string, e Evidence, route string) bool {
+	routes, p := byRoute(target, old, e)
+	if known := routes[route]; route != "" && known != nil {
+		p = known
+	}
+	if p.old.Ended < minPercentile {
+		return false
+	}
+	return failedAnswers(&p.target, &p.old).z() < sharedZ && slowAnswers(&p.target, &p.old).z() < sharedZ
+}
+
+// versions are the counts of the target and of the old versions together.
+type versions struct{ target, old Counts }
+
+// byRoute returns the counts by route and over all routes.
+func byRoute(target string, old []string, e Evidence) (routes map[string]*versions, total *versions) {
+	routes, total = map[string]*versions{}, &versions{}
+	for key, counts := range e {
+		v := routes[key.Route]
+		if v == nil {
+			v = &versions{}
+			routes[key.Route] = v
+		}
+		switch {
+		case key.Version == target:
+			v.target.Add(counts)
+			total.target.Add(counts)
+		case slices.Contains(old, key.Version):
+			v.old.Add(counts)
+			total.old.Add(counts)
+		}
+	}
+	return routes, total
+}
+
 // compare returns the verdict on one route, or on all of them if the route is empty.
 func compare(route string, target, old *Counts, least criteria) Verdict {
-	failed := proportions{kind: "failed", bad: target.Failed, all: target.Ended, oldBad: old.Failed, oldAll: old.Ended}
+	failed := failedAnswers(target, old)
 	slow := slowAnswers(target, old)
 	out := Verdict{Route: route, BadAnswers: int64(failed.excess() + slow.excess())}
 	out.add(failed, minFailed, least.failed, least.manyFailed)
@@ -130,6 +154,11 @@
 	}
 }
 
+// failedAnswers returns the failed answers.
+func failedAnswers(target, old *Counts) proportions {
+	return proportions{kind: "failed", bad: target.Failed, all: target.Ended, oldBad: old.Failed, oldAll: old.Ended}
+}
+
 // slowAnswers returns the answers slower than 1.5 times the old versions' 90th percentile.
 func slowAnswers(target, old *Counts) proportions {
 	out := proportions{kind: "slow", all: lo.Sum(target.Latency[:]), oldAll: lo.Sum(old.Latency[:])}
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -60,6 +61,8 @@
 	Reason string
 	// BadAnswers is that of the verdict.
 	BadAnswers int64
+	// Before is all evidence at the promotion, for Record.Before; hosts need not get it.
+	Before Evidence
 }
 
 const (
@@ -90,7 +93,7 @@
 // Next decides what follows in a situation. It depends on nothing but its arguments, so that a successor of the
 // coordinator decides the same.
 func Next(r Record, s Situation) Decision {
-	verdict := r.verdict(s.Hosts)
+	verdict := r.verdict(s.Hosts, s.Now)
 	d := Decision{Phase: r.Phase, BadAnswers: verdict.BadAnswers}
 	switch {
 	case r.Phase.Final():
@@ -117,12 +120,23 @@
 	return sum
 }
 
-// verdict returns the verdict on all evidence.
-func (r Record) verdict(reports []HostReport) Verdict {
+// verdict returns the verdict on all evidence. After the last step of the promotion, the target's evidence since the
+// promotion counts alone as well, except for a fault that the old versions shared during the steps.
+func (r Record) verdict(reports []HostReport, now time.Time) Verdict {
+	all := r.Evidence(reports)
 	if r.Phase == PhaseCanary {
-		return Judge(r.Target, r.Old, r.Evidence(reports))
+		return Judge(r.Target, r.Old, all)
 	}
-	return JudgePromoted(r.Target, r.Old, r.Evidence(reports))
+	verdict := JudgePromoted(r.Target, r.Old, all)
+	if verdict.Sure || now.Sub(r.Since) < promotionTime {
+		return verdict
+	}
+	later := JudgePromoted(r.Target, r.Old, all.since(r.Before, r.Target))
+	since := all.since(r.Before, append(slices.Clone(r.Old), r.Target)...)
+	if later.Sure && !sharedByOld(r.Target, r.Old, since, later.Route) {
+		return later
+	}
+	return verdict
 }
 
 // text returns the reason of a verdict with its route.
@@ -166,6 +180,7 @@
 		return d.rollBack("suspected: " + verdict.text())
 	case elapsed >= start && enough && !verdict.Bad && s.heard():
 		d.Phase, d.Step, d.Reason = PhasePromoting, promotionStep(0), "no fault found"
+		d.Before = r.Evidence(s.Hosts)
 	default:
 		d.Open, d.Step = s.exposure(elapsed, start)
 		d.Open = d.Open && !r.canariesFull(s)
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -17,6 +17,9 @@
 	Started, Since time.Time
 	// Ended is the evidence of processes that have ended.
 	Ended Evidence
+	// Before is all evidence at the promotion. After it the target is judged by what came later: its earlier good answers
+	// would hide a fault that shows under the whole load only.
+	Before Evidence
 	// Reason explains a final phase.
 	Reason string
 }
@@ -67,6 +70,9 @@
 		return r
 	}
 	r.Phase, r.Since = d.Phase, now
+	if d.Phase == PhasePromoting {
+		r.Before = maps.Clone(d.Before)
+	}
 	r.Reason = strings.ToValidUTF8(d.Reason[:min(len(d.Reason), maxReason)], "")
 	return r
 }
--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// TestFaultAfterPromotionIsRolledBack guards against a fault under the whole load that the good answers of a long canary
+// phase hide until the roll-out is complete.
+func TestFaultAfterPromotionIsRolledBack(t *testing.T) {
+	for _, size := range sizes[:2] {
+		for seed := range uint64(4) {
+			b := failingTarget(1.0/7, "", 72*time.Second)
+			s := newSimulation(seed, size.hosts, size.upstreams, size.perSecond, b.fault)
+			s.duration = 120 * time.Second
+			out := s.run()
+			if out.phase != PhaseRolledBack || out.fiftieth > 0 && out.lastSent > out.fiftieth+testBounds.Rollback {
+				t.Errorf("%d hosts, seed %d: %s at %v because of %q, 50th bad answer at %v, want rolled_back", size.hosts, seed, out.phase, out.ended, out.reason, out.fiftieth)
+			}
+		}
+	}
+}
+
 // goodTargets are loads and faults that affect both versions.
 var goodTargets = map[string]struct {
 	rate  func(at time.Duration) float64 // as a multiple of the size's rate
