--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -41,6 +41,8 @@
 	treat func(kind string, since time.Duration, inHand int64) (fails bool, delay time.Duration)
 	// disturb induces faults while the roll-out runs; nil for none.
 	disturb func(t *testing.T, d *deployment)
+	// absent is whether no upstream of the target starts.
+	absent bool
 }
 
 // often returns true in the given share of its calls.
@@ -72,6 +74,26 @@
 		}
 		return false, 0
 	}},
+	{name: "never starts", absent: true},
+	{name: "good in trouble", disturb: troubleFor(1)},
+	{name: "fails half in trouble", disturb: troubleFor(2), treat: func(string, time.Duration, int64) (bool, time.Duration) { return often(0.5), 0 }},
+}
+
+// troubleSpan is how long faults are induced during a roll-out in trouble. The rest of the time limit is for its end.
+const troubleSpan = 8 * time.Second
+
+// troubleFor induces faults of hosts and of their links to the store one after the other, in an order that the seed
+// determines. None lasts for more than 2.7 s, so that no host is excused from the bounds.
+func troubleFor(seed uint64) func(*testing.T, *deployment) {
+	names := []string{"host paused", "host killed", "host stopped", "store cut off", "store down", "store answers lost"}
+	return func(t *testing.T, d *deployment) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		for end := time.Now().Add(troubleSpan); time.Now().Before(end); time.Sleep(meanPause) {
+			name := names[random.IntN(len(names))]
+			t.Logf("fault: %s", name)
+			faults[name](t, d, random, 200*time.Millisecond+time.Duration(random.Int64N(int64(2500*time.Millisecond))))
+		}
+	}
 }
 
 // TestRollouts guards against a good version that does not come into force in time or loses requests, and against a
@@ -113,7 +135,9 @@
 		calling.Go(func() { r.callAll(ctx) })
 	}
 	time.Sleep(time.Second)
-	r.startVersion(t, "v2")
+	if !c.absent {
+		r.startVersion(t, "v2")
+	}
 	time.Sleep(500 * time.Millisecond)
 	r.order(t)
 	var disturbing sync.WaitGroup
@@ -122,7 +146,7 @@
 	}
 	state, after, decidedAt := r.awaitOutcome()
 	disturbing.Wait()
-	if c.treat == nil {
+	if c.treat == nil && !c.absent {
 		r.checkComplete(t, state, after, decidedAt)
 		time.Sleep(time.Second)
 	} else {
