Roll-outs: a started host is not ready before it has asked for the outcomes

Cause: a host that starts during or after a promotion sent requests to old upstreams until it had read the record, which nobody waits for while the host is not listed yet. Change: the host is ready once it has read the records of the orders with which it starts, or could not.

--- a/rollout/agent/agent.go
+++ b/rollout/agent/agent.go
@@ -11,6 +11,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -72,6 +73,7 @@
 	Config
 	process string
 	pools   sync.Map // pool name (string) to *pool
+	settled atomic.Bool
 
 	mu    sync.Mutex // guards the fields below
 	fence uint64     // greatest fencing token seen
@@ -125,6 +127,23 @@
 	return out
 }
 
+// Settled reports whether this host has tried to learn the outcomes of the orders with which it started. Before that it
+// may send requests to upstreams whose roll-out is complete. Once true, it stays true.
+func (a *Agent) Settled() bool {
+	if a.settled.Load() {
+		return true
+	}
+	settled := true
+	a.eachPool(func(p *pool) {
+		s := p.current.Load().state
+		settled = settled && (!s.ordered() || s.heardAt != 0 || p.asked.Load())
+	})
+	if settled {
+		a.settled.Store(true)
+	}
+	return settled
+}
+
 // Running reports whether a roll-out of the pool is undecided.
 func (a *Agent) Running(name string) bool {
 	p, ok := a.pools.Load(name)
--- a/rollout/agent/agent_test.go
+++ b/rollout/agent/agent_test.go
@@ -318,7 +318,13 @@
 			if _, err := b.store.CompareAndSwap(t.Context(), kv.Write{Key: RecordPrefix + "p", Value: value}); err != nil {
 				t.Fatal(err)
 			}
+			if b.Settled() {
+				t.Error("the host is settled before it has read the record")
+			}
 			b.pool("p").readRecord(t.Context())
+			if !b.Settled() {
+				t.Error("the host is not settled after it has read the record")
+			}
 			b.elapsed += 2 * time.Second
 			if got := b.sends("p", 100); got[want] != 100 {
 				t.Errorf("sent %v, want all to %s", got, want)
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -17,6 +17,8 @@
 	name     string
 	current  atomic.Pointer[view]
 	counters sync.Map // version (string) to *inHand
+	// asked is whether the stored record was read, or could not be.
+	asked atomic.Bool
 
 	mu        sync.Mutex // serializes changes of current, and guards the fields below
 	firstSeen map[string]time.Duration
--- a/rollout/agent/record.go
+++ b/rollout/agent/record.go
@@ -107,6 +107,7 @@
 func (p *pool) readRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
+	defer p.asked.Store(true)
 	entry, err := p.agent.Store.Get(ctx, RecordPrefix+p.name)
 	if kv.ReasonOf(err) == kv.ReasonNotFound {
 		return
--- a/rollouts.go
+++ b/rollouts.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cardamompier/cardamompier/clock"
@@ -39,6 +40,7 @@
 	server      *ForwardServer
 	agent       *agent.Agent
 	coordinator *coordinator.Coordinator
+	applied     atomic.Bool           // whether orders were taken over from a view of the store
 	read        map[string]kv.Version // newest version of each order that was read; used by applyOrders only
 	unserved    map[string]uint64     // revision of the logged order by unknown service; used by applyOrders only
 }
@@ -120,8 +122,12 @@
 		}
 	}
 	r.agent.ApplyOrders(orders)
+	r.applied.Store(true)
 }
 
+// settled reports whether this host knows enough of the roll-outs with which it has started to serve requests.
+func (r *rollouts) settled() bool { return r == nil || r.applied.Load() && r.agent.Settled() }
+
 // rolloutRuns reports whether a roll-out of a pool is undecided.
 func (f *ForwardServer) rolloutRuns(pool string) bool {
 	return f.rollouts != nil && f.rollouts.agent.Running(pool)
