Refuse requests that would start too late

When the upstreams cannot serve all requests in time, those that wait too long are sent nevertheless and use the upstreams for answers that come after the deadline.

With refuse_hopeless (off by default), a host refuses a request at once with 503 and a Retry-After if it is expected to be answered after its deadline. It considers free slots, the rank, the account's share of the recent work, and whether the request came back after a refusal.

--- a/apierr/apierr.go
+++ b/apierr/apierr.go
@@ -28,6 +28,7 @@
 	CodeUpstreamRefused     Code = "upstream_refused"
 	CodeRateLimited         Code = "rate_limited"
 	CodeOverloaded          Code = "overloaded"
+	CodeTooLate             Code = "would_start_too_late"
 	CodeDeadlineExceeded    Code = "deadline_exceeded"
 	CodeRetryBudget         Code = "retry_budget_exhausted"
 	CodeQuarantined         Code = "request_quarantined"
@@ -69,6 +70,7 @@
 	CodeUpstreamRefused:     http.StatusBadGateway,
 	CodeRateLimited:         http.StatusTooManyRequests,
 	CodeOverloaded:          http.StatusTooManyRequests,
+	CodeTooLate:             http.StatusServiceUnavailable,
 	CodeDeadlineExceeded:    http.StatusGatewayTimeout,
 	CodeRetryBudget:         http.StatusServiceUnavailable,
 	CodeQuarantined:         http.StatusUnprocessableEntity,
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -34,6 +34,8 @@
 type Balance struct {
 	// ByRate measures the rate of each upstream and compares work in expected time.
 	ByRate bool
+	// RefuseHopeless refuses requests at once that are expected to start after their deadline.
+	RefuseHopeless bool
 }
 
 const (
@@ -49,13 +51,15 @@
 	routing.RateSample
 	meter     *routing.RateMeter
 	reference *routing.RateReference
-	sentAt    time.Time
-	success   bool
+	// answerTime estimates the time of an answer of the pool; nil if it is not measured.
+	answerTime *routing.DurationEstimate
+	sentAt     time.Time
+	success    bool
 }
 
 // beginSample returns the sample for a request that is about to be sent; nil if nothing is measured.
 func (e *exchange) beginSample(t selectedUpstream) *rateSample {
-	if !e.f.Balance.ByRate || t.meter == nil {
+	if e.f.Balance == (Balance{}) || t.meter == nil {
 		return nil
 	}
 	inFlight := t.live.InFlight() + t.live.OthersInFlight()
@@ -68,6 +72,9 @@
 		s.RateSample = routing.PromptSample(t.prefillTokens, t.live.Backlog(), t.reason == routing.ReasonAffinity)
 	} else {
 		s.RateSample = routing.PlainSample(xxhash.Sum64String(e.route.Name), inFlight, t.Slots)
+		if e.f.Balance.RefuseHopeless {
+			s.answerTime = &e.f.pool(e.pool).answerTime
+		}
 	}
 	return s
 }
@@ -88,6 +95,9 @@
 		RateSamples.Inc(sampleFailed)
 		return
 	}
+	if s.answerTime != nil {
+		s.answerTime.Add(now.Sub(s.sentAt))
+	}
 	deviation, ok := s.reference.Compare(s.Class, s.LogSpeed(now.Sub(s.sentAt)))
 	if !ok {
 		RateSamples.Inc(sampleFirst)
@@ -131,6 +141,9 @@
 // applyPeerRates records the measurements that other hosts publish, and computes the rates of the upstreams
 // and of the other hosts' requests anew.
 func (f *Forwarder) applyPeerRates(byKey map[uint32]loadshare.Load, now time.Time) {
+	if f.Balance.RefuseHopeless {
+		f.shortage.refresh(now)
+	}
 	if !f.Balance.ByRate {
 		return
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/routing"
@@ -26,6 +27,10 @@
 	// othersRequests and othersTokens are the requests and the prompt tokens that the other hosts send to
 	// the pool per second, as float64 bits. They are kept only with Balance.ByRate.
 	othersRequests, othersTokens atomic.Uint64
+	// ranks holds the parts of the prompts' work by rank, and answerTime the time of plain answers at
+	// upstreams with a free slot. They are kept only with Balance.RefuseHopeless.
+	ranks      admission.RankWork
+	answerTime routing.DurationEstimate
 }
 
 // poolView is a routing snapshot of one pool, with the list of upstreams from which it
@@ -127,6 +132,20 @@
 		return selectedUpstream{}, false
 	}
 	v := e.f.pool(e.pool).view(e.pool, list)
+	req := e.routingRequest(v, now)
+	choice := e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
+	if choice.Index < 0 {
+		return selectedUpstream{}, false
+	}
+	host := v.hosts[choice.Index]
+	return selectedUpstream{
+		Host: host, live: v.liveByKey[upstreamKey(host)], meter: v.meters[runOf(host)],
+		reason: choice.Reason, prefillTokens: choice.PrefillTokens, list: list,
+	}, true
+}
+
+// routingRequest returns the properties of the request that a routing policy uses.
+func (e *exchange) routingRequest(v *poolView, now time.Time) routing.Request {
 	req := routing.Request{Tried: e.tried, Now: now}
 	if e.sharedPrompt != 0 {
 		req.Blocks = []uint64{e.sharedPrompt}
@@ -137,15 +156,7 @@
 			return closed
 		}
 	}
-	choice := e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
-	if choice.Index < 0 {
-		return selectedUpstream{}, false
-	}
-	host := v.hosts[choice.Index]
-	return selectedUpstream{
-		Host: host, live: v.liveByKey[upstreamKey(host)], meter: v.meters[runOf(host)],
-		reason: choice.Reason, prefillTokens: choice.PrefillTokens, list: list,
-	}, true
+	return req
 }
 
 // locateCachedPrompt finds the upstreams that have already processed the part of the
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -111,6 +111,7 @@
 	endChecks    endChecks
 	conditions   condition.Table
 	loadAge      routing.LoadAge
+	shortage     shortage
 	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
 }
 
@@ -285,6 +286,10 @@
 		e.refuse(refused)
 		return
 	}
+	if refused := e.refuseHopeless(time.Now()); refused != nil {
+		e.refuse(refused)
+		return
+	}
 	e.locateCachedPrompt()
 	e.serve()
 }
--- a/forwarding.go
+++ b/forwarding.go
@@ -182,7 +182,7 @@
 // balanceOf returns how uneven upstreams are handled: as the settings say, or as the platform's rules call for.
 func balanceOf(s settings.Forwarding) forward.Balance {
 	features := platform.FeaturesOf(s.RuleParts)
-	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate}
+	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate, RefuseHopeless: s.RefuseHopeless}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/forwarding_test.go
+++ b/forwarding_test.go
@@ -71,6 +71,7 @@
 		{settings.Forwarding{RuleParts: []string{"base", "pool"}}, forward.Balance{}},
 		{settings.Forwarding{RuleParts: []string{"base", "health"}}, forward.Balance{ByRate: true}},
 		{settings.Forwarding{BalanceByRate: true}, forward.Balance{ByRate: true}},
+		{settings.Forwarding{RefuseHopeless: true}, forward.Balance{RefuseHopeless: true}},
 	} {
 		if got := balanceOf(c.settings); got != c.want {
 			t.Errorf("rule parts %q, balance_by_rate %v: got %+v, want %+v", c.settings.RuleParts, c.settings.BalanceByRate, got, c.want)
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -75,6 +75,9 @@
 	// BalanceByRate measures the rate of each upstream and chooses upstreams by the
 	// expected time until they answer. Default false.
 	BalanceByRate bool `json:"balance_by_rate"`
+	// RefuseHopeless refuses requests at once that are expected to start after their
+	// deadline. Default false.
+	RefuseHopeless bool `json:"refuse_hopeless"`
 	// RuleParts are the names of the rule parts of the platform that are in force for
 	// this deployment. They switch on the features that these parts call for, in
 	// addition to those that the other settings switch on. Names that are not known
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -27,19 +27,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.BalanceByRate || len(s.RuleParts) > 0 {
-		t.Errorf("got balance_by_rate %v and rule_parts %q, want none", s.BalanceByRate, s.RuleParts)
+	if s.BalanceByRate || s.RefuseHopeless || len(s.RuleParts) > 0 {
+		t.Errorf("got balance_by_rate %v, refuse_hopeless %v and rule_parts %q, want none", s.BalanceByRate, s.RefuseHopeless, s.RuleParts)
 	}
 }
 
 // The platform fills in the list of rule parts; a value of another type stops the start with the line.
 func TestRulePartsAndSwitchesAreRead(t *testing.T) {
-	text := strings.Replace(validForwarding, `"store"`, `"balance_by_rate": true, "rule_parts": ["base", "health"], "store"`, 1)
+	text := strings.Replace(validForwarding, `"store"`, `"balance_by_rate": true, "refuse_hopeless": true, "rule_parts": ["base", "health"], "store"`, 1)
 	s, err := ParseForwarding("s.json", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !s.BalanceByRate || !slices.Equal(s.RuleParts, []string{"base", "health"}) {
+	if !s.BalanceByRate || !s.RefuseHopeless || !slices.Equal(s.RuleParts, []string{"base", "health"}) {
 		t.Errorf("got balance_by_rate %v and rule_parts %q", s.BalanceByRate, s.RuleParts)
 	}
 	_, err = ParseForwarding("s.json", []byte(strings.Replace(text, `["base", "health"]`, `"health"`, 1)))
