--- a/cmd/experiment/policy.go
+++ b/cmd/experiment/policy.go
@@ -26,6 +26,7 @@
 	seconds int
 	csv     string
 	svg     string
+	uneven  bool
 }
 
 // variant is a routing policy with a set of enabled mechanisms such as hedging.
@@ -72,7 +73,13 @@
 	parser.String(&flags.only, "", "only", "Policies to run, with commas; empty means all")
 	parser.String(&flags.csv, "", "csv", "File for the table as CSV")
 	parser.String(&flags.svg, "", "svg", "File for a plot of the tail latencies")
-	return experiment{parser, func() int { return runPolicy(flags) }}
+	parser.Bool(&flags.uneven, "", "uneven", "Compare the forwarder's policies on upstreams of different speeds behind 76 hosts instead")
+	return experiment{parser, func() int {
+		if flags.uneven {
+			return runUneven(flags)
+		}
+		return runPolicy(flags)
+	}}
 }
 
 func runPolicy(flags *policyFlags) int {
--- a/routing/uneven_test.go
+++ b/routing/uneven_test.go
@@ -42,6 +42,7 @@
 func TestPlainRequestsDoNotOverrunUpstreams(t *testing.T) {
 	setup := uneven()
 	setup.Plain, setup.Policy = true, plainByRate
+	setup.Upstreams, setup.Duration = 8, 8*time.Second // a small pool, as the race detector makes runs slow
 	after := workload.RunUneven(setup).Percentile(99)
 	setup.Measure = false
 	setup.Policy = func(c workload.UnevenChoice) routing.Policy { return routing.LeastBacklog{Domain: c.Domain} }
--- a/workload/uneven.go
+++ b/workload/uneven.go
@@ -69,6 +69,16 @@
 	Rates []float64
 }
 
+// Merge adds the times of another run; the shares in time are averaged by the numbers of requests.
+func (r *UnevenResult) Merge(other *UnevenResult) {
+	all := len(r.First) + len(other.First)
+	if all == 0 {
+		return
+	}
+	r.InTime = (r.InTime*float64(len(r.First)) + other.InTime*float64(len(other.First))) / float64(all)
+	r.First = append(r.First, other.First...)
+}
+
 // Mean returns the mean of the times in First.
 func (r *UnevenResult) Mean() time.Duration {
 	sum := time.Duration(0)
@@ -232,6 +242,7 @@
 	h.ages.Received(r.clock.Time())
 	logs := make([]float64, len(sums))
 	for i, l := range sums {
+		h.snapshot.Upstreams[i].OthersInFlight = int(l.inFlight) // for the baselines
 		h.snapshot.Upstreams[i].Live.SetOthers(l.waiting, l.inFlight, routing.Outcomes{})
 		h.meters[i].AddPeers(l.rate, r.clock.Time())
 		logs[i], _ = h.meters[i].Log(r.clock.Time())
