--- a/forward/choose.go
+++ b/forward/choose.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/loadshare"
 	"github.com/cardamompier/cardamompier/routing"
@@ -26,6 +27,10 @@
 	// othersRequests and othersTokens are the requests and the prompt tokens that the other hosts send to
 	// the pool per second, as float64 bits. They are kept only with Balance.ByRate.
 	othersRequests, othersTokens atomic.Uint64
+	// ranks holds the parts of the prompts' work by rank, and answerTime the time of plain answers at
+	// upstreams with a free slot. They are kept only with Balance.RefuseHopeless.
+	ranks      admission.RankWork
+	answerTime routing.DurationEstimate
 }
 
 // poolView is a routing snapshot of one pool, with the list of upstreams from which it
@@ -126,16 +131,7 @@
 		return selectedUpstream{}, false
 	}
 	v := e.f.pool(e.pool).view(e.pool, list)
-	req := routing.Request{Tried: e.tried, Now: now}
-	if e.sharedPrompt != 0 {
-		req.Blocks = []uint64{e.sharedPrompt}
-	}
-	if !e.f.conditions.Empty() {
-		req.Closed = func(id string) bool {
-			_, closed := e.f.conditions.ClosedUntil(condition.Run{ID: id, StartedMS: v.startedMS[id]}, now)
-			return closed
-		}
-	}
+	req := e.routingRequest(v, now)
 	var choice routing.Choice
 	if e.f.Versions == nil {
 		choice = e.policy(now).Pick(v.snapshot, &req, rand.Uint64())
@@ -152,6 +148,21 @@
 	}, true
 }
 
+// routingRequest returns the properties of the request that a routing policy uses.
+func (e *exchange) routingRequest(v *poolView, now time.Time) routing.Request {
+	req := routing.Request{Tried: e.tried, Now: now}
+	if e.sharedPrompt != 0 {
+		req.Blocks = []uint64{e.sharedPrompt}
+	}
+	if !e.f.conditions.Empty() {
+		req.Closed = func(id string) bool {
+			_, closed := e.f.conditions.ClosedUntil(condition.Run{ID: id, StartedMS: v.startedMS[id]}, now)
+			return closed
+		}
+	}
+	return req
+}
+
 // locateCachedPrompt finds the upstreams that have already processed the part of the
 // prompt that other requests share.
 func (e *exchange) locateCachedPrompt() {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -124,7 +124,8 @@
 	conditions   condition.Table
 	loadAge      routing.LoadAge
 	trackedAt    atomic.Int64 // last call of updatePromptTracker, in Unix nanoseconds
-	exchanges    sync.Map     // *exchange to nil: the requests that were read and have not ended
+	shortage     shortage
+	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
@@ -306,6 +307,10 @@
 		e.refuse(refused)
 		return
 	}
+	if refused := e.refuseHopeless(time.Now()); refused != nil {
+		e.refuse(refused)
+		return
+	}
 	e.locateCachedPrompt()
 	defer func() { e.endReading(time.Now()) }()
 	e.serve()
--- a/forwarding.go
+++ b/forwarding.go
@@ -196,7 +196,7 @@
 // balanceOf returns how uneven upstreams are handled: as the settings say, or as the platform's rules call for.
 func balanceOf(s settings.Forwarding) forward.Balance {
 	features := platform.FeaturesOf(s.RuleParts)
-	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate}
+	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate, RefuseHopeless: s.RefuseHopeless}
 }
 
 // demandWindowOf returns the time over which the demand for upstreams is averaged: as the settings say, or as
