Compare plain loads where it is known which upstreams hold a prompt

Cause: with Held, ExpectedFinish raised the costs of upstreams that look idle to the level of the other hosts' work.

Change: no level where it is known which upstreams hold a part of the prompt; the surcharge for copies keeps prompts from upstreams that only look idle.

--- a/routing/expected.go
+++ b/routing/expected.go
@@ -52,7 +52,10 @@
 		}
 		return loads[i] + (float64(p.Tokens)-held+surcharge)/rate(i) + fixed[i]
 	}
-	level := fillLevel(loads, p.Arrived, rate)
+	level := 0.0
+	if !weighed { // the surcharge for copies keeps prompts from upstreams that only look idle
+		level = fillLevel(loads, p.Arrived, rate)
+	}
 	best, least := -1, math.Inf(1)
 	for i := range loads {
 		if c := cost(i, held[i]) + max(0, level-loads[i]); c < least {
