--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -117,6 +117,7 @@
 	endChecks    endChecks
 	conditions   condition.Table
 	loadAge      routing.LoadAge
+	shortage     shortage
 	trackedAt    atomic.Int64 // last call of updatePromptTracker, in Unix nanoseconds
 	exchanges    sync.Map     // *exchange to nil: the requests that were read and have not ended
 }
@@ -292,6 +293,10 @@
 		e.refuse(refused)
 		return
 	}
+	if refused := e.refuseHopeless(time.Now()); refused != nil {
+		e.refuse(refused)
+		return
+	}
 	e.locateCachedPrompt()
 	defer func() { e.endReading(time.Now()) }()
 	e.serve()
