Check the platform's form of the configuration

Cause: an operator could check a directory of service files only; faults of op/config showed when hosts refused it or requests failed.

Change: cardamompier check FILE reports fields that cannot be read, entries that are never used (a prefix that another route takes, unknown services), limits that contradict each other (objective above the time-out, a limit in tokens without an engine, a limit without burst, autoscale bounds) and keys that two accounts hold, each with line and field. With a second file it prints what differs and which routes or accounts are affected.

--- a/cmd/cardamompier/check.go
+++ b/cmd/cardamompier/check.go
@@ -2,15 +2,17 @@
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/cardamompier/cardamompier/config"
 )
 
 func checkCommand(o *options) command {
-	c := newCommand("check", "Check a directory of files without publishing them.",
+	c := newCommand("check", "Check a directory of files without publishing them, or a file with the platform's form of the configuration.",
 		"cardamompier check services/", runCheck)
 	c.local = true
-	c.parser.AddPositionalValue(&o.first, "dir", 1, true, "the directory")
+	c.parser.AddPositionalValue(&o.first, "path", 1, true, "the directory or file")
+	c.parser.AddPositionalValue(&o.second, "in_force", 2, false, "a file with the configuration in force, to compare with")
 	return c
 }
 
@@ -30,6 +32,9 @@
 }
 
 func runCheck(s *session) int {
+	if info, err := os.Stat(s.first); err == nil && info.Mode().IsRegular() {
+		return s.checkPlatformForm()
+	}
 	files, code := s.readFiles(s.first)
 	if code != 0 {
 		return code
--- a/cmd/cardamompier/commands_test.go
+++ b/cmd/cardamompier/commands_test.go
@@ -86,6 +86,10 @@
 	}{
 		"check":              {runCheck, options{first: "testdata/first"}},
 		"check_refused":      {runCheck, options{first: "testdata/bad"}},
+		"check_file":         {runCheck, options{first: "testdata/platform/good.json"}},
+		"check_file_refused": {runCheck, options{first: "testdata/platform/bad.json"}},
+		"check_file_against": {runCheck, options{first: "testdata/platform/changed.json", second: "testdata/platform/good.json"}},
+		"check_file_no_base": {runCheck, options{first: "testdata/platform/good.json", second: "testdata/platform/none.json"}},
 		"publish":            {runPublish, options{first: "testdata/second"}},
 		"publish_unchanged":  {runPublish, options{first: "testdata/first"}},
 		"publish_removes":    {runPublish, options{first: "testdata/first", remove: []string{"account/school-west"}}},
