--- a/forward/send.go
+++ b/forward/send.go
@@ -264,17 +264,22 @@
 	}
 	e.headReceived = true
 	if verdict.NotRun || verdict.WrongInstance {
-		if verdict.WrongInstance {
-			t.live.Fail(time.Now())
-		}
-		answer.CloseRejected(e.meta.RequestID, drainBody(answer))
-		return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
+		return e.rejected(t, answer, verdict)
 	}
 	e.possibleRuns++
 	sample.answered(answer.StatusCode, e.sentAt)
 	return e.relay(t, answer, verdict, prefillDone)
 }
 
+// rejected handles the answer of an upstream that did not run the request.
+func (e *exchange) rejected(t selectedUpstream, answer *connpool.Answer, verdict AnswerMetadata) (outcome, error) {
+	if verdict.WrongInstance {
+		t.live.Fail(time.Now())
+	}
+	answer.CloseRejected(e.meta.RequestID, drainBody(answer))
+	return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
+}
+
 // recordPrefill records the time since a request was sent, when the upstream has read its prompt or, for a
 // request without prompt tokens, has answered. idle is whether the upstream was about idle before.
 func (e *exchange) recordPrefill(tokens int, idle bool, sent time.Time, sample *rateSample) {
--- a/forwarding.go
+++ b/forwarding.go
@@ -28,7 +28,6 @@
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/prefixes"
 	"github.com/cardamompier/cardamompier/presence"
-	"github.com/cardamompier/cardamompier/promptcache"
 	"github.com/cardamompier/cardamompier/quarantine"
 	"github.com/cardamompier/cardamompier/quota"
 	"github.com/cardamompier/cardamompier/replica"
@@ -186,25 +185,6 @@
 	return f, f.listen()
 }
 
-// weighCachedParts lets a forwarder estimate which prompt parts the upstreams hold.
-func weighCachedParts(config *forward.Config, prompts *prefixes.Directory) {
-	config.PromptTracker = promptcache.NewTracker(time.Now())
-	prompts.TrackParts(config.PromptTracker)
-	config.CachedParts = prompts
-}
-
-// balanceOf returns how uneven upstreams are handled: as the settings say, or as the platform's rules call for.
-func balanceOf(s settings.Forwarding) forward.Balance {
-	features := platform.FeaturesOf(s.RuleParts)
-	return forward.Balance{ByRate: s.BalanceByRate || features.BalanceByRate, RefuseHopeless: s.RefuseHopeless}
-}
-
-// demandWindowOf returns the time over which the demand for upstreams is averaged: as the settings say, or as
-// the platform's rules call for.
-func demandWindowOf(s settings.Forwarding) time.Duration {
-	return lo.CoalesceOrEmpty(seconds(s.DemandWindowSeconds), platform.FeaturesOf(s.RuleParts).DemandWindow)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -315,7 +295,9 @@
 	f.forwarder.ServeHTTP(w, r)
 }
 
-func (f *ForwardServer) ready() bool { return !f.stopping.Load() && f.forwarder.Ready() && f.rollouts.settled() }
+func (f *ForwardServer) ready() bool {
+	return !f.stopping.Load() && f.forwarder.Ready() && f.rollouts.settled()
+}
 
 // addresses returns the addresses of the entry hosts to which a caller should connect, and
 // how long the caller may cache them. It leaves out this host while it is not ready.
