Roll-outs: a host's own verdict counts only while the coordinator is silent

Cause: a host that stopped by its own few answers rolled the target back for all. Among hundreds of hosts, judged ten times a second, one would stop a good target by chance, or because its own links failed. Change: a host judges its own evidence after 0.5 s without a directive; a directive that answers a report from after its stop lifts the stop (event 2216). The coordinator decides on the evidence of all hosts only.

--- a/events/rollout.go
+++ b/events/rollout.go
@@ -16,5 +16,6 @@
 	RolloutPublished   = define(2212, "roll-out status written", hclog.Info, "This host, the coordinator, has written the status of a roll-out.")
 	RolloutUnserved    = define(2213, "roll-out of unknown service", hclog.Warn, "An order names a service that the route table does not contain; the roll-out begins when the service appears.")
 	RolloutUnreachable = define(2214, "roll-out host unreachable", hclog.Debug, "A host has not answered the coordinator's directive.")
+	RolloutResumed     = define(2216, "roll-out stop lifted", hclog.Info, "The coordinator, which knows the evidence of all hosts, goes on with a roll-out that this host had stopped.")
 	RolloutReplaced    = define(2215, "roll-out record changed elsewhere", hclog.Info, "The stored record of a roll-out has been changed by another coordinator; this host reads it again.")
 )
--- a/forwarding.go
+++ b/forwarding.go
@@ -282,7 +282,9 @@
 	f.forwarder.ServeHTTP(w, r)
 }
 
-func (f *ForwardServer) ready() bool { return !f.stopping.Load() && f.forwarder.Ready() && f.rollouts.settled() }
+func (f *ForwardServer) ready() bool {
+	return !f.stopping.Load() && f.forwarder.Ready() && f.rollouts.settled()
+}
 
 // addresses returns the addresses of the entry hosts to which a caller should connect, and
 // how long the caller may cache them. It leaves out this host while it is not ready.
--- a/rollout/agent/agent.go
+++ b/rollout/agent/agent.go
@@ -42,6 +42,9 @@
 	promotionSpan = time.Second
 	// judgeInterval is the interval at which a host judges its own evidence.
 	judgeInterval = 100 * time.Millisecond
+	// judgeSpan is the time without a directive after which a host judges its own evidence. Before it the coordinator
+	// does so, on the evidence of all hosts: hundreds of hosts that judge theirs would stop good targets by chance.
+	judgeSpan = 500 * time.Millisecond
 	// silentSpan is the time without a directive after which a host reads the stored record.
 	silentSpan = time.Second
 	// recordInterval is the interval between two reads of a record, and recordTimeout bounds one read.
@@ -170,10 +173,10 @@
 	}
 }
 
-// judge stops the exposure if this host's own evidence shows that the target is bad.
+// judge stops the exposure if no directives arrive and this host's own evidence shows that the target is bad.
 func (p *pool) judge() {
 	s := p.current.Load().state
-	if !s.undecided() || s.stopped != "" || s.phase == "" {
+	if !s.undecided() || s.stopped != "" || s.phase == "" || p.agent.Elapsed()-s.heardAt < judgeSpan {
 		return
 	}
 	judge := rollout.Judge
@@ -191,7 +194,7 @@
 		if s.order.Revision != revision || !s.undecided() || s.stopped != "" {
 			return false
 		}
-		s.stopped = reason
+		s.stopped, s.stoppedAt = reason, p.agent.Elapsed()
 		events.RolloutStopped.Log(p.agent.Logger, "pool", p.name, "target", s.order.Target, "revision", revision, "reason", reason)
 		return true
 	})
--- a/rollout/agent/directive.go
+++ b/rollout/agent/directive.go
@@ -159,8 +159,13 @@
 		}
 		s.heardAt, s.expires = p.agent.Elapsed(), expires
 		s.open, s.step, s.bad = d.Open, d.Step, d.BadAnswers
+		if s.stopped != "" && d.Halt == "" && expires-directiveTTL >= s.stoppedAt {
+			// The coordinator knows the evidence of this host and of all others.
+			events.RolloutResumed.Log(p.agent.Logger, "pool", p.name, "target", s.order.Target, "revision", s.order.Revision, "reason", s.stopped)
+			s.stopped = ""
+		}
 		if d.Halt != "" && s.stopped == "" {
-			s.stopped = d.Halt
+			s.stopped, s.stoppedAt = d.Halt, p.agent.Elapsed()
 			events.RolloutStopped.Log(p.agent.Logger, "pool", p.name, "target", s.order.Target, "revision", s.order.Revision, "reason", d.Halt)
 		}
 		withdraw = d.Withdraw && s.phase == rollout.PhasePromoting
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -49,8 +49,10 @@
 	heardAt, promotedAt time.Duration
 	// old are the versions that the target replaces, and barred those that earlier orders had as targets.
 	old, barred []string
-	// stopped is why this host has stopped the exposure by itself; empty if it has not.
-	stopped string
+	// stopped is why this host has stopped the exposure before the coordinator has stored an outcome, and stoppedAt when;
+	// empty if it has not.
+	stopped   string
+	stoppedAt time.Duration
 	// bad is the number of the target's bad answers by the newest directive.
 	bad int64
 	// done is whether the outcome is stored and published.
--- a/rollout/coordinator/course.go
+++ b/rollout/coordinator/course.go
@@ -138,21 +138,7 @@
 			s.OldSlots += slots
 		}
 	}
-	decision := rollout.Next(c.record.Record, s)
-	if name := c.stoppedHost(); name != "" && !decision.Phase.Final() {
-		return rollout.Decision{Phase: rollout.PhaseRolledBack, Reason: "stopped by host " + name, BadAnswers: decision.BadAnswers}
-	}
-	return decision
-}
-
-// stoppedHost returns the name of a host whose own evidence shows that the target is bad; empty if there is none.
-func (c *course) stoppedHost() string {
-	for _, r := range c.processes {
-		if r.Revision == c.record.Revision && r.Applied == rollout.PhaseRolledBack {
-			return r.Host
-		}
-	}
-	return ""
+	return rollout.Next(c.record.Record, s)
 }
 
 // want prepares a record that has to be stored.
