--- a/rollout/agent/agent_test.go
+++ b/rollout/agent/agent_test.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// TestStartedHostWithOlderTarget guards against a host that has just started and sends nothing, because the upstreams of the
+// target have run for longer than those of the old version.
+func TestStartedHostWithOlderTarget(t *testing.T) {
+	b := newBench()
+	b.ApplyOrders([]rollout.Order{order("p", "v2", 5)})
+	b.listVersions([]string{"p"}, "v2", "v1")
+	if got := b.sends("p", 100); got["v1"] != 100 {
+		t.Errorf("sent %v, want all to the old version", got)
+	}
+}
+
 // TestExposureBeforeAvailability guards against a bad target that gets all requests when no old upstream is live.
 func TestExposureBeforeAvailability(t *testing.T) {
 	b := newBench()
--- a/rollout/agent/attempt.go
+++ b/rollout/agent/attempt.go
@@ -146,7 +146,7 @@
 	case classOld:
 		return !s.undecided() || s.promotedShare(now) < 1
 	case classHeld:
-		return v.useHeld
+		return v.useHeld && (!s.undecided() || s.promotedShare(now) < 1)
 	default:
 		return false
 	}
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -163,7 +163,7 @@
 			v.until = until
 		}
 	}
-	v.useHeld = len(ids[classOld]) == 0 && !s.undecided()
+	v.useHeld = len(ids[classOld]) == 0 // the target of an undecided order is not among the held ones
 	if v.useHeld {
 		for id := range ids[classHeld] {
 			ids[classOld][id] = true
