--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -49,8 +49,10 @@
 	heardAt, promotedAt time.Duration
 	// old are the versions that the target replaces, and barred those that earlier orders had as targets.
 	old, barred []string
-	// stopped is why this host has stopped the exposure by itself; empty if it has not.
-	stopped string
+	// stopped is why this host has stopped the exposure before the coordinator has stored an outcome, and stoppedAt when;
+	// empty if it has not.
+	stopped   string
+	stoppedAt time.Duration
 	// bad is the number of the target's bad answers by the newest directive.
 	bad int64
 	// done is whether the outcome is stored and published.
@@ -161,7 +163,7 @@
 			v.until = until
 		}
 	}
-	v.useHeld = len(ids[classOld]) == 0 && !s.undecided()
+	v.useHeld = len(ids[classOld]) == 0 // the target of an undecided order is not among the held ones
 	if v.useHeld {
 		for id := range ids[classHeld] {
 			ids[classOld][id] = true
