Roll-outs: requests at an upstream are in flight

Comments, names and log texts of roll-outs said in hand for what the rest of the code calls in flight.

--- a/rollout/agent/agent_test.go
+++ b/rollout/agent/agent_test.go
@@ -205,7 +205,7 @@
 }
 
 // TestPromotion guards against a host that still sends requests to old upstreams after it has reported that it does not,
-// and against requests in hand that a report leaves out.
+// and against requests in flight that a report leaves out.
 func TestPromotion(t *testing.T) {
 	b := newBench()
 	b.listVersions([]string{"p"}, "v1", "v2")
@@ -240,7 +240,7 @@
 	old.End()
 	old.End()
 	if r = b.direct(t, 1, d).Reports[0].Report; r.AtOld != 0 {
-		t.Errorf("%d requests in hand after the last has ended", r.AtOld)
+		t.Errorf("%d requests in flight after the last has ended", r.AtOld)
 	}
 	d.Phase, d.Done = rollout.PhaseComplete, true
 	b.direct(t, 1, d)
--- a/rollout/agent/attempt.go
+++ b/rollout/agent/attempt.go
@@ -9,12 +9,12 @@
 	"github.com/cardamompier/cardamompier/rollout"
 )
 
-// inHand counts the requests in hand at the upstreams of one version.
-type inHand struct{ all, resumable atomic.Int64 }
+// inFlight counts the requests in flight at the upstreams of one version.
+type inFlight struct{ all, resumable atomic.Int64 }
 
 // Attempt is one request that was sent to an upstream. A nil Attempt records nothing.
 type Attempt struct {
-	counters  *inHand
+	counters  *inFlight
 	recorder  *rollout.Recorder // nil if the request is no evidence
 	kind      class
 	version   string
@@ -36,7 +36,7 @@
 	Outcomes.Inc(string(t.kind) + "_" + outcome)
 }
 
-// End counts the request as no longer in hand. Further calls have no effect.
+// End counts the request as no longer in flight. Further calls have no effect.
 func (t *Attempt) End() {
 	if t == nil || t.ended {
 		return
@@ -45,7 +45,7 @@
 	t.counters.add(-1, t.resumable)
 }
 
-func (c *inHand) add(n int64, resumable bool) {
+func (c *inFlight) add(n int64, resumable bool) {
 	if resumable {
 		c.resumable.Add(n)
 	}
@@ -53,12 +53,12 @@
 }
 
 // countersOf returns the counters of a version.
-func (p *pool) countersOf(version string) *inHand {
+func (p *pool) countersOf(version string) *inFlight {
 	if c, ok := p.counters.Load(version); ok {
-		return c.(*inHand)
+		return c.(*inFlight)
 	}
-	c, _ := p.counters.LoadOrStore(version, &inHand{})
-	return c.(*inHand)
+	c, _ := p.counters.LoadOrStore(version, &inFlight{})
+	return c.(*inFlight)
 }
 
 // Choose returns which upstreams of a pool the next attempt may use, by id: those of first and, if none of them can
@@ -152,11 +152,11 @@
 	}
 }
 
-// inHandAt returns the requests in hand at upstreams of other versions than the target, those of them that can be
-// resumed elsewhere, and the requests in hand at upstreams of the target.
-func (p *pool) inHandAt(target string) (old, resumable, atTarget int64) {
+// inFlightAt returns the requests in flight at upstreams of other versions than the target, those of them that can be
+// resumed elsewhere, and the requests in flight at upstreams of the target.
+func (p *pool) inFlightAt(target string) (old, resumable, atTarget int64) {
 	p.counters.Range(func(version, value any) bool {
-		c := value.(*inHand)
+		c := value.(*inFlight)
 		if version == target {
 			atTarget += c.all.Load()
 			return true
--- a/rollout/agent/directive.go
+++ b/rollout/agent/directive.go
@@ -242,7 +242,7 @@
 
 // report returns this host's report on the pool.
 func (p *pool) report() rollout.HostReport {
-	s := p.current.Load().state // before the requests in hand are read, see Send
+	s := p.current.Load().state // before the requests in flight are read, see Send
 	r := rollout.HostReport{Host: p.agent.Host, Process: p.agent.process, Applied: s.phase, Revision: s.order.Revision}
 	switch {
 	case s.stopped != "" && !s.phase.Final():
@@ -250,7 +250,7 @@
 	case s.phase == rollout.PhasePromoting && s.promotedShare(p.agent.Elapsed()) < 1:
 		r.Applied = rollout.PhaseCanary // some requests still go to old upstreams
 	}
-	r.AtOld, r.ResumableAtOld, r.AtTarget = p.inHandAt(s.order.Target)
+	r.AtOld, r.ResumableAtOld, r.AtTarget = p.inFlightAt(s.order.Target)
 	if s.recorder != nil {
 		r.Evidence = s.recorder.Snapshot()
 	}
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -16,7 +16,7 @@
 	agent    *Agent
 	name     string
 	current  atomic.Pointer[view]
-	counters sync.Map // version (string) to *inHand
+	counters sync.Map // version (string) to *inFlight
 	// asked is whether the stored record was read, or could not be.
 	asked atomic.Bool
 
--- a/rollout/agent/status.go
+++ b/rollout/agent/status.go
@@ -63,7 +63,7 @@
 	if s.heardAt != 0 {
 		st.DirectiveAgeMS = (now - s.heardAt).Milliseconds()
 	}
-	st.AtOld, _, st.AtTarget = p.inHandAt(s.order.Target)
+	st.AtOld, _, st.AtTarget = p.inFlightAt(s.order.Target)
 	for key, counts := range s.recorder.Snapshot() {
 		st.Evidence = append(st.Evidence, Evidence{Version: key.Version, Route: key.Route, Ended: counts.Ended, Failed: counts.Failed})
 	}
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -18,7 +18,7 @@
 	Revision uint64 `cbor:"4,keyasint"`
 	// Evidence holds the counts of the process since the order.
 	Evidence Evidence `cbor:"5,keyasint"`
-	// AtOld and AtTarget are the requests in hand at upstreams of the old versions and of the target.
+	// AtOld and AtTarget are the requests in flight at upstreams of the old versions and of the target.
 	// ResumableAtOld are those of AtOld that can be resumed at another upstream.
 	AtOld          int64 `cbor:"6,keyasint"`
 	AtTarget       int64 `cbor:"7,keyasint"`
@@ -210,17 +210,17 @@
 	return max(elapsed, 0)%period >= pause, probability
 }
 
-// canariesFull reports whether the canaries have as many requests in hand as they have slots. More would wait there
+// canariesFull reports whether the canaries have as many requests in flight as they have slots. More would wait there
 // while the old upstreams, among which a burst is shared, have room.
 func (r Record) canariesFull(s Situation) bool {
-	inHand := lo.SumBy(s.Hosts, func(h HostReport) int64 {
+	inFlight := lo.SumBy(s.Hosts, func(h HostReport) int64 {
 		if h.Revision != r.Revision || h.ReportedAgo >= silentAge {
 			return 0
 		}
 		return h.AtTarget
 	})
 	slots := s.TargetSlots * canaryCount(s.TargetUpstreams, s.Bounds.Share) / max(s.TargetUpstreams, 1)
-	return s.TargetSlots > 0 && inHand >= int64(slots)
+	return s.TargetSlots > 0 && inFlight >= int64(slots)
 }
 
 // promotionStep returns the share of the requests that goes to the target at a time after the promotion began.
@@ -247,14 +247,14 @@
 			return d.rollBack("too few upstreams of the target")
 		}
 	case r.released(s):
-		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "nothing in hand at old upstreams"
+		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "nothing in flight at old upstreams"
 	case elapsed >= r.Duration+s.LongestTimeout && promoted >= promotionTime+s.LongestTimeout && s.heard():
 		d.Phase, d.Withdraw, d.Reason = PhaseComplete, false, "longest time-out after the time limit"
 	}
 	return d
 }
 
-// released reports whether every listed host has promoted and has nothing in hand at old upstreams. Shortly before
+// released reports whether every listed host has promoted and has nothing in flight at old upstreams. Shortly before
 // the limit a host that has been silent for long is ignored: it has been cut off or has ended.
 func (r Record) released(s Situation) bool {
 	finishing := s.Now.Sub(r.Started) >= r.Duration-finishTime
@@ -291,7 +291,7 @@
 	})
 }
 
-// releasedBy reports whether a process has promoted and has nothing in hand at old upstreams. A report from before
+// releasedBy reports whether a process has promoted and has nothing in flight at old upstreams. A report from before
 // the last step does not count: its host may have sent requests to old upstreams since.
 func (r Record) releasedBy(h HostReport, now time.Time) bool {
 	lastStep := r.Since.Add(promotionTime)
--- a/rollout/next_test.go
+++ b/rollout/next_test.go
@@ -67,9 +67,9 @@
 		"fault in promotion":                               {promotedRecord(), 7 * time.Second, func(s *Situation) { s.Hosts[0].Evidence = failing() }, PhaseRolledBack, "failed"},
 		"steps are not over":                               {promotedRecord(), 6900 * time.Millisecond, nil, PhasePromoting, ""},
 		"target not proven under the whole load":           {promotedRecord(), 8990 * time.Millisecond, nil, PhasePromoting, ""},
-		"proven in part, limit near":                       {canaryRecord().Apply(Decision{Phase: PhasePromoting}, testStart.Add(9*time.Second)), 10600 * time.Millisecond, nil, PhaseComplete, "nothing in hand"},
+		"proven in part, limit near":                       {canaryRecord().Apply(Decision{Phase: PhasePromoting}, testStart.Add(9*time.Second)), 10600 * time.Millisecond, nil, PhaseComplete, "nothing in flight"},
 		"late promotion, report from before the last step": {canaryRecord().Apply(Decision{Phase: PhasePromoting}, testStart.Add(9*time.Second)), 10200 * time.Millisecond, nil, PhasePromoting, ""},
-		"all released":                                     {promotedRecord(), 9 * time.Second, nil, PhaseComplete, "nothing in hand"},
+		"all released":                                     {promotedRecord(), 9 * time.Second, nil, PhaseComplete, "nothing in flight"},
 		"work at old upstreams":                            {promotedRecord(), 9500 * time.Millisecond, func(s *Situation) { s.Hosts[0].AtOld = 1 }, PhasePromoting, ""},
 		"host that has not promoted":                       {promotedRecord(), 9500 * time.Millisecond, func(s *Situation) { s.Hosts[0].Applied = PhaseCanary }, PhasePromoting, ""},
 		"host with another order":                          {promotedRecord(), 9500 * time.Millisecond, func(s *Situation) { s.Hosts[0].Revision = 6 }, PhasePromoting, ""},
@@ -181,7 +181,7 @@
 		s := situation(2500 * time.Millisecond)                // in the open part of a period
 		s.Hosts[0].AtTarget, s.Hosts[1].AtTarget = atTarget, 4 // of the 8 slots of one canary
 		if d := Next(canaryRecord(), s); d.Open != want {
-			t.Errorf("%d and 4 requests in hand: open %v, want %v", atTarget, d.Open, want)
+			t.Errorf("%d and 4 requests in flight: open %v, want %v", atTarget, d.Open, want)
 		}
 		if s.Hosts[1].Revision = 6; atTarget == 4 && !Next(canaryRecord(), s).Open {
 			t.Error("the requests of another order close the exposure")
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -30,7 +30,7 @@
 }
 
 // fault decides for one request at an upstream whether it fails and by which factor it is slow.
-type fault func(target bool, route string, at time.Duration, inHand int, random *rand.Rand) (failed bool, slow float64)
+type fault func(target bool, route string, at time.Duration, inFlight int, random *rand.Rand) (failed bool, slow float64)
 
 // outcome is what a roll-out did.
 type outcome struct {
@@ -81,9 +81,9 @@
 
 // simUpstream works on as many requests at once as it has slots and queues the others.
 type simUpstream struct {
-	target        bool
-	inHand, begun int
-	queue         []func()
+	target          bool
+	inFlight, begun int
+	queue           []func()
 }
 
 func (s *simulation) delay() time.Duration {
@@ -199,7 +199,7 @@
 func (s *simulation) choose(h *simHost) (u *simUpstream, recorded bool) {
 	spread := func(all []*simUpstream) *simUpstream {
 		a, b := all[s.random.IntN(len(all))], all[s.random.IntN(len(all))]
-		if b.inHand < a.inHand {
+		if b.inFlight < a.inFlight {
 			return b
 		}
 		return a
@@ -225,18 +225,18 @@
 // send runs a request at an upstream and records its outcome.
 func (s *simulation) send(h *simHost, u *simUpstream, route string, recorded bool) {
 	sent := s.now
-	u.inHand++
+	u.inFlight++
 	if u.target {
 		h.atTarget++
 	} else {
 		h.atOld++
 	}
 	work := func() {
-		failed, slow := s.fault(u.target, route, s.now, u.inHand, s.random)
+		failed, slow := s.fault(u.target, route, s.now, u.inFlight, s.random)
 		median := map[string]float64{"0": 40, "1": 60, "2": 25}[route]
 		service := time.Duration(median * math.Exp(0.5*s.random.NormFloat64()) * slow * float64(time.Millisecond))
 		s.after(service, func() {
-			u.inHand--
+			u.inFlight--
 			u.begun--
 			if len(u.queue) > 0 {
 				begin := u.queue[0]
--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -31,8 +31,8 @@
 }
 
 func slowTarget(above int, share float64) badTarget {
-	return badTarget{share: share, fault: func(target bool, _ string, _ time.Duration, inHand int, random *rand.Rand) (bool, float64) {
-		if target && inHand > above && random.Float64() < share {
+	return badTarget{share: share, fault: func(target bool, _ string, _ time.Duration, inFlight int, random *rand.Rand) (bool, float64) {
+		if target && inFlight > above && random.Float64() < share {
 			return false, 5
 		}
 		return false, 1
--- a/soak/rollout_test.go
+++ b/soak/rollout_test.go
@@ -37,8 +37,8 @@
 type rolloutCase struct {
 	name string
 	// treat returns what a target's upstream does with a request: fails it or delays it. It is called with the time since
-	// the order and the number of requests in hand there; nil for a good target.
-	treat func(kind string, since time.Duration, inHand int64) (fails bool, delay time.Duration)
+	// the order and the number of requests in flight there; nil for a good target.
+	treat func(kind string, since time.Duration, inFlight int64) (fails bool, delay time.Duration)
 	// disturb induces faults while the roll-out runs; nil for none.
 	disturb func(t *testing.T, d *deployment)
 	// absent is whether no upstream of the target starts.
@@ -68,8 +68,8 @@
 		return since > 5*time.Second && often(0.5), 0
 	}},
 	{name: "slow", treat: func(string, time.Duration, int64) (bool, time.Duration) { return false, (slowFactor - 1) * serviceTime }},
-	{name: "slow above three at a time", treat: func(_ string, _ time.Duration, inHand int64) (bool, time.Duration) {
-		if inHand > 3 {
+	{name: "slow above three at a time", treat: func(_ string, _ time.Duration, inFlight int64) (bool, time.Duration) {
+		if inFlight > 3 {
 			return false, (slowFactor - 1) * serviceTime
 		}
 		return false, 0
@@ -118,7 +118,7 @@
 	target  []time.Time // arrivals at the target
 	bad     []time.Time // bad answers of the target
 	lastOld time.Time   // when a request at an old upstream began or ended last
-	atOld   int         // requests in hand at old upstreams
+	atOld   int         // requests in flight at old upstreams
 }
 
 func runRollout(t *testing.T, c rolloutCase) {
@@ -165,8 +165,8 @@
 func (r *rolloutTest) startVersion(t *testing.T, version string) {
 	for range 4 {
 		u := &upstream{d: r.deployment, id: "u" + strconv.FormatInt(r.nextID.Add(1), 10), version: version}
-		inHand := &atomic.Int64{}
-		u.start(t, func(w http.ResponseWriter, req *http.Request) { r.serve(u, inHand, w, req) })
+		inFlight := &atomic.Int64{}
+		u.start(t, func(w http.ResponseWriter, req *http.Request) { r.serve(u, inFlight, w, req) })
 		r.upstreams = append(r.upstreams, u)
 	}
 }
@@ -205,7 +205,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.atOld > 0 || r.lastOld.After(at) {
-		t.Errorf("%d requests are in hand at old upstreams when the roll-out is complete", r.atOld)
+		t.Errorf("%d requests are in flight at old upstreams when the roll-out is complete", r.atOld)
 	}
 }
 
@@ -250,14 +250,14 @@
 }
 
 // serve executes a request at an upstream of either version.
-func (r *rolloutTest) serve(u *upstream, inHand *atomic.Int64, w http.ResponseWriter, req *http.Request) {
+func (r *rolloutTest) serve(u *upstream, inFlight *atomic.Int64, w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if _, err := io.ReadAll(req.Body); err != nil {
 		return
 	}
-	n := inHand.Add(1)
-	defer inHand.Add(-1)
+	n := inFlight.Add(1)
+	defer inFlight.Add(-1)
 	r.arrived(u.version, 1)
 	defer r.arrived(u.version, -1)
 	sent, known := r.log.recordRun(id)
