Quota: a limit does not start anew with each owner

What callers saw: an account over its limit got more than the limit allows over all hosts when the hosts that decide about it changed several times within a window, as in a rolling restart.

Cause: each owner and each deputy started with a quarter of the burst and counted tokens for time in which another host decided: a deputy kept its bucket and let it fill while the owner admitted requests up to the whole limit.

Change: Shares.Take gets the time since which no other host has decided; nothing accrues before. For an owner it is the last change of the usable hosts (for accounts that it does not know), the end of its settling, or the last time that it declined. For a deputy at most 100 ms accrue between two decisions. A new bucket is empty.

Why it works: at any time one host accrues tokens at the limit's rate, so that a change of the owner adds nothing but 100 ms of the rate at the deputy.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// SkipTo drops the tokens that would accrue between the last call of Fill and since.
+// A bucket that was never filled starts to fill at since.
+func (b *Bucket) SkipTo(since time.Time) {
+	if since.After(b.filledAt) {
+		b.filledAt = since
+	}
+}
+
 // TakeWhole removes up to want tokens from the bucket, rounded down to a whole
 // number, and returns the number removed.
 func (b *Bucket) TakeWhole(want float64) float64 {
--- a/admission/share.go
+++ b/admission/share.go
@@ -14,9 +14,6 @@
 	// The rest covers requests that leave a debt and a change of the host that
 	// decides about the limit.
 	slackFraction = 0.3
-	// initialFraction is the fraction of the burst that a new client account starts
-	// with: until now, another host may have admitted requests against its limit.
-	initialFraction = 0.25
 	// debtThreshold is the fraction of the burst that must be available to admit a
 	// request that costs more than that. The request may leave a debt.
 	debtThreshold = 0.5
@@ -40,9 +37,11 @@
 }
 
 // Take spends cost of the client account's limit, of which this host has an equal
-// share. hosts is the number of hosts that share the limit. If the share of this host
-// is used up, Take returns false and the time until enough of it is available.
-func (s *Shares) Take(account string, limit AccountLimit, hosts int, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// share. hosts is the number of hosts that share the limit. Nothing accrues before
+// since: until then, another host may have admitted requests against the limit. If the
+// share of this host is used up, Take returns false and the time until enough of it is
+// available.
+func (s *Shares) Take(account string, limit AccountLimit, hosts int, cost float64, since, now time.Time) (wait time.Duration, ok bool) {
 	if limit.Rate <= 0 {
 		return 0, true
 	}
@@ -50,7 +49,8 @@
 	burst := (limit.Burst + limit.Slack*slackFraction) / float64(hosts)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.bucket(account, burst*initialFraction, now)
+	b := s.bucket(account)
+	b.SkipTo(since)
 	b.Fill(rate, burst, now)
 	need := min(cost, burst*debtThreshold)
 	if b.tokens < need {
@@ -70,8 +70,22 @@
 	}
 }
 
-// Retain removes the client accounts for which retained returns false. A removed
-// client account starts again with initialFraction of its burst.
+// Has reports whether the client account has a bucket.
+func (s *Shares) Has(account string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buckets[account] != nil
+}
+
+// Remove removes a client account, which starts again with an empty bucket.
+func (s *Shares) Remove(account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.buckets, account)
+}
+
+// Retain removes the client accounts for which retained returns false. They start
+// again with an empty bucket.
 func (s *Shares) Retain(retained func(account string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,15 +96,14 @@
 	}
 }
 
-// bucket returns the bucket of a client account. A new bucket starts with the given
-// number of tokens.
-func (s *Shares) bucket(account string, initial float64, now time.Time) *Bucket {
+// bucket returns the bucket of a client account. A new bucket is empty.
+func (s *Shares) bucket(account string) *Bucket {
 	if s.buckets == nil {
 		s.buckets = map[string]*Bucket{}
 	}
 	b := s.buckets[account]
 	if b == nil {
-		b = &Bucket{filledAt: now, tokens: initial}
+		b = &Bucket{}
 		s.buckets[account] = b
 	}
 	return b
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -32,6 +32,9 @@
 	// owner is unreachable. It is below 1 because the owner still admits requests up
 	// to the whole limit.
 	unreachableFraction = 0.5
+	// deputyAccrual bounds the time between two decisions of a deputy for which tokens accrue. In a
+	// longer pause, the owner may have decided.
+	deputyAccrual = 100 * time.Millisecond
 )
 
 // TakeRequests counts requests to spend from a client account's limit, by outcome.
@@ -77,7 +80,7 @@
 // that reaches neither uses unreachableFraction of its even share. Use NewOwners.
 type Owners struct {
 	self   string
-	client *inner.Client
+	client inner.Transport
 	hosts  func() *membership.View
 	// hostCount returns the number of hosts that divide a limit evenly while its owner
 	// is unreachable.
@@ -98,11 +101,19 @@
 	lostAt map[string]time.Time
 	// joinedAt is when this host last joined the membership, or when it started.
 	joinedAt time.Time
+	// declinedAt is when this host last declined to decide as owner, because it had just joined or its own
+	// registration might have expired.
+	declinedAt time.Time
+	// lastView is the newest view of the hosts that was looked at, usable are its usable members, and
+	// changedAt is when these last changed.
+	lastView  *membership.View
+	usable    map[string]bool
+	changedAt time.Time
 }
 
 // NewOwners returns the Owners of the host with the ID self and registers the handler
 // of its messages with server.
-func NewOwners(self string, client *inner.Client, server *inner.Server, hosts func() *membership.View, hostCount func() int, registered func() bool) *Owners {
+func NewOwners(self string, client inner.Transport, server *inner.Server, hosts func() *membership.View, hostCount func() int, registered func() bool) *Owners {
 	o := &Owners{
 		self: self, client: client, hosts: hosts, hostCount: hostCount, registered: registered,
 		lostAt: map[string]time.Time{}, joinedAt: time.Now(),
@@ -121,13 +132,15 @@
 		now := time.Now()
 		view := o.hosts()
 		o.mu.Lock()
+		o.membersChangedAt(now)
 		if !slices.ContainsFunc(view.Members, func(m membership.Member) bool { return m.ID == o.self }) {
 			o.joinedAt = now
 		}
 		o.owned.Retain(func(account string) bool {
 			if o.owns(account) {
+				_, lost := o.lostAt[account]
 				delete(o.lostAt, account)
-				return true
+				return !lost // until now, another host has admitted requests against the limit
 			}
 			if _, known := o.lostAt[account]; !known {
 				o.lostAt[account] = now
@@ -163,10 +176,12 @@
 // decide handles a takeRequest for a client account of which this host is the owner
 // or deputy.
 func (o *Owners) decide(req takeRequest) takeResponse {
-	if !o.registered() { // another host may already own the client account
+	now := time.Now()
+	if !o.registered() || !req.Deputy && !o.settled() { // another host may decide
+		o.declined(now)
 		return takeResponse{NotOwner: true}
 	}
-	if !req.Deputy && (!o.owns(req.Account) || !o.settled()) {
+	if !req.Deputy && !o.owns(req.Account) {
 		return takeResponse{NotOwner: true}
 	}
 	if req.Deputy && !o.deputizes(req.Account) { // the sender does not know the newest owner yet
@@ -176,10 +191,67 @@
 		o.owned.Refund(req.Account, -req.Cost)
 		return takeResponse{Taken: true}
 	}
-	wait, ok := o.owned.Take(req.Account, req.Limit, 1, req.Cost, time.Now())
+	wait, ok := o.owned.Take(req.Account, req.Limit, 1, req.Cost, o.decidesSince(req, now), now)
 	return takeResponse{Taken: ok, WaitMS: wait.Milliseconds()}
 }
 
+// declined records that this host has declined to decide.
+func (o *Owners) declined(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.declinedAt = now
+}
+
+// decidesSince returns the time since which no other host has decided about the limit of a client account.
+// Tokens that accrue before may have been spent at another host.
+func (o *Owners) decidesSince(req takeRequest, now time.Time) time.Time {
+	owns := o.owns(req.Account)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !owns {
+		if _, known := o.lostAt[req.Account]; !known {
+			o.lostAt[req.Account] = now
+		}
+	}
+	if req.Deputy {
+		return now.Add(-deputyAccrual)
+	}
+	since := o.joinedAt.Add(ownerSettleTime)
+	if o.declinedAt.After(since) {
+		since = o.declinedAt
+	}
+	_, lost := o.lostAt[req.Account]
+	if changedAt := o.membersChangedAt(now); changedAt.After(since) && (lost || !o.owned.Has(req.Account)) {
+		since = changedAt // the previous owner may have decided until then
+	}
+	if lost { // this host has decided as deputy, or was the owner before
+		o.owned.Remove(req.Account)
+		delete(o.lostAt, req.Account)
+	}
+	return since
+}
+
+// membersChangedAt returns when the usable hosts last changed, by this host's view. The hosts of the first view
+// count as unchanged since this host joined. o.mu must be held.
+func (o *Owners) membersChangedAt(now time.Time) time.Time {
+	view := o.hosts()
+	if view == o.lastView {
+		return o.changedAt
+	}
+	usable := map[string]bool{}
+	for _, m := range view.Usable() {
+		usable[m.ID] = true
+	}
+	switch {
+	case o.lastView == nil:
+		o.changedAt = o.joinedAt
+	case !maps.Equal(usable, o.usable):
+		o.changedAt = now
+	}
+	o.lastView, o.usable = view, usable
+	return o.changedAt
+}
+
 // Take spends cost of a client account's limit. A limit with a Rate of zero or less
 // admits everything. If the limit is used up, ok is false and wait is the time after
 // which to retry. by is the ID of the host that decided, or "even_share" when neither
@@ -198,7 +270,7 @@
 		return time.Duration(response.WaitMS) * time.Millisecond, by, false
 	}
 	reduced := admission.AccountLimit{Rate: limit.Rate * unreachableFraction, Burst: limit.Burst * unreachableFraction, Slack: limit.Slack * unreachableFraction}
-	if wait, ok = o.evenShares.Take(account, reduced, max(o.hostCount(), 1), cost, time.Now()); ok {
+	if wait, ok = o.evenShares.Take(account, reduced, max(o.hostCount(), 1), cost, time.Time{}, time.Now()); ok {
 		TakeRequests.Inc(labelAloneTaken)
 	} else {
 		TakeRequests.Inc(labelAloneRefused)
--- /dev/null
+++ b/quota/ownerfleet_test.go
@@ -0,0 +1,181 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamompier/cardamompier/admission"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/inner/innermem"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/quota"
+)
+
+const (
+	limitedAccount = "account"
+	limitWindow    = 8 * time.Second
+	limitExcess    = 0.1 // tolerated share above rate and burst
+	floodCost      = 10_000
+	floodPause     = 20 * time.Millisecond // between two attempts of one host that are refused or admitted
+	ownerFleetSize = 8
+)
+
+var floodedLimit = admission.AccountLimit{Rate: 348_000, Burst: 348_000, Slack: 190_000}
+
+// admittedCost is the cost that a host admitted at a time.
+type admittedCost struct {
+	at   time.Time
+	cost float64
+}
+
+// ownerFleet is a set of hosts that each try to admit more than the whole limit of one client account.
+type ownerFleet struct {
+	ctx     context.Context
+	network *innermem.Network
+	views   map[string]*atomic.Pointer[membership.View] // by host
+	stops   map[string]context.CancelFunc
+
+	mu       sync.Mutex
+	admitted []admittedCost
+}
+
+// playOwnerFleet runs a test in a bubble of its own with a fleet whose hosts have been in service for long enough to
+// admit the whole limit, and stops the fleet.
+func playOwnerFleet(t *testing.T, play func(*testing.T, *ownerFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &ownerFleet{
+			ctx: ctx, network: innermem.New(1), views: map[string]*atomic.Pointer[membership.View]{}, stops: map[string]context.CancelFunc{},
+		}
+		f.network.SetDelay(2 * time.Millisecond)
+		var ids []string
+		for i := range ownerFleetSize {
+			ids = append(ids, fmt.Sprintf("h%d", i))
+		}
+		for _, id := range ids {
+			f.start(id, ids)
+		}
+		time.Sleep(2 * limitWindow)
+		play(t, f)
+		cancel()
+		time.Sleep(3 * time.Second) // until the requests under way are answered
+	})
+}
+
+// start starts a host that knows the given hosts and counts as registered at once.
+func (f *ownerFleet) start(id string, knows []string) {
+	view := &atomic.Pointer[membership.View]{}
+	view.Store(viewOf(knows))
+	server := inner.NewServer()
+	f.network.Serve(id, server)
+	owners := quota.NewOwners(id, f.network.Client(id), server, view.Load, func() int { return len(view.Load().Members) }, func() bool { return true })
+	ctx, stop := context.WithCancel(f.ctx)
+	f.views[id], f.stops[id] = view, stop
+	go owners.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			if _, _, ok := owners.Take(ctx, limitedAccount, floodedLimit, floodCost); ok {
+				f.mu.Lock()
+				f.admitted = append(f.admitted, admittedCost{time.Now(), floodCost})
+				f.mu.Unlock()
+			}
+			time.Sleep(floodPause)
+		}
+	}()
+}
+
+// kill stops a host. The others keep it in their views.
+func (f *ownerFleet) kill(id string) {
+	f.stops[id]()
+	f.network.Serve(id, nil)
+}
+
+func (f *ownerFleet) ids() []string {
+	var ids []string
+	for id := range f.views {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ownerOf returns the owner of the account among the given hosts.
+func ownerOf(ids []string) string {
+	return viewOf(ids).Chosen("quota/"+limitedAccount, 1)[0].ID
+}
+
+// largestWindow returns the largest cost that was admitted in a window.
+func (f *ownerFleet) largestWindow() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	largest, sum, from := 0.0, 0.0, 0
+	for _, a := range f.admitted {
+		sum += a.cost
+		for ; !a.at.Before(f.admitted[from].at.Add(limitWindow)); from++ {
+			sum -= f.admitted[from].cost
+		}
+		largest = max(largest, sum)
+	}
+	return largest
+}
+
+// check checks that no window of the play has more than the rule on limits allows.
+func (f *ownerFleet) check(t *testing.T) {
+	t.Helper()
+	allowed := (floodedLimit.Rate*limitWindow.Seconds()+floodedLimit.Burst)*(1+limitExcess) + floodedLimit.Slack
+	largest := f.largestWindow()
+	t.Logf("at most %.0f admitted in %v, allowed %.0f", largest, limitWindow, allowed)
+	if largest > allowed {
+		t.Errorf("%.0f admitted in %v by all hosts, at most %.0f allowed", largest, limitWindow, allowed)
+	}
+}
+
+// TestLimitWhileOwnersLeaveInTurn guards against limits that start anew with each owner: one owner after the other
+// leaves, and the views of the hosts change one after the other.
+func TestLimitWhileOwnersLeaveInTurn(t *testing.T) {
+	playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+		rest := f.ids()
+		for range ownerFleetSize - 2 {
+			leaves := ownerOf(rest)
+			rest = slices.DeleteFunc(rest, func(id string) bool { return id == leaves })
+			for _, id := range f.ids() { // a host that leaves goes on until it is killed
+				f.views[id].Store(viewOf(rest))
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond)
+			f.kill(leaves)
+		}
+		time.Sleep(limitWindow)
+		f.check(t)
+	})
+}
+
+// TestLimitWhileAllHostsAreRestarted guards against limits that start anew with each process: all hosts are killed at
+// once and are back 200 ms later, several times in a window.
+func TestLimitWhileAllHostsAreRestarted(t *testing.T) {
+	for _, every := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+		t.Run(every.String(), func(t *testing.T) {
+			playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+				all := f.ids()
+				for range 10 {
+					for _, id := range all {
+						f.kill(id)
+					}
+					time.Sleep(200 * time.Millisecond)
+					for _, id := range all {
+						f.start(id, all)
+					}
+					time.Sleep(every - 200*time.Millisecond)
+				}
+				f.check(t)
+			})
+		})
+	}
+}
