Quota: hosts that do not reach an owner share its limit with it

What callers saw: an account over its limit got more than the limit allows over all hosts while the owner of its limit was restarted several times, had a link that failed now and then, or was cut off from the other hosts.

Cause: a host that did not reach the owner used half of its even share, on top of what the owner admitted. The even share also accrued while it was not used, and one lost call kept it in use for the second of the backoff.

The tests of the fleet now begin the flood after an idle time, so that the burst counts.

Change: half of a limit belongs to the deputy. The owner spends it only while the deputy has answered a hold (a message each 200 ms for accounts in use) in the last 500 ms. A host that does not reach the owner asks the deputy, which passes the request on; it decides about its half once no hold has come for 600 ms, or at once if the owner's address refuses connections (TestDeputyOfAnOwnerThatEnded). A host that reaches neither uses a tenth of its even share, from the time on at which it began to. An owner that declines says for how long it has not decided, so that the deputy may count that time. TestOwnersDoNotOverlap has a transport, since owners now send holds.

Why it works: at any time the parts of a limit that may be spent add up to the limit, since the owner gives up the deputy's half before the deputy uses it; only the tenths of hosts that reach neither come on top.

Not covered: in a fleet of processes of which some are older, deputies do not answer holds, so that owners admit half of each limit. Even shares of hundreds of hosts may each leave the debt of one request.

--- a/inner/message.go
+++ b/inner/message.go
@@ -48,6 +48,9 @@
 	// KindQuotaTake consumes part of a client account's limit at the host that
 	// owns the limit.
 	KindQuotaTake MessageKind = 301
+	// KindQuotaHold reserves the deputies' shares of the limits of client accounts for
+	// their owner.
+	KindQuotaHold MessageKind = 304
 	// KindPacePermit asks the host that paces the requests to an upstream for a
 	// permit for one request.
 	KindPacePermit MessageKind = 302
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -26,14 +26,18 @@
 	// registration yet.
 	ownerSettleTime = 1500 * time.Millisecond
 	// deputyDuration is how long the previous owner of a client account retains the
-	// token bucket of its limit. It decides as deputy until the new owner may decide.
+	// token bucket of its limit after its last decision.
 	deputyDuration = 2 * ownerSettleTime
-	// unreachableFraction is the fraction of its even share that a host uses while the
-	// owner is unreachable. It is below 1 because the owner still admits requests up
-	// to the whole limit.
-	unreachableFraction = 0.5
-	// deputyAccrual bounds the time between two decisions of a deputy for which tokens accrue. In a
-	// longer pause, the owner may have decided.
+	// declinedFraction is the fraction of its even share that a host uses while the owner
+	// and the deputy decline to decide. It is below 1 because other hosts may know another
+	// owner.
+	declinedFraction = 0.5
+	// unreachableFraction is the fraction of its even share that a host uses while it
+	// reaches neither the owner nor the deputy, which may admit requests up to the whole
+	// limit.
+	unreachableFraction = 0.1
+	// deputyAccrual bounds the time between two decisions of a deputy for which tokens accrue, if it does
+	// not know for how long the owner has not decided.
 	deputyAccrual = 100 * time.Millisecond
 )
 
@@ -58,6 +62,14 @@
 	// Deputy is set when the owner has just joined and the request goes to the
 	// previous owner, which must decide in its place.
 	Deputy bool `cbor:"4,keyasint,omitempty"`
+	// StandIn is set when the sender does not reach the owner and the request goes to
+	// the deputy.
+	StandIn bool `cbor:"5,keyasint,omitempty"`
+	// DeclinedMS is the DeclinedMS of the owner's response, in a request with Deputy set.
+	DeclinedMS int64 `cbor:"6,keyasint,omitempty"`
+	// accruesSince is the time since which the deputy's part of the limit was not held, in a
+	// decision in place of an owner that does not respond.
+	accruesSince time.Time
 }
 
 // takeResponse is the response to a takeRequest.
@@ -70,14 +82,21 @@
 	// NotOwner is set when the responding host must not decide: another host owns the
 	// client account, it has just joined, or its own registration may have expired.
 	NotOwner bool `cbor:"3,keyasint,omitempty"`
+	// DeclinedMS is how long the owner has not decided, in milliseconds; 0 if unknown.
+	DeclinedMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Owners enforces the limits of client accounts across all hosts. Rendezvous hashing
 // selects one host as the owner of each client account, and every request spends
 // from the limit at the owner. An owner decides only while its own registration is
 // valid and once ownerSettleTime has passed since it joined. Until then the previous
-// owner, which is the next host in rendezvous order, decides as its deputy. A host
-// that reaches neither uses unreachableFraction of its even share. Use NewOwners.
+// owner, which is the next host in rendezvous order, decides as its deputy.
+//
+// A host that does not reach the owner asks the deputy, which passes the request on. A
+// standInFraction of each limit belongs to the deputy: the owner spends it only while the
+// deputy confirms its holds, and the deputy decides about it once holds have ceased.
+//
+// A host for which neither decides uses a fraction of its even share. Use NewOwners.
 type Owners struct {
 	self   string
 	client inner.Transport
@@ -89,15 +108,28 @@
 	registered func() bool
 
 	// owned holds the limits that this host decides about as owner or deputy.
-	// evenShares holds its own share of each limit whose owner is unreachable.
+	// evenShares holds its own share of each limit about which no other host decides.
 	owned, evenShares admission.Shares
 
 	// unreachable marks hosts that did not respond. They are not called for a while.
 	unreachable inner.Backoff
 
+	// startedAt is when this process started.
+	startedAt time.Time
+
 	mu sync.Mutex
-	// lostAt maps a client account that this host owned to the time at which
-	// another host became its owner.
+	// usedAt holds the time of the last request for each client account that this host
+	// decided about as owner.
+	usedAt map[string]time.Time
+	// holds are this host's holds as owner, by the ID of the deputy. heardAt is when the last
+	// hold of an owner arrived, by its ID.
+	holds   map[string]hold
+	heardAt map[string]time.Time
+	// evenSince is the time since which this host has used its even share of a client
+	// account's limit.
+	evenSince map[string]time.Time
+	// lostAt maps a client account that another host owns to the time at which this
+	// host last decided about it as deputy, or ceased to be its owner.
 	lostAt map[string]time.Time
 	// joinedAt is when this host last joined the membership, or when it started.
 	joinedAt time.Time
@@ -116,16 +148,16 @@
 func NewOwners(self string, client inner.Transport, server *inner.Server, hosts func() *membership.View, hostCount func() int, registered func() bool) *Owners {
 	o := &Owners{
 		self: self, client: client, hosts: hosts, hostCount: hostCount, registered: registered,
-		lostAt: map[string]time.Time{}, joinedAt: time.Now(),
+		lostAt: map[string]time.Time{}, joinedAt: time.Now(), startedAt: time.Now(), usedAt: map[string]time.Time{},
+		holds: map[string]hold{}, heardAt: map[string]time.Time{}, evenSince: map[string]time.Time{},
 	}
-	inner.Register(server, inner.KindQuotaTake, func(_ context.Context, req takeRequest) (takeResponse, error) {
-		return o.decide(req), nil
-	})
+	inner.Register(server, inner.KindQuotaTake, o.serveTake)
+	inner.Register(server, inner.KindQuotaHold, o.serveHold)
 	return o
 }
 
-// Run removes client accounts that another host has owned for deputyDuration, until
-// ctx ends. What is left of their limits on this host must not be spent, since the
+// Run renews this host's holds and removes client accounts that another host has owned
+// for deputyDuration, until ctx ends. What is left of their limits on this host must not be spent, since the
 // new owner admits requests up to the whole limits.
 func (o *Owners) Run(ctx context.Context) {
 	for wait.For(ctx, changeInterval) {
@@ -149,6 +181,7 @@
 		})
 		maps.DeleteFunc(o.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) >= deputyDuration })
 		o.mu.Unlock()
+		o.holdParts(ctx, now)
 	}
 }
 
@@ -178,8 +211,7 @@
 func (o *Owners) decide(req takeRequest) takeResponse {
 	now := time.Now()
 	if !o.registered() || !req.Deputy && !o.settled() { // another host may decide
-		o.declined(now)
-		return takeResponse{NotOwner: true}
+		return takeResponse{NotOwner: true, DeclinedMS: o.declined(now).Milliseconds()}
 	}
 	if !req.Deputy && !o.owns(req.Account) {
 		return takeResponse{NotOwner: true}
@@ -191,15 +223,29 @@
 		o.owned.Refund(req.Account, -req.Cost)
 		return takeResponse{Taken: true}
 	}
-	wait, ok := o.owned.Take(req.Account, req.Limit, 1, req.Cost, o.decidesSince(req, now), now)
+	since, limit := o.decidesSince(req, now), req.Limit
+	if !req.Deputy {
+		heldSince, held := o.holdsDeputy(req.Account, now)
+		switch {
+		case !held:
+			limit = partOf(limit, 1-standInFraction)
+		case heldSince.After(since):
+			since = heldSince // the deputy may have decided until then
+		}
+	}
+	wait, ok := o.owned.Take(req.Account, limit, 1, req.Cost, since, now)
 	return takeResponse{Taken: ok, WaitMS: wait.Milliseconds()}
 }
 
-// declined records that this host has declined to decide.
-func (o *Owners) declined(now time.Time) {
+// declined records that this host has declined to decide. It returns for how long it has not decided at least.
+func (o *Owners) declined(now time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.declinedAt = now
+	if age := now.Sub(o.startedAt); age < ownerSettleTime {
+		return age
+	}
+	return 0
 }
 
 // decidesSince returns the time since which no other host has decided about the limit of a client account.
@@ -209,12 +255,17 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !owns {
-		if _, known := o.lostAt[req.Account]; !known {
-			o.lostAt[req.Account] = now
-		}
+		o.lostAt[req.Account] = now
 	}
-	if req.Deputy {
-		return now.Add(-deputyAccrual)
+	switch {
+	case !req.accruesSince.IsZero():
+		// The bucket is removed after deputyDuration without use.
+		if bound := now.Add(-deputyDuration); bound.After(req.accruesSince) {
+			return bound
+		}
+		return req.accruesSince
+	case req.Deputy:
+		return now.Add(-max(deputyAccrual, time.Duration(req.DeclinedMS)*time.Millisecond))
 	}
 	since := o.joinedAt.Add(ownerSettleTime)
 	if o.declinedAt.After(since) {
@@ -260,17 +311,21 @@
 	if limit.Rate <= 0 {
 		return 0, "", true
 	}
-	response, by, ok := o.requestTake(ctx, takeRequest{Account: account, Limit: limit, Cost: cost})
+	response, by, outcome := o.requestTake(ctx, takeRequest{Account: account, Limit: limit, Cost: cost})
+	since := o.evenShareSince(account, outcome == takeDecided)
 	switch {
-	case ok && response.Taken:
+	case outcome == takeDecided && response.Taken:
 		TakeRequests.Inc(labelOwnerTaken)
 		return 0, by, true
-	case ok:
+	case outcome == takeDecided:
 		TakeRequests.Inc(labelOwnerRefused)
 		return time.Duration(response.WaitMS) * time.Millisecond, by, false
 	}
-	reduced := admission.AccountLimit{Rate: limit.Rate * unreachableFraction, Burst: limit.Burst * unreachableFraction, Slack: limit.Slack * unreachableFraction}
-	if wait, ok = o.evenShares.Take(account, reduced, max(o.hostCount(), 1), cost, time.Time{}, time.Now()); ok {
+	fraction := declinedFraction
+	if outcome == takeUnreachable {
+		fraction = unreachableFraction
+	}
+	if wait, ok = o.evenShares.Take(account, partOf(limit, fraction), max(o.hostCount(), 1), cost, since, time.Now()); ok {
 		TakeRequests.Inc(labelAloneTaken)
 	} else {
 		TakeRequests.Inc(labelAloneRefused)
@@ -288,30 +343,47 @@
 	go o.requestTake(context.Background(), takeRequest{Account: account, Cost: -cost})
 }
 
+// takeOutcome is the outcome of requests to the owner and the deputy of a client account.
+type takeOutcome uint8
+
+const (
+	takeDecided     takeOutcome = iota
+	takeDeclined                // both declined to decide
+	takeUnreachable             // at least one did not respond, and neither decided
+)
+
 // requestTake sends req to the owner of the client account, and to its deputy if the
-// owner has just joined. by is the ID of the last host tried; ok is false when
-// neither host decided.
-func (o *Owners) requestTake(ctx context.Context, req takeRequest) (response takeResponse, by string, ok bool) {
+// owner has just joined or does not respond. by is the ID of the last host tried.
+func (o *Owners) requestTake(ctx context.Context, req takeRequest) (response takeResponse, by string, outcome takeOutcome) {
+	outcome = takeDeclined
+	for i, host := range o.hosts().Chosen(ownerKeyPrefix+req.Account, 2) {
+		req.Deputy, req.StandIn, by = i > 0 && outcome == takeDeclined, outcome == takeUnreachable, host.ID
+		var ok bool
+		if response, ok = o.ask(ctx, host, req); !ok {
+			outcome = takeUnreachable
+		} else if !response.NotOwner {
+			return response, by, takeDecided
+		}
+		req.DeclinedMS = response.DeclinedMS
+	}
+	return response, by, outcome
+}
+
+// ask sends req to one host. It returns false if the host does not respond.
+func (o *Owners) ask(ctx context.Context, host membership.Member, req takeRequest) (response takeResponse, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	for i, owner := range o.hosts().Chosen(ownerKeyPrefix+req.Account, 2) {
-		req.Deputy, by = i > 0, owner.ID
-		if owner.ID == o.self {
-			response = o.decide(req)
-		} else {
-			if o.unreachable.Active(owner.ID) {
-				return response, by, false
-			}
-			response = takeResponse{}
-			if err := o.client.Call(ctx, owner.InnerAddress, inner.KindQuotaTake, req, &response); err != nil {
-				TakeRequests.Inc(labelNotOwner)
-				o.unreachable.Start(owner.ID)
-				return response, by, false
-			}
-		}
-		if !response.NotOwner {
-			return response, by, true
-		}
+	if host.ID == o.self {
+		response, _ = o.serveTake(ctx, req)
+		return response, true
+	}
+	if o.unreachable.Active(host.ID) {
+		return takeResponse{}, false
+	}
+	if err := o.client.Call(ctx, host.InnerAddress, inner.KindQuotaTake, req, &response); err != nil {
+		TakeRequests.Inc(labelNotOwner)
+		o.callFailed(host.ID, err)
+		return takeResponse{}, false
 	}
-	return response, by, false
+	return response, true
 }
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/inner/innermem"
 	"github.com/cardamompier/cardamompier/membership"
 )
 
@@ -28,8 +29,9 @@
 		newView.Store(viewBefore)
 		hostCount := func() int { return 2 }
 		registered := func() bool { return true }
-		old := NewOwners(other, nil, inner.NewServer(), oldView.Load, hostCount, registered)
-		next := NewOwners(owner, nil, inner.NewServer(), newView.Load, hostCount, registered)
+		network := innermem.New(1)
+		old := NewOwners(other, network.Client(other), inner.NewServer(), oldView.Load, hostCount, registered)
+		next := NewOwners(owner, network.Client(owner), inner.NewServer(), newView.Load, hostCount, registered)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{}, 2)
 		for _, o := range []*Owners{old, next} {
@@ -100,3 +102,21 @@
 		}
 	}
 }
+
+// TestDeputyOfAnOwnerThatEnded guards against requests that are refused until a hold of the owner lapses although its
+// process has ended: the deputy decides as soon as the owner's address refuses connections.
+func TestDeputyOfAnOwnerThatEnded(t *testing.T) {
+	const refusing = "127.0.0.1:1"
+	view := &membership.View{Members: []membership.Member{{ID: "a", InnerAddress: refusing}, {ID: "b", InnerAddress: refusing}}}
+	ranked := view.Chosen(ownerKeyPrefix+"x", 2)
+	o := NewOwners(ranked[1].ID, inner.NewClient(), inner.NewServer(), func() *membership.View { return view }, func() int { return 2 }, func() bool { return true })
+	if _, err := o.serveHold(t.Context(), holdRequest{Owner: ranked[0].ID}); err != nil {
+		t.Fatal(err)
+	}
+	limit := admission.AccountLimit{Rate: 1000, Burst: 1000}
+	o.Take(t.Context(), "x", limit, 10) // finds that the owner has ended
+	time.Sleep(50 * time.Millisecond)
+	if _, by, ok := o.Take(t.Context(), "x", limit, 10); !ok || by != ranked[1].ID {
+		t.Errorf("decided by %q with ok=%v, want %q and true", by, ok, ranked[1].ID)
+	}
+}
--- a/quota/ownerfleet_test.go
+++ b/quota/ownerfleet_test.go
@@ -34,19 +34,21 @@
 	cost float64
 }
 
-// ownerFleet is a set of hosts that each try to admit more than the whole limit of one client account.
+// ownerFleet is a set of hosts that each try to admit more than the whole limit of one client account, once the flood
+// has begun.
 type ownerFleet struct {
 	ctx     context.Context
 	network *innermem.Network
 	views   map[string]*atomic.Pointer[membership.View] // by host
 	stops   map[string]context.CancelFunc
 
+	flood    atomic.Bool
 	mu       sync.Mutex
 	admitted []admittedCost
 }
 
 // playOwnerFleet runs a test in a bubble of its own with a fleet whose hosts have been in service for long enough to
-// admit the whole limit, and stops the fleet.
+// admit the whole limit with its burst, begins the flood, and stops the fleet.
 func playOwnerFleet(t *testing.T, play func(*testing.T, *ownerFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -63,6 +65,7 @@
 			f.start(id, ids)
 		}
 		time.Sleep(2 * limitWindow)
+		f.flood.Store(true)
 		play(t, f)
 		cancel()
 		time.Sleep(3 * time.Second) // until the requests under way are answered
@@ -80,13 +83,15 @@
 	f.views[id], f.stops[id] = view, stop
 	go owners.Run(ctx)
 	go func() {
-		for ctx.Err() == nil {
+		for ; ctx.Err() == nil; time.Sleep(floodPause) {
+			if !f.flood.Load() {
+				continue
+			}
 			if _, _, ok := owners.Take(ctx, limitedAccount, floodedLimit, floodCost); ok {
 				f.mu.Lock()
 				f.admitted = append(f.admitted, admittedCost{time.Now(), floodCost})
 				f.mu.Unlock()
 			}
-			time.Sleep(floodPause)
 		}
 	}()
 }
@@ -137,6 +142,25 @@
 	}
 }
 
+// TestLimitWhileItsOwnerIsRestartedAgainAndAgain guards against limits that start anew with each process: the owner of
+// an account is killed and is back 200 ms later, several times in a window.
+func TestLimitWhileItsOwnerIsRestartedAgainAndAgain(t *testing.T) {
+	for _, every := range []time.Duration{time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(every.String(), func(t *testing.T) {
+			playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+				all := f.ids()
+				for range 10 {
+					f.kill(ownerOf(all))
+					time.Sleep(200 * time.Millisecond)
+					f.start(ownerOf(all), all)
+					time.Sleep(every - 200*time.Millisecond)
+				}
+				f.check(t)
+			})
+		})
+	}
+}
+
 // TestLimitWhileOwnersLeaveInTurn guards against limits that start anew with each owner: one owner after the other
 // leaves, and the views of the hosts change one after the other.
 func TestLimitWhileOwnersLeaveInTurn(t *testing.T) {
@@ -179,3 +203,42 @@
 		})
 	}
 }
+
+// TestLimitWhileItsOwnerIsCutOffBriefly guards against shares that accrue while they are not used: the links of the owner
+// fail for 200 ms, several times in a window.
+func TestLimitWhileItsOwnerIsCutOffBriefly(t *testing.T) {
+	playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+		for range 10 {
+			f.cutFirst(1, true)
+			time.Sleep(200 * time.Millisecond)
+			f.cutFirst(1, false)
+			time.Sleep(1800 * time.Millisecond)
+		}
+		f.check(t)
+	})
+}
+
+// TestLimitWhileItsOwnerIsCutOff guards against shares that add up to more than the limit: the owner, or the owner with
+// its deputy, is cut off from the other hosts, but stays registered and admits requests of its own callers.
+func TestLimitWhileItsOwnerIsCutOff(t *testing.T) {
+	for _, apart := range []int{1, 2} {
+		t.Run(fmt.Sprintf("hosts=%d", apart), func(t *testing.T) {
+			playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+				time.Sleep(time.Second)
+				f.cutFirst(apart, true)
+				time.Sleep(2 * limitWindow)
+				f.check(t)
+			})
+		})
+	}
+}
+
+// cutFirst cuts the links between the first hosts in the order of the account's owners and all others, or restores them.
+func (f *ownerFleet) cutFirst(count int, cut bool) {
+	ranked := viewOf(f.ids()).Chosen("quota/"+limitedAccount, ownerFleetSize)
+	for _, a := range ranked[:count] {
+		for _, b := range ranked[count:] {
+			f.network.Cut(a.ID, b.ID, cut)
+		}
+	}
+}
