Quota: a host that knows no other host has no share of a limit

What callers saw: after a start of all hosts, an account could get more than its limit allows over all hosts until the hosts had read each other's records.

Cause: until the records are read, a host's view holds itself only. It divided the limit of an account by one host, and was the only host in the order that selects who grants the permits of an upstream with a limit, at once (Pacer.mayDecide). The routes are read 300 ms after the start even if the hosts' records cannot be.

Change: Owners and Pacer get no hosts until the records were read. Owners then refuse with a wait of 300 ms (label hosts_unknown of quota_takes_total); Pacer grants nothing already when it knows no host. An owner needs a view with itself in it to decide.

Why it works: a share is only used by a host that knows how many share.

--- a/forwardfeatures.go
+++ b/forwardfeatures.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/forward"
+	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/prefixes"
 	"github.com/cardamompier/cardamompier/promptcache"
@@ -30,3 +31,20 @@
 func demandWindowOf(s settings.Forwarding) time.Duration {
 	return lo.CoalesceOrEmpty(seconds(s.DemandWindowSeconds), platform.FeaturesOf(s.RuleParts).DemandWindow)
 }
+
+// knownHosts returns the entry hosts, or none until their records were read. A host that took itself for the only one
+// would use the whole of each limit that it shares with the others.
+func (f *ForwardServer) knownHosts() *membership.View {
+	if f.members.Current() == nil {
+		return &membership.View{}
+	}
+	return f.hosts()
+}
+
+// knownHostCount returns hostCount, or 0 until the entry hosts' records were read.
+func (f *ForwardServer) knownHostCount() int {
+	if f.members.Current() == nil {
+		return 0
+	}
+	return f.hostCount()
+}
--- a/forwarding_test.go
+++ b/forwarding_test.go
@@ -8,7 +8,16 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/admission"
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/forward"
+	"github.com/cardamompier/cardamompier/inner"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/presence"
+	"github.com/cardamompier/cardamompier/quota"
+	"github.com/cardamompier/cardamompier/replica"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -78,3 +87,21 @@
 		}
 	}
 }
+
+// TestHostThatKnowsNoOtherHasNoShare guards against started hosts that each take themselves for the only one, and use the whole
+// limit of each client account and of each upstream, until they have read the records of the hosts.
+func TestHostThatKnowsNoOtherHasNoShare(t *testing.T) {
+	members := replica.New(nil, presence.Prefix, time.Second, nil, hclog.NewNullLogger())
+	self := membership.Member{ID: "a"}
+	f := &ForwardServer{members: members, presence: presence.New(nil, self, members, clock.SinceBoot, hclog.NewNullLogger())}
+	if hosts, count := f.knownHosts().Members, f.knownHostCount(); len(hosts) != 0 || count != 0 {
+		t.Errorf("before the records are read: hosts %v, count %d, want none", hosts, count)
+	}
+	limits := quota.NewOwners("a", inner.NewClient(), inner.NewServer(), f.knownHosts, f.knownHostCount, func() bool { return true })
+	if wait, _, ok := limits.Take(t.Context(), "account", admission.AccountLimit{Rate: 1000, Burst: 1000}, 1); ok || wait <= 0 {
+		t.Errorf("a share of an account's limit: admitted %v, retry after %v, want a refusal", ok, wait)
+	}
+	if wait, ok := quota.NewPacer("a", inner.NewClient(), inner.NewServer(), f.knownHosts).Permit(t.Context(), "u", 10); ok || wait <= 0 {
+		t.Errorf("a permit of an upstream: granted %v, retry after %v, want a refusal", ok, wait)
+	}
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -36,6 +36,8 @@
 	// reaches neither the owner nor the deputy, which may admit requests up to the whole
 	// limit.
 	unreachableFraction = 0.1
+	// unknownHostsWait is the time after which to retry at a host that does not know the others.
+	unknownHostsWait = 300 * time.Millisecond
 	// deputyAccrual bounds the time between two decisions of a deputy for which tokens accrue, if it does
 	// not know for how long the owner has not decided.
 	deputyAccrual = 100 * time.Millisecond
@@ -51,6 +53,7 @@
 	labelAloneTaken   = "alone_taken"
 	labelAloneRefused = "alone_refused"
 	labelNotOwner     = "owner_unreachable"
+	labelHostsUnknown = "hosts_unknown"
 )
 
 // takeRequest is the message that spends Cost of a client account's limit at its
@@ -102,7 +105,7 @@
 	client inner.Transport
 	hosts  func() *membership.View
 	// hostCount returns the number of hosts that divide a limit evenly while its owner
-	// is unreachable.
+	// is unreachable, or 0 while the hosts are not known.
 	hostCount func() int
 	// registered reports whether the other hosts still count this host as a member.
 	registered func() bool
@@ -186,17 +189,16 @@
 }
 
 // owns reports whether this host owns a client account by its own view of the hosts.
-// It returns true when the view has no hosts.
 func (o *Owners) owns(account string) bool {
 	owners := o.hosts().Chosen(ownerKeyPrefix+account, 1)
-	return len(owners) == 0 || owners[0].ID == o.self
+	return len(owners) > 0 && owners[0].ID == o.self
 }
 
 // deputizes reports whether this host owns a client account or is the deputy of its owner, by
-// its own view of the hosts. It returns true when the view has no hosts.
+// its own view of the hosts.
 func (o *Owners) deputizes(account string) bool {
 	owners := o.hosts().Chosen(ownerKeyPrefix+account, 2)
-	return len(owners) == 0 || slices.ContainsFunc(owners, func(m membership.Member) bool { return m.ID == o.self })
+	return slices.ContainsFunc(owners, func(m membership.Member) bool { return m.ID == o.self })
 }
 
 // settled reports whether this host joined at least ownerSettleTime ago.
@@ -311,6 +313,11 @@
 	if limit.Rate <= 0 {
 		return 0, "", true
 	}
+	count := o.hostCount()
+	if count <= 0 { // any share may be too large
+		TakeRequests.Inc(labelHostsUnknown)
+		return unknownHostsWait, "", false
+	}
 	response, by, outcome := o.requestTake(ctx, takeRequest{Account: account, Limit: limit, Cost: cost})
 	since := o.evenShareSince(account, outcome == takeDecided)
 	switch {
@@ -325,7 +332,7 @@
 	if outcome == takeUnreachable {
 		fraction = unreachableFraction
 	}
-	if wait, ok = o.evenShares.Take(account, partOf(limit, fraction), max(o.hostCount(), 1), cost, since, time.Now()); ok {
+	if wait, ok = o.evenShares.Take(account, partOf(limit, fraction), count, cost, since, time.Now()); ok {
 		TakeRequests.Inc(labelAloneTaken)
 	} else {
 		TakeRequests.Inc(labelAloneRefused)
--- a/quota/ownerfleet_test.go
+++ b/quota/ownerfleet_test.go
@@ -233,6 +233,26 @@
 	}
 }
 
+// TestLimitOfHostsThatDoNotKnowEachOther guards against hosts that each admit a whole limit or a large share of it before
+// they know the others: no host knows any for a second after its start.
+func TestLimitOfHostsThatDoNotKnowEachOther(t *testing.T) {
+	playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+		all := f.ids()
+		for _, id := range all {
+			f.kill(id)
+		}
+		for _, id := range all {
+			f.start(id, nil)
+		}
+		time.Sleep(time.Second)
+		for _, id := range all {
+			f.views[id].Store(viewOf(all))
+		}
+		time.Sleep(limitWindow)
+		f.check(t)
+	})
+}
+
 // cutFirst cuts the links between the first hosts in the order of the account's owners and all others, or restores them.
 func (f *ownerFleet) cutFirst(count int, cut bool) {
 	ranked := viewOf(f.ids()).Chosen("quota/"+limitedAccount, ownerFleetSize)
