--- a/quota/pacer_test.go
+++ b/quota/pacer_test.go
@@ -246,3 +246,37 @@
 		f.checkWindows(t, cutAt, false)
 	})
 }
+
+// TestLimitOfAnUpstreamWhileHostsAreRestarted guards against permits that start anew with each process: the host that
+// grants them, or all hosts at once, are killed and are back 200 ms later, several times in a window.
+func TestLimitOfAnUpstreamWhileHostsAreRestarted(t *testing.T) {
+	for _, rate := range pacedRates {
+		for name, all := range map[string]bool{"pacer": false, "all": true} {
+			for _, every := range []time.Duration{time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("rate=%v/%s/%v", rate, name, every), func(t *testing.T) {
+					playPaceFleet(t, 8, rate, func(t *testing.T, f *paceFleet) {
+						began, ids := time.Now(), f.ids()
+						killed := []string{owner(ids)}
+						if all {
+							killed = ids
+						}
+						time.Sleep(paceSettle)
+						for range 8 {
+							for _, id := range killed {
+								f.kill(id)
+							}
+							time.Sleep(200 * time.Millisecond)
+							for _, id := range killed {
+								f.start(id, ids)
+							}
+							time.Sleep(every - 200*time.Millisecond)
+						}
+						f.checkWindows(t, began, false)
+						_, largest := f.windows(began)
+						t.Logf("at most %d permits in %v", largest, paceWindow)
+					})
+				})
+			}
+		}
+	}
+}
