Soak: the limit of an account while hosts are killed, in turn and all at once

No soak counted the rule on limits: its account had no rate. TestAccountLimit floods 4 hosts, each a process, with four times the account's limit for 16 s and counts the tokens of the requests that were sent and run within 8 s. The bound is that of the rule, with a tolerated excess of 0.1.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -130,8 +130,9 @@
 	fatal      fatalRuns
 	ways       []wayOfEnding // in which fatal requests end upstreams
 	heard      heardNotices
-	// extra holds settings of the hosts besides those that all tests have.
-	extra map[string]any
+	// extra holds settings of the hosts besides those that all tests have, and accountExtra fields of the client
+	// account in the configuration.
+	extra, accountExtra map[string]any
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -253,10 +254,12 @@
 	add("resume", "stream", resumable.prefix, 3)
 	routes[len(routes)-1]["resumable"] = true
 	add("new", "idempotent", newPrefix(version), 2)
+	account := map[string]any{"name": "account", "api_keys": []string{accountKey}}
+	maps.Copy(account, d.accountExtra)
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": []map[string]any{{"name": "desk", "max_conns": 100}},
 		"limits":  map[string]any{"max_body_bytes": 1 << 20},
-		"tenants": []map[string]any{{"name": "account", "api_keys": []string{accountKey}}},
+		"tenants": []map[string]any{account},
 	})
 	if err != nil {
 		t.Error(err)
