kv: versions and lease numbers contain the era of the service

The key-value service may come back from an older copy; it then gives out the same revisions and lease numbers again and counts its era up in each answer. Package kv says of a version that it never decreases, and its users compare versions. No adapter reads the era yet.

--- /dev/null
+++ b/kv/era.go
@@ -0,0 +1,40 @@
+package kv
+
+// eraShift is the number of bits of a Version or LeaseID that hold the service's own number. The bits
+// above hold the era.
+const eraShift = 40
+
+// maxNumber is the largest number within an era.
+const maxNumber = 1<<eraShift - 1
+
+// Era counts how often the service has come back from an older copy of itself. Each time, the service loses what it
+// acknowledged after the copy, and gives out the same revisions and lease numbers again.
+//
+// Versions and lease IDs contain their era, so that those of different eras never compare as equal, and all versions of
+// an era are greater than those of the eras before it: also the version of an entry that the copy has unchanged.
+type Era uint64
+
+// VersionOf returns the version for a revision of the service in an era.
+func VersionOf(era Era, revision uint64) Version {
+	return Version(uint64(era)<<eraShift | revision&maxNumber)
+}
+
+// Era returns the era in which the service gave out the version.
+func (v Version) Era() Era { return Era(v >> eraShift) }
+
+// Revision returns the service's own revision number.
+func (v Version) Revision() uint64 { return uint64(v) & maxNumber }
+
+// LeaseIDOf returns the ID for the service's number of a lease in an era. The number zero means no lease in each era.
+func LeaseIDOf(era Era, number uint64) LeaseID {
+	if number == 0 {
+		return 0
+	}
+	return LeaseID(uint64(era)<<eraShift | number&maxNumber)
+}
+
+// Era returns the era in which the service granted the lease, or confirmed it last.
+func (id LeaseID) Era() Era { return Era(id >> eraShift) }
+
+// Number returns the service's own number of the lease.
+func (id LeaseID) Number() uint64 { return uint64(id) & maxNumber }
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -12,11 +12,12 @@
 	"time"
 )
 
-// Version is the service's revision at which a key was last written. It never
-// decreases. Zero means that the key does not exist.
+// Version is the service's revision at which a key was last written, together with
+// the Era of the service. It never decreases. Zero means that the key does not exist.
 type Version uint64
 
-// LeaseID identifies a lease that the service granted. Zero means no lease.
+// LeaseID identifies a lease that the service granted, together with the Era of the
+// service. Zero means no lease.
 type LeaseID uint64
 
 // MaxValueSize is the size of the largest value that the service accepts, in bytes.
@@ -61,7 +62,8 @@
 	// revision of the service.
 	List(ctx context.Context, prefix string) ([]Entry, Version, error)
 	// CompareAndSwap writes a key if its version equals w.Expect, and returns
-	// the new version. It fails with ReasonConflict if the versions differ.
+	// the new version. It fails with ReasonConflict if the versions differ, and
+	// with ReasonLeaseExpired if w.Lease is of an older era.
 	CompareAndSwap(ctx context.Context, w Write) (Version, error)
 	// Delete removes a key if its version equals expect. It fails with
 	// ReasonConflict if the versions differ.
@@ -69,7 +71,7 @@
 	// Grant creates a lease that expires when it is not renewed for ttl.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease. It fails with ReasonLeaseExpired if the lease
-	// has expired or was revoked.
+	// has expired, was revoked or is of an older era.
 	KeepAlive(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and deletes the keys that are bound to it.
 	Revoke(ctx context.Context, id LeaseID) error
--- a/kv/kvmem/lease.go
+++ b/kv/kvmem/lease.go
@@ -17,8 +17,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastID++
-	id := s.lastID
+	s.lastLease++
+	id := kv.LeaseIDOf(s.revision.Era(), s.lastLease)
 	lease := &leaseState{ttl: ttl, keys: map[string]struct{}{}}
 	lease.timer = time.AfterFunc(ttl, func() { s.expire(id) })
 	s.leases[id] = lease
--- a/kv/kvmem/store.go
+++ b/kv/kvmem/store.go
@@ -24,8 +24,9 @@
 	entries  map[string]kv.Entry
 	history  []kv.Event // in order of revision
 	leases   map[kv.LeaseID]*leaseState
-	lastID   kv.LeaseID
-	changed  chan struct{} // closed and replaced at each change
+	// lastLease is the number of the newest lease of the era.
+	lastLease uint64
+	changed   chan struct{} // closed and replaced at each change
 	// previous is the entry that each key had before its last change. Stale
 	// reads return it.
 	previous map[string]kv.Entry
@@ -149,6 +150,9 @@
 		s.mu.Lock()
 		events, revision, changed := s.latestEvents(prefix, after), s.revision, s.changed
 		s.mu.Unlock()
+		if after != 0 && after.Era() != revision.Era() {
+			return nil, 0, &kv.Error{Op: opWatch, Key: prefix, Reason: kv.ReasonNotFound}
+		}
 		if len(events) > 0 {
 			return events, revision, nil
 		}
