--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -51,6 +51,7 @@
 	kind               kind
 	method, path, body string
 	sentAt             time.Time
+	arrivals           int  // number of arrivals at upstreams, also of those that were rejected
 	runs               int  // number of executions at upstreams
 	notRun             bool // a response stated that the request has not run and will not run
 }
@@ -60,9 +61,21 @@
 	mu         sync.Mutex
 	requests   map[string]*request // sent requests by request ID
 	outcomes   map[string]int      // number of requests by kind and outcome
+	repeats    []time.Time         // arrivals at upstreams beyond the first of each request
 	violations []string
 }
 
+// recordArrival records that a request arrives at an upstream.
+func (l *requestLog) recordArrival(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		if r.arrivals++; r.arrivals > 1 {
+			l.repeats = append(l.repeats, time.Now())
+		}
+	}
+}
+
 // recordRun records that an upstream executes a request. It returns the request and whether a
 // caller has sent it.
 func (l *requestLog) recordRun(id string) (request, bool) {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -135,6 +135,7 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	u.d.log.recordArrival(id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
