Forwarder: log by which figures the retry budget decides

The line of a failed attempt said whether the request is sent again, not why. Four explanations of repeats beyond the budget could not be told apart by it: a started process with a budget of its own, a wrong number of hosts, a window that forgets too early, and repeats that are not charged. The line now has the repeats and the requests in the window, the limit and the number of hosts. No change of logic.

--- a/forward/identify.go
+++ b/forward/identify.go
@@ -13,6 +13,7 @@
 	"github.com/cardamompier/cardamompier/apierr"
 	"github.com/cardamompier/cardamompier/membudget"
 	"github.com/cardamompier/cardamompier/quarantine"
+	"github.com/cardamompier/cardamompier/retry"
 	"github.com/cardamompier/cardamompier/routes"
 )
 
@@ -48,17 +49,18 @@
 	sends          int     // attempts whose request may have reached an upstream
 	possibleRuns   int     // attempts whose request an upstream may have run
 	tried          []string
-	sentAt         time.Time     // when the current attempt was sent
-	sentBy         sentList      // the list of upstreams by which the current attempt was sent
-	heardAt        time.Time     // when the current attempt was sent, or a part of its answer arrived last
-	headReceived   bool          // whether the current attempt received the head of an answer
-	answerBegun    atomic.Bool   // whether a part of the answer was sent to the caller
-	inTrial        bool          // whether the request tries quarantined content again
-	begunReported  bool          // whether the prompt parts were reported as harmless
-	startReported  bool          // whether Config.OnStarted was called for this request
-	firstByteAt    time.Time     // when the first byte of the answer was sent to the caller
-	maxEventGap    time.Duration // longest time between two writes of events to the caller
-	retryReserved  bool          // whether the retry budget was already charged for the next attempt
+	sentAt         time.Time       // when the current attempt was sent
+	sentBy         sentList        // the list of upstreams by which the current attempt was sent
+	heardAt        time.Time       // when the current attempt was sent, or a part of its answer arrived last
+	headReceived   bool            // whether the current attempt received the head of an answer
+	answerBegun    atomic.Bool     // whether a part of the answer was sent to the caller
+	inTrial        bool            // whether the request tries quarantined content again
+	begunReported  bool            // whether the prompt parts were reported as harmless
+	startReported  bool            // whether Config.OnStarted was called for this request
+	firstByteAt    time.Time       // when the first byte of the answer was sent to the caller
+	maxEventGap    time.Duration   // longest time between two writes of events to the caller
+	retryReserved  bool            // whether the retry budget was already charged for the next attempt
+	budget         *retry.Decision // the newest decision of the retry budget
 
 	versioned *versionedSend                // the current attempt; nil without Config.Versions
 	movable   atomic.Pointer[versionedSend] // the current attempt once it is sent, for WithdrawStreams
--- a/forward/send.go
+++ b/forward/send.go
@@ -103,8 +103,8 @@
 		default:
 			repeat, reason = e.mayRepeat(err), repeatFailed
 		}
-		e.log(events.ForwardAttempt, append(e.versionField(t), "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address,
-			"chosen_by", string(t.reason), "outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)...)
+		e.log(events.ForwardAttempt, slices.Concat(e.versionField(t), e.budgetFields(), []any{"upstream", t.ID, "upstream_started_ms", t.StartedMS,
+			"address", t.Address, "chosen_by", string(t.reason), "outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat})...)
 		if !repeat {
 			e.refuse(e.attemptError(result, err))
 			return
@@ -135,11 +135,21 @@
 		e.retryReserved = false
 		return true
 	}
-	if e.f.retryWindows.Allow(e.pool, e.f.Hosts(), time.Now()) {
-		return true
+	d := e.f.retryWindows.Allow(e.pool, e.f.Hosts(), time.Now())
+	e.budget = &d
+	if !d.Allowed {
+		Repeats.Inc(repeatBudgetEmpty)
+	}
+	return d.Allowed
+}
+
+// budgetFields returns the log fields of the newest decision of the retry budget; none if there was no decision.
+func (e *exchange) budgetFields() []any {
+	if e.budget == nil {
+		return nil
 	}
-	Repeats.Inc(repeatBudgetEmpty)
-	return false
+	return []any{"budget_allowed", e.budget.Allowed, "budget_repeats", e.budget.Repeats, "budget_requests", e.budget.Requests,
+		"budget_limit", e.budget.Limit, "budget_hosts", e.budget.Hosts}
 }
 
 // noUpstreamLeft returns the error for the caller when no untried upstream is
--- a/forward/versions.go
+++ b/forward/versions.go
@@ -190,7 +190,7 @@
 		if s == nil || !s.resumable || s.host.Pool != pool || !old(s.host) {
 			return true
 		}
-		if !f.retryWindows.Allow(pool, f.Hosts(), time.Now()) {
+		if !f.retryWindows.Allow(pool, f.Hosts(), time.Now()).Allowed {
 			return false
 		}
 		if e.movable.CompareAndSwap(s, nil) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -53,24 +53,33 @@
 	v.requests[v.last%windowBuckets]++
 }
 
-// Allow counts one repeated attempt and returns true if the attempt is within
-// this host's part of the bound. hosts is the number of hosts that share the
-// bound.
-func (w *RepeatLimiter) Allow(pool string, hosts int, now time.Time) bool {
+// Decision is what a RepeatLimiter decides about a repeated attempt, and by which figures.
+type Decision struct {
+	Allowed bool
+	// Repeats and Requests are the counts of the window, without the attempt itself.
+	Repeats, Requests int
+	// Limit is this host's part of the bound, in repeated attempts.
+	Limit float64
+	// Hosts is the number of hosts that share the bound.
+	Hosts int
+}
+
+// Allow decides about one repeated attempt, and counts it if it is within this host's part of the bound. hosts is
+// the number of hosts that share the bound.
+func (w *RepeatLimiter) Allow(pool string, hosts int, now time.Time) Decision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.advance(pool, now)
-	requests, repeats := 0, 0
+	d := Decision{Hosts: hosts}
 	for i := range windowBuckets {
-		requests += v.requests[i]
-		repeats += v.repeats[i]
+		d.Requests += v.requests[i]
+		d.Repeats += v.repeats[i]
 	}
-	limit := boundShare * (w.bound.Ratio*float64(requests) + w.bound.Slack/float64(max(hosts, 1)))
-	if float64(repeats+1) > limit {
-		return false
+	d.Limit = boundShare * (w.bound.Ratio*float64(d.Requests) + w.bound.Slack/float64(max(hosts, 1)))
+	if d.Allowed = float64(d.Repeats+1) <= d.Limit; d.Allowed {
+		v.repeats[v.last%windowBuckets]++
 	}
-	v.repeats[v.last%windowBuckets]++
-	return true
+	return d
 }
 
 // advance returns a pool's window after clearing the buckets that have become too
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -29,7 +29,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				w.Request("p", now)
 				seen = append(seen, event{at: now})
-			} else if w.Allow("p", hosts, now) {
+			} else if w.Allow("p", hosts, now).Allowed {
 				seen = append(seen, event{at: now, repeat: true})
 			}
 		}
