Retry: keep repeated attempts in the window until they are a whole window old

Callers saw nothing; upstreams could get up to 1.6 times the bound of repeats in a window. The window is a ring of 20 buckets of half a second. A bucket left the ring when its newest repeat was 9.5 s old, and a repeat reaches its upstream up to 0.4 s (the time of a dial) after it was allowed, so that two bursts some 10 s apart count in one window at the upstreams while the limiter has forgotten the first.

TestTwoBurstsAboutAWindowApart, over gaps of 8 to 12 s and phases of the buckets: 43 and 43 repeats where 54 are allowed, at gaps from 9.6 to 10.3 s; none after the change. Repeats now stay for two buckets more. Requests count as before, as more of them would only raise the limit.

--- a/retry/window.go
+++ b/retry/window.go
@@ -8,6 +8,9 @@
 const (
 	// windowBuckets is the number of time buckets in a sliding window.
 	windowBuckets = 20
+	// repeatBuckets is the number of buckets in which repeated attempts count: those of the window and two more, as
+	// the oldest one is counted in part and a repeated attempt reaches its upstream up to the time of a dial later.
+	repeatBuckets = windowBuckets + 2
 	// boundShare is the part of the bound that hosts may use. The rest is a
 	// margin, because hosts count only their own requests and see each other join
 	// and leave with a delay.
@@ -36,7 +39,7 @@
 
 // window is a ring of time buckets with the counts of one pool.
 type window struct {
-	requests, repeats [windowBuckets]int
+	requests, repeats [repeatBuckets]int
 	last              int64 // number of the newest bucket, counted from the Unix epoch
 }
 
@@ -50,7 +53,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.advance(pool, now)
-	v.requests[v.last%windowBuckets]++
+	v.requests[v.last%repeatBuckets]++
 }
 
 // Decision is what a RepeatLimiter decides about a repeated attempt, and by which figures.
@@ -71,13 +74,16 @@
 	defer w.mu.Unlock()
 	v := w.advance(pool, now)
 	d := Decision{Hosts: hosts}
-	for i := range windowBuckets {
-		d.Requests += v.requests[i]
+	for age := range int64(repeatBuckets) {
+		i := (v.last - age + repeatBuckets) % repeatBuckets
 		d.Repeats += v.repeats[i]
+		if age < windowBuckets {
+			d.Requests += v.requests[i]
+		}
 	}
 	d.Limit = boundShare * (w.bound.Ratio*float64(d.Requests) + w.bound.Slack/float64(max(hosts, 1)))
 	if d.Allowed = float64(d.Repeats+1) <= d.Limit; d.Allowed {
-		v.repeats[v.last%windowBuckets]++
+		v.repeats[v.last%repeatBuckets]++
 	}
 	return d
 }
@@ -91,8 +97,8 @@
 		v = &window{last: number}
 		w.pools[pool] = v
 	}
-	for n := max(v.last+1, number-windowBuckets+1); n <= number; n++ {
-		v.requests[n%windowBuckets], v.repeats[n%windowBuckets] = 0, 0
+	for n := max(v.last+1, number-repeatBuckets+1); n <= number; n++ {
+		v.requests[n%repeatBuckets], v.repeats[n%repeatBuckets] = 0, 0
 	}
 	v.last = max(v.last, number)
 	return v
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -51,3 +51,25 @@
 		}
 	})
 }
+
+// TestTwoBurstsAboutAWindowApart guards against a burst of repeated attempts that is forgotten before it is a whole
+// window old, or that arrives later than it was allowed, so that a second burst exceeds the bound together with it.
+func TestTwoBurstsAboutAWindowApart(t *testing.T) {
+	const dial = 400 * time.Millisecond
+	bound := Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	for gap := 8 * time.Second; gap < 12*time.Second; gap += 100 * time.Millisecond {
+		for phase := time.Duration(0); phase < 500*time.Millisecond; phase += 100 * time.Millisecond {
+			w, first := NewWindows(bound), time.Unix(1000, 0).Add(phase)
+			burst := func(at time.Time) (allowed int) {
+				for w.Allow("p", 1, at).Allowed {
+					allowed++
+				}
+				return allowed
+			}
+			early, late := burst(first), burst(first.Add(gap))
+			if sum := early + late; gap-dial < bound.Window && float64(sum) > bound.Slack {
+				t.Errorf("%d and %d repeated attempts %v apart, of which those of a window must be at most %.0f", early, late, gap, bound.Slack)
+			}
+		}
+	}
+}
