Retry: measure the window by a clock that steps of the wall clock do not affect

Callers saw nothing; upstreams could get more repeats than the bound allows after the wall clock of a host was set. The limiter numbered its buckets by the Unix time. A step forward empties the window; after a step back, all requests and repeats count in one bucket until the wall clock has caught up.

Trial on the code before, one host, 30 requests a second, slack 54, ratio 0.2, bound 114: a step of 30 s ahead between two bursts lets 86 and 43 repeats through within a second; a step of 30 s back lets 211 through 25 s later. The limiter now takes times of clock.SinceBoot, so that it has no wall clock to read; suspended time counts, as it does at the upstreams. The tests of the package pass with such times. NewWindows is now NewRepeatLimiter.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/routes"
 )
 
@@ -14,8 +15,7 @@
 // limit.
 func (e *exchange) admit() *apierr.Error {
 	e.pool = drawPool(e.route)
-	now := time.Now()
-	e.f.retryWindows.Request(e.pool, now)
+	e.f.repeats.Request(e.pool, clock.SinceBoot())
 	if e.meta.PromptTokens > 0 {
 		e.f.pool(e.pool).mix.Add(e.meta.PromptTokens, e.meta.PromptTokens-int(assumedCachedShare*float64(e.meta.sharedTokens())), e.meta.MaxOutputTokens)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -116,7 +116,7 @@
 type Forwarder struct {
 	Config
 	conns        connpool.Pool
-	retryWindows *retry.RepeatLimiter
+	repeats      *retry.RepeatLimiter
 	pools        sync.Map // pool name (string) to *poolState
 	draining     atomic.Pointer[drainPeriod]
 	active       atomic.Int64
@@ -131,7 +131,7 @@
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
 // upstreams.
 func New(parts Config) *Forwarder {
-	return &Forwarder{Config: parts, retryWindows: retry.NewWindows(parts.Retries)}
+	return &Forwarder{Config: parts, repeats: retry.NewRepeatLimiter(parts.Retries)}
 }
 
 // listAge returns the time since the list of upstreams was last confirmed to be current.
--- a/forward/send.go
+++ b/forward/send.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/apierr"
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/routing"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
@@ -135,7 +136,7 @@
 		e.retryReserved = false
 		return true
 	}
-	d := e.f.retryWindows.Allow(e.pool, e.f.Hosts(), time.Now())
+	d := e.f.repeats.Allow(e.pool, e.f.Hosts(), clock.SinceBoot())
 	e.budget = &d
 	if !d.Allowed {
 		Repeats.Inc(repeatBudgetEmpty)
--- a/forward/versions.go
+++ b/forward/versions.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/cardamompier/cardamompier/clock"
 	"github.com/cardamompier/cardamompier/hosts"
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/rollout/agent"
@@ -190,7 +191,7 @@
 		if s == nil || !s.resumable || s.host.Pool != pool || !old(s.host) {
 			return true
 		}
-		if !f.retryWindows.Allow(pool, f.Hosts(), time.Now()).Allowed {
+		if !f.repeats.Allow(pool, f.Hosts(), clock.SinceBoot()).Allowed {
 			return false
 		}
 		if e.movable.CompareAndSwap(s, nil) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -29,8 +29,8 @@
 	Window time.Duration
 }
 
-// RepeatLimiter counts requests and repeated attempts of each pool in a sliding window.
-// Use NewWindows.
+// RepeatLimiter counts requests and repeated attempts of each pool in a sliding window. Its times are those of a clock
+// that steps of the wall clock do not affect, such as clock.SinceBoot. Use NewRepeatLimiter.
 type RepeatLimiter struct {
 	bound Bound
 	mu    sync.Mutex
@@ -40,19 +40,19 @@
 // window is a ring of time buckets with the counts of one pool.
 type window struct {
 	requests, repeats [repeatBuckets]int
-	last              int64 // number of the newest bucket, counted from the Unix epoch
+	last              int64 // number of the newest bucket, counted from the clock's zero
 }
 
-// NewWindows returns windows that enforce the bound and have no counts yet.
-func NewWindows(bound Bound) *RepeatLimiter {
+// NewRepeatLimiter returns a limiter that enforces the bound and has no counts yet.
+func NewRepeatLimiter(bound Bound) *RepeatLimiter {
 	return &RepeatLimiter{bound: bound, pools: map[string]*window{}}
 }
 
 // Request counts a client's request for a pool.
-func (w *RepeatLimiter) Request(pool string, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	v := w.advance(pool, now)
+func (l *RepeatLimiter) Request(pool string, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.advance(pool, now)
 	v.requests[v.last%repeatBuckets]++
 }
 
@@ -69,10 +69,10 @@
 
 // Allow decides about one repeated attempt, and counts it if it is within this host's part of the bound. hosts is
 // the number of hosts that share the bound.
-func (w *RepeatLimiter) Allow(pool string, hosts int, now time.Time) Decision {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	v := w.advance(pool, now)
+func (l *RepeatLimiter) Allow(pool string, hosts int, now time.Duration) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.advance(pool, now)
 	d := Decision{Hosts: hosts}
 	for age := range int64(repeatBuckets) {
 		i := (v.last - age + repeatBuckets) % repeatBuckets
@@ -81,7 +81,7 @@
 			d.Requests += v.requests[i]
 		}
 	}
-	d.Limit = boundShare * (w.bound.Ratio*float64(d.Requests) + w.bound.Slack/float64(max(hosts, 1)))
+	d.Limit = boundShare * (l.bound.Ratio*float64(d.Requests) + l.bound.Slack/float64(max(hosts, 1)))
 	if d.Allowed = float64(d.Repeats+1) <= d.Limit; d.Allowed {
 		v.repeats[v.last%repeatBuckets]++
 	}
@@ -90,12 +90,12 @@
 
 // advance returns a pool's window after clearing the buckets that have become too
 // old.
-func (w *RepeatLimiter) advance(pool string, now time.Time) *window {
-	v := w.pools[pool]
-	number := now.UnixNano() / int64(w.bound.Window/windowBuckets)
+func (l *RepeatLimiter) advance(pool string, now time.Duration) *window {
+	v := l.pools[pool]
+	number := int64(now / (l.bound.Window / windowBuckets))
 	if v == nil {
 		v = &window{last: number}
-		w.pools[pool] = v
+		l.pools[pool] = v
 	}
 	for n := max(v.last+1, number-repeatBuckets+1); n <= number; n++ {
 		v.requests[n%repeatBuckets], v.repeats[n%repeatBuckets] = 0, 0
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -15,16 +15,16 @@
 		bound := Bound{Ratio: 0.2, Slack: 9, Window: 10 * time.Second}
 		windows := make([]*RepeatLimiter, hosts)
 		for i := range windows {
-			windows[i] = NewWindows(bound)
+			windows[i] = NewRepeatLimiter(bound)
 		}
 		type event struct {
-			at     time.Time
+			at     time.Duration
 			repeat bool
 		}
 		var seen []event
-		now := time.Unix(1000, 0)
+		now := 1000 * time.Second
 		for range rapid.IntRange(0, 300).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 			w := windows[rapid.IntRange(0, hosts-1).Draw(t, "host")]
 			if rapid.Bool().Draw(t, "request") {
 				w.Request("p", now)
@@ -36,7 +36,7 @@
 		for i, last := range seen {
 			requests, repeats := 0, 0
 			for _, e := range seen[:i+1] {
-				if last.at.Sub(e.at) >= bound.Window {
+				if last.at-e.at >= bound.Window {
 					continue
 				}
 				if e.repeat {
@@ -59,14 +59,14 @@
 	bound := Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
 	for gap := 8 * time.Second; gap < 12*time.Second; gap += 100 * time.Millisecond {
 		for phase := time.Duration(0); phase < 500*time.Millisecond; phase += 100 * time.Millisecond {
-			w, first := NewWindows(bound), time.Unix(1000, 0).Add(phase)
-			burst := func(at time.Time) (allowed int) {
+			w, first := NewRepeatLimiter(bound), 1000*time.Second+phase
+			burst := func(at time.Duration) (allowed int) {
 				for w.Allow("p", 1, at).Allowed {
 					allowed++
 				}
 				return allowed
 			}
-			early, late := burst(first), burst(first.Add(gap))
+			early, late := burst(first), burst(first+gap)
 			if sum := early + late; gap-dial < bound.Window && float64(sum) > bound.Slack {
 				t.Errorf("%d and %d repeated attempts %v apart, of which those of a window must be at most %.0f", early, late, gap, bound.Slack)
 			}
