Retry: a started process repeats only within the margin until a window has passed

Cause: each process counts its own repeats, and its count ends with it. A started process used a whole share of the slack and the ratio again, which its predecessor had used already. Repeats that are not charged were looked for by reading and not found.

A process now gets no slack and a fifth of the ratio until 11 s (the window and two buckets) after its start. Hosts together use at most 0.8 of the bound and started processes 0.2 of the ratio of their own requests, so that the sum holds however often hosts are restarted. The log line of an attempt says budget_recently_started, forward_repeats_total counts recently_started.

TestProcessesThatStartInSeries fails on the code before. What it costs: a host repeats 4 in 100 of its requests in its first 11 s.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -69,6 +69,9 @@
 	// LimitSlack is how far a client account may exceed its limit, in tokens.
 	LimitSlack float64
 	Retries    retry.Bound
+	// Started is when the process started, by clock.SinceBoot. Repeats that processes before it have sent still count
+	// against Retries. Zero means that there was none.
+	Started time.Duration
 	// DemandWindow is the time over which the demand for upstreams is averaged; the average then counts
 	// in full as soon as a load begins. Zero means 4 s, with an average that grows from zero.
 	DemandWindow time.Duration
@@ -115,23 +118,23 @@
 // one.
 type Forwarder struct {
 	Config
-	conns        connpool.Pool
-	repeats      *retry.RepeatLimiter
-	pools        sync.Map // pool name (string) to *poolState
-	draining     atomic.Pointer[drainPeriod]
-	active       atomic.Int64
-	endChecks    endChecks
-	conditions   condition.Table
-	loadAge      routing.LoadAge
-	trackedAt    atomic.Int64 // last call of updatePromptTracker, in Unix nanoseconds
-	shortage     shortage
-	exchanges    sync.Map // *exchange to nil: the requests that were read and have not ended
+	conns      connpool.Pool
+	repeats    *retry.RepeatLimiter
+	pools      sync.Map // pool name (string) to *poolState
+	draining   atomic.Pointer[drainPeriod]
+	active     atomic.Int64
+	endChecks  endChecks
+	conditions condition.Table
+	loadAge    routing.LoadAge
+	trackedAt  atomic.Int64 // last call of updatePromptTracker, in Unix nanoseconds
+	shortage   shortage
+	exchanges  sync.Map // *exchange to nil: the requests that were read and have not ended
 }
 
 // New returns a Forwarder. The caller must start Run, which closes idle connections to
 // upstreams.
 func New(parts Config) *Forwarder {
-	return &Forwarder{Config: parts, repeats: retry.NewRepeatLimiter(parts.Retries)}
+	return &Forwarder{Config: parts, repeats: retry.NewRepeatLimiter(parts.Retries, parts.Started)}
 }
 
 // listAge returns the time since the list of upstreams was last confirmed to be current.
--- a/forward/send.go
+++ b/forward/send.go
@@ -43,6 +43,7 @@
 	repeatFailed       = "failed"
 	repeatResumed      = "resumed"
 	repeatBudgetEmpty  = "budget_empty"
+	repeatStarted      = "recently_started"
 	repeatAttemptsUsed = "attempts_used"
 	repeatSuspect      = "crash_suspect"
 )
@@ -138,7 +139,11 @@
 	}
 	d := e.f.repeats.Allow(e.pool, e.f.Hosts(), clock.SinceBoot())
 	e.budget = &d
-	if !d.Allowed {
+	switch {
+	case d.Allowed:
+	case d.RecentlyStarted:
+		Repeats.Inc(repeatStarted)
+	default:
 		Repeats.Inc(repeatBudgetEmpty)
 	}
 	return d.Allowed
@@ -150,7 +155,7 @@
 		return nil
 	}
 	return []any{"budget_allowed", e.budget.Allowed, "budget_repeats", e.budget.Repeats, "budget_requests", e.budget.Requests,
-		"budget_limit", e.budget.Limit, "budget_hosts", e.budget.Hosts}
+		"budget_limit", e.budget.Limit, "budget_hosts", e.budget.Hosts, "budget_recently_started", e.budget.RecentlyStarted}
 }
 
 // noUpstreamLeft returns the error for the caller when no untried upstream is
--- a/retry/window.go
+++ b/retry/window.go
@@ -13,8 +13,10 @@
 	repeatBuckets = windowBuckets + 2
 	// boundShare is the part of the bound that hosts may use. The rest is a
 	// margin, because hosts count only their own requests and see each other join
-	// and leave with a delay.
+	// and leave with a delay, and is what started processes may use.
 	boundShare = 0.8
+	// startShare is the part of the bound's ratio that a started process may use.
+	startShare = 1 - boundShare
 )
 
 // Bound limits the repeated attempts at a pool of upstreams, summed over all
@@ -30,11 +32,15 @@
 }
 
 // RepeatLimiter counts requests and repeated attempts of each pool in a sliding window. Its times are those of a clock
-// that steps of the wall clock do not affect, such as clock.SinceBoot. Use NewRepeatLimiter.
+// that steps of the wall clock do not affect, such as clock.SinceBoot.
+//
+// The counts end with the process. Processes that ended may have used all of what hosts may use, so that a started
+// process uses a part of the margin until their repeated attempts have left the window. Use NewRepeatLimiter.
 type RepeatLimiter struct {
-	bound Bound
-	mu    sync.Mutex
-	pools map[string]*window
+	bound   Bound
+	started time.Duration
+	mu      sync.Mutex
+	pools   map[string]*window
 }
 
 // window is a ring of time buckets with the counts of one pool.
@@ -43,9 +49,10 @@
 	last              int64 // number of the newest bucket, counted from the clock's zero
 }
 
-// NewRepeatLimiter returns a limiter that enforces the bound and has no counts yet.
-func NewRepeatLimiter(bound Bound) *RepeatLimiter {
-	return &RepeatLimiter{bound: bound, pools: map[string]*window{}}
+// NewRepeatLimiter returns a limiter that enforces the bound and has no counts yet. started is when the process
+// started; zero if no process before it can have used a part of the bound.
+func NewRepeatLimiter(bound Bound, started time.Duration) *RepeatLimiter {
+	return &RepeatLimiter{bound: bound, started: started, pools: map[string]*window{}}
 }
 
 // Request counts a client's request for a pool.
@@ -65,6 +72,8 @@
 	Limit float64
 	// Hosts is the number of hosts that share the bound.
 	Hosts int
+	// RecentlyStarted is whether the limit is that of a started process.
+	RecentlyStarted bool
 }
 
 // Allow decides about one repeated attempt, and counts it if it is within this host's part of the bound. hosts is
@@ -81,18 +90,31 @@
 			d.Requests += v.requests[i]
 		}
 	}
-	d.Limit = boundShare * (l.bound.Ratio*float64(d.Requests) + l.bound.Slack/float64(max(hosts, 1)))
+	d.RecentlyStarted = l.recentlyStarted(now)
+	if d.RecentlyStarted {
+		d.Limit = startShare * l.bound.Ratio * float64(d.Requests)
+	} else {
+		d.Limit = boundShare * (l.bound.Ratio*float64(d.Requests) + l.bound.Slack/float64(max(hosts, 1)))
+	}
 	if d.Allowed = float64(d.Repeats+1) <= d.Limit; d.Allowed {
 		v.repeats[v.last%repeatBuckets]++
 	}
 	return d
 }
 
+// recentlyStarted reports whether repeated attempts of an earlier process may still be in the window.
+func (l *RepeatLimiter) recentlyStarted(now time.Duration) bool {
+	return l.started != 0 && now-l.started < repeatBuckets*l.bucket()
+}
+
+// bucket returns the length of a time bucket.
+func (l *RepeatLimiter) bucket() time.Duration { return l.bound.Window / windowBuckets }
+
 // advance returns a pool's window after clearing the buckets that have become too
 // old.
 func (l *RepeatLimiter) advance(pool string, now time.Duration) *window {
 	v := l.pools[pool]
-	number := int64(now / (l.bound.Window / windowBuckets))
+	number := int64(now / l.bucket())
 	if v == nil {
 		v = &window{last: number}
 		l.pools[pool] = v
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -15,7 +15,7 @@
 		bound := Bound{Ratio: 0.2, Slack: 9, Window: 10 * time.Second}
 		windows := make([]*RepeatLimiter, hosts)
 		for i := range windows {
-			windows[i] = NewRepeatLimiter(bound)
+			windows[i] = NewRepeatLimiter(bound, 0)
 		}
 		type event struct {
 			at     time.Duration
@@ -59,7 +59,7 @@
 	bound := Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
 	for gap := 8 * time.Second; gap < 12*time.Second; gap += 100 * time.Millisecond {
 		for phase := time.Duration(0); phase < 500*time.Millisecond; phase += 100 * time.Millisecond {
-			w, first := NewRepeatLimiter(bound), 1000*time.Second+phase
+			w, first := NewRepeatLimiter(bound, 0), 1000*time.Second+phase
 			burst := func(at time.Duration) (allowed int) {
 				for w.Allow("p", 1, at).Allowed {
 					allowed++
@@ -73,3 +73,44 @@
 		}
 	}
 }
+
+// TestProcessesThatStartInSeries guards against processes that each use a share of the bound of their own, so that the
+// sum grows with each restart of a host.
+func TestProcessesThatStartInSeries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts, step = 4, 50 * time.Millisecond
+		bound := Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+		limiters := make([]*RepeatLimiter, hosts)
+		now := 1000 * time.Second
+		for i := range limiters {
+			limiters[i] = NewRepeatLimiter(bound, now-time.Minute)
+		}
+		restartsPerSecond := rapid.Float64Range(0, 5).Draw(t, "restarts per second")
+		failing := rapid.IntRange(0, 400).Draw(t, "step from which requests fail")
+		var requests, repeats []time.Duration
+		within := func(times []time.Duration, end time.Duration) (n int) {
+			for _, at := range times {
+				if at > end-bound.Window && at <= end {
+					n++
+				}
+			}
+			return n
+		}
+		for i := range 600 {
+			now += step
+			host := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			if rapid.Float64Range(0, 1).Draw(t, "restart") < restartsPerSecond*step.Seconds() {
+				limiters[host] = NewRepeatLimiter(bound, now)
+			}
+			limiters[host].Request("p", now)
+			requests = append(requests, now)
+			for i >= failing && limiters[host].Allow("p", hosts, now).Allowed {
+				repeats = append(repeats, now)
+			}
+			most := max(within(requests, now), within(requests, now-bound.Window/2), within(requests, now-bound.Window))
+			if count, limit := within(repeats, now), bound.Ratio*float64(most)+bound.Slack; float64(count) > limit {
+				t.Fatalf("%d repeated attempts in a window, at most %.0f are allowed", count, limit)
+			}
+		}
+	})
+}
