Retry: a host that the others do not count uses no part of the slack

Found while the cause of the repeats beyond the budget was looked for elsewhere: the slack is divided by the number of hosts that each host knows. A host that had not registered yet counted itself alone and took the whole slack; a host that can reach neither the store nor other hosts goes on with its share, although the others drop it from their lists when its registration expires and divide the slack without it a window later.

presence.Sharers is zero in both cases, and the limiter then has the ratio only.

TestShareOfHostThatIsCutOff (new; View().Recent, which was used before, stays at 7 throughout) and TestHostWithoutPartOfTheSlack (the code before divided by at least one).

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,7 +61,7 @@
 	CachedParts   CachedParts
 	PromptTracker *promptcache.Tracker
 	// Hosts returns the number of entry hosts (hosts that accept callers' requests)
-	// that share the rate limits.
+	// that share Retries; zero if this host has no part of its slack.
 	Hosts func() int
 	// OnStarted is called once for each request of a client account that an upstream
 	// began to run.
--- a/forwarding.go
+++ b/forwarding.go
@@ -168,7 +168,7 @@
 	prompts := prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts)
 	config := forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
-		Limits: f.limits, Prompts: prompts, Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
+		Limits: f.limits, Prompts: prompts, Hosts: f.presence.Sharers, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
 		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)}, Started: clock.SinceBoot(),
 		Permits: f.pacer, Crashes: f.crashes, DemandWindow: demandWindowOf(s), Balance: balanceOf(s), Versions: f.rollouts.versions(),
 		Logger: logger.Named("forward"),
--- a/presence/lease_test.go
+++ b/presence/lease_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/clock/clocktest"
+	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
 	"github.com/cardamompier/cardamompier/membership"
 	"github.com/cardamompier/cardamompier/replica"
@@ -47,3 +51,51 @@
 		<-done
 	})
 }
+
+// TestShareOfHostThatIsCutOff guards against hosts that together use more than a limit: the share of a host that can no
+// longer renew its registration is used by the others as well, and a host that has not registered would share with none.
+func TestShareOfHostThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const others = 6
+		store, clock := kvmem.New(), clocktest.New(1)
+		hosts := replica.New(store, Prefix, time.Second, nil, hclog.NewNullLogger())
+		p := New(store, membership.Member{ID: "a", Address: "127.0.0.1:1", InnerAddress: "127.0.0.1:2"}, hosts, clock.Elapsed, hclog.NewNullLogger())
+		if got := p.Sharers(); got != 0 {
+			t.Errorf("a host that has not registered shares a limit among %d hosts, want no share", got)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { hosts.Run(ctx) })
+		running.Go(func() { p.Run(ctx) })
+		for i := range others {
+			m := membership.Member{ID: "b" + strconv.Itoa(i), Address: "127.0.0.1:1", InnerAddress: "127.0.0.1:2"}
+			value, err := json.Marshal(m)
+			if err == nil {
+				_, err = store.CompareAndSwap(ctx, kv.Write{Key: Prefix + m.ID, Value: value})
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * renewInterval)
+		if got := p.Sharers(); got != others+1 {
+			t.Errorf("a limit is shared among %d hosts, want %d", got, others+1)
+		}
+		store.SetFaults(kvmem.Faults{Outage: true})
+		time.Sleep(leaseTTL)
+		if got := p.Sharers(); got != others+1 {
+			t.Errorf("in an outage of the store, a limit is shared among %d hosts, want %d", got, others+1)
+		}
+		time.Sleep(recentWindow) // the others have seen the registration expire a whole window ago
+		if got := p.Sharers(); got != 0 {
+			t.Errorf("a host that the others do not count any more shares a limit among %d hosts, want no share", got)
+		}
+		store.SetFaults(kvmem.Faults{})
+		time.Sleep(2 * leaseTTL)
+		if got := p.Sharers(); got != others+1 {
+			t.Errorf("after the outage, a limit is shared among %d hosts, want %d", got, others+1)
+		}
+		stop()
+		running.Wait()
+	})
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -109,6 +109,17 @@
 	return renewed != 0 && p.elapsed()-time.Duration(renewed) < leaseTTL-leaseMargin
 }
 
+// Sharers returns the number of hosts that share a limit which each host uses a part of, by Recent. It is zero if this
+// host must not use a part: it has not registered yet, or its registration has expired for so long that the other hosts
+// may share the whole limit among themselves.
+func (p *Presence) Sharers() int {
+	renewed := p.lastRenewal.Load()
+	if renewed == 0 || p.elapsed()-time.Duration(renewed) >= leaseTTL+recentWindow-leaseMargin {
+		return 0
+	}
+	return p.View().Recent
+}
+
 // recordRenewal records that the lease was renewed by a call that was sent at the given time of elapsed.
 func (p *Presence) recordRenewal(sent time.Duration) { p.lastRenewal.Store(max(int64(sent), 1)) }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -77,7 +77,7 @@
 }
 
 // Allow decides about one repeated attempt, and counts it if it is within this host's part of the bound. hosts is
-// the number of hosts that share the bound.
+// the number of hosts that share the bound; zero if this host has no part of the slack.
 func (l *RepeatLimiter) Allow(pool string, hosts int, now time.Duration) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,10 +91,14 @@
 		}
 	}
 	d.RecentlyStarted = l.recentlyStarted(now)
-	if d.RecentlyStarted {
-		d.Limit = startShare * l.bound.Ratio * float64(d.Requests)
-	} else {
-		d.Limit = boundShare * (l.bound.Ratio*float64(d.Requests) + l.bound.Slack/float64(max(hosts, 1)))
+	byRatio := l.bound.Ratio * float64(d.Requests)
+	switch {
+	case d.RecentlyStarted:
+		d.Limit = startShare * byRatio
+	case hosts <= 0:
+		d.Limit = boundShare * byRatio
+	default:
+		d.Limit = boundShare * (byRatio + l.bound.Slack/float64(hosts))
 	}
 	if d.Allowed = float64(d.Repeats+1) <= d.Limit; d.Allowed {
 		v.repeats[v.last%repeatBuckets]++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -114,3 +114,11 @@
 		}
 	})
 }
+
+// TestHostWithoutPartOfTheSlack guards against a host that takes the whole slack for itself because it knows no hosts.
+func TestHostWithoutPartOfTheSlack(t *testing.T) {
+	l := NewRepeatLimiter(Bound{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}, 0)
+	if d := l.Allow("p", 0, time.Second); d.Allowed {
+		t.Errorf("a host that shares the bound with no hosts may repeat: %+v", d)
+	}
+}
