--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -69,7 +69,7 @@
 			d.startHosts(t)
 			time.Sleep(budgetWindow) // until each host may repeat its whole share
 			for _, u := range d.upstreams {
-				u.mode.Store(int32([]int32{answersErrors, losesAnswers}[random.IntN(2)]))
+				u.mode.Store([]int32{answersErrors, losesAnswers}[random.IntN(2)])
 			}
 			ctx, end := context.WithTimeout(context.Background(), budgetSpan)
 			defer end()
