Soak: the budget of repeats under pauses, store faults and changes as well

Restarts alone were the reproduction. Signals, restarts, outages of the store and configuration changes now overlap while the repeats are counted.

--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sort"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -20,10 +19,16 @@
 	// budgetSpan is how long hosts are restarted while upstreams fail, and budgetRate is how many requests are sent
 	// a second.
 	budgetSpan, budgetRate = 22 * time.Second, 30
-	// meanHostGap is the mean time between two restarts of hosts.
-	meanHostGap = 600 * time.Millisecond
+	// meanHostGap is the mean time between the starts of two faults of hosts, and maxHostFault how long one lasts at most.
+	meanHostGap, maxHostFault = 500 * time.Millisecond, 2 * time.Second
 )
 
+// hostFaults are the faults during which the budget is checked. Restarts are drawn most often.
+var hostFaults = []string{
+	"host killed", "host killed", "host stopped", "host stopped", "all hosts killed", "host paused", "settings signal", "store cut off", "store down",
+	"store slow", "configuration changed",
+}
+
 // checkBudget reports each second in which a window ends with more repeats than the bound allows. The requests are
 // those of the window, the one before it or the one half a window before it, whichever has most.
 func (l *requestLog) checkBudget(t *testing.T) {
@@ -76,8 +81,8 @@
 			var calling sync.WaitGroup
 			calling.Go(func() { d.callAtRate(ctx, rand.New(rand.NewPCG(seed, 3))) })
 			every(ctx, seed, meanHostGap, func(own *rand.Rand) {
-				signal := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[own.IntN(2)]
-				d.anyHost(own).replace(t, signal, time.Duration(own.Int64N(int64(300*time.Millisecond))))
+				name := hostFaults[own.IntN(len(hostFaults))]
+				faults[name](t, d, own, time.Duration(own.Int64N(int64(maxHostFault))))
 			})
 			calling.Wait()
 			d.log.checkBudget(t)
