Forward: log which answer of an upstream led to a refusal

Requests that ran were answered with 429 or 503, a promise that they had not. The logs of that landing could not tell which answer led to it: events 2100 and 2102 had neither the status of the upstream's answer nor whether it stated that the request did not run, and a stream that was not resumed because of a status left no line.

Both events now have answer_status, answer_not_run and answer_sealed of the last attempt, 2100 also sends and possible_runs, and a rejected attempt to resume a stream is logged.

--- a/events/forward.go
+++ b/events/forward.go
@@ -4,9 +4,9 @@
 
 // The events of forwarded requests have the numbers 2100 to 2199.
 var (
-	ForwardRefused  = define(2100, "forward refused", hclog.Info, "This host refused a request or failed it with an error of its own; code, ran and the other fields give the reason.")
+	ForwardRefused  = define(2100, "forward refused", hclog.Info, "This host refused a request or failed it with an error of its own; code, ran and the other fields give the reason, answer_status and the like the answer to its last attempt, possible_runs the attempts that an upstream may have run.")
 	ForwardFinished = define(2101, "forward finished", hclog.Info, "An upstream's complete answer was sent to the caller.")
-	ForwardAttempt  = define(2102, "forward attempt failed", hclog.Info, "One attempt at an upstream failed; next is the action that followed.")
+	ForwardAttempt  = define(2102, "forward attempt failed", hclog.Info, "One attempt at an upstream failed, or its answer is not relayed; repeat is whether another one follows. answer_status, answer_not_run (the answer states that the request did not run) and answer_sealed describe the head of its answer.")
 	ForwardBroken   = define(2103, "forward broken off", hclog.Warn, "An upstream's answer ended early after a part of it was sent to the caller; the caller's connection was closed.")
 	ForwardGone     = define(2104, "caller gone", hclog.Info, "The caller disconnected before the answer was complete; the request at the upstream was cancelled.")
 	ForwardResumed  = define(2105, "stream resumed elsewhere", hclog.Info, "A stream was resumed at another upstream, after the last event that was sent to the caller.")
--- a/forward/identify.go
+++ b/forward/identify.go
@@ -51,7 +51,7 @@
 	sentAt         time.Time     // when the current attempt was sent
 	sentBy         sentList      // the list of upstreams by which the current attempt was sent
 	heardAt        time.Time     // when the current attempt was sent, or a part of its answer arrived last
-	headReceived   bool          // whether the current attempt received the head of an answer
+	head           answerHead    // of the current attempt's answer
 	answerBegun    atomic.Bool   // whether a part of the answer was sent to the caller
 	inTrial        bool          // whether the request tries quarantined content again
 	begunReported  bool          // whether the prompt parts were reported as harmless
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -44,8 +44,8 @@
 	} else {
 		Requests.Inc(outcomeFailed)
 	}
-	e.log(events.ForwardRefused, "code", string(refused.Code), "ran", string(ran), "detail", refused.Detail,
-		"retry_after_ms", refused.RetryAfter.Milliseconds(), "cause", refused.Cause)
+	e.log(events.ForwardRefused, append(e.head.logFields(), "code", string(refused.Code), "ran", string(ran), "detail", refused.Detail,
+		"retry_after_ms", refused.RetryAfter.Milliseconds(), "cause", refused.Cause, "sends", e.sends, "possible_runs", e.possibleRuns)...)
 	header := e.w.Header()
 	if refused.RetryAfter > 0 {
 		e.f.Codec.SetRetryAfter(header, refused.RetryAfter)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -223,6 +224,7 @@
 				e.recordVersion(true)
 				e.possibleRuns++
 			}
+			e.log(events.ForwardAttempt, slices.Concat(e.versionField(t), e.head.logFields(), []any{"upstream", t.ID, "outcome", "resume_failed"})...)
 			e.tried = append(e.tried, t.ID)
 			continue
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -103,8 +103,10 @@
 		default:
 			repeat, reason = e.mayRepeat(err), repeatFailed
 		}
-		e.log(events.ForwardAttempt, append(e.versionField(t), "upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address,
-			"chosen_by", string(t.reason), "outcome", string(result), "answer_head", e.headReceived, "error", err, "repeat", repeat)...)
+		e.log(events.ForwardAttempt, slices.Concat(e.versionField(t), e.head.logFields(), []any{
+			"upstream", t.ID, "upstream_started_ms", t.StartedMS, "address", t.Address, "chosen_by", string(t.reason),
+			"outcome", string(result), "answer_head", e.head.status != 0, "error", err, "repeat", repeat,
+		})...)
 		if !repeat {
 			e.refuse(e.attemptError(result, err))
 			return
@@ -253,7 +255,6 @@
 		t.live.End()
 		e.endVersion()
 	}()
-	e.headReceived = false
 	answer, verdict, err := e.send(t, resumeAfter)
 	e.waiting.Store(false)
 	if errors.Is(err, errClosed) {
@@ -262,7 +263,6 @@
 	if err != nil {
 		return e.classifyFailure(t, err)
 	}
-	e.headReceived = true
 	if verdict.NotRun || verdict.WrongInstance {
 		return e.rejected(t, answer, verdict)
 	}
@@ -271,15 +271,6 @@
 	return e.relay(t, answer, verdict, prefillDone)
 }
 
-// rejected handles the answer of an upstream that did not run the request.
-func (e *exchange) rejected(t selectedUpstream, answer *connpool.Answer, verdict AnswerMetadata) (outcome, error) {
-	if verdict.WrongInstance {
-		t.live.Fail(time.Now())
-	}
-	answer.CloseRejected(e.meta.RequestID, drainBody(answer))
-	return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
-}
-
 // recordPrefill records the time since a request was sent, when the upstream has read its prompt or, for a
 // request without prompt tokens, has answered. idle is whether the upstream was about idle before.
 func (e *exchange) recordPrefill(tokens int, idle bool, sent time.Time, sample *rateSample) {
@@ -294,6 +285,7 @@
 // chosen, nothing is sent and the cause of the error is errClosed.
 func (e *exchange) send(t selectedUpstream, resumeAfter string) (*connpool.Answer, AnswerMetadata, error) {
 	ctx := e.prepareVersion(t)
+	e.head = answerHead{}
 	open := func() error {
 		if !e.f.admits(t) || !e.admitsVersion() {
 			return errClosed
@@ -316,6 +308,7 @@
 	e.sends++
 	e.heardAt = time.Now()
 	m := e.f.Codec.AnswerMetadata(answer.StatusCode, answer.Header)
+	e.noteHead(answer.StatusCode, m)
 	e.f.noteAnnouncements(t.Host, m, e.sentAt)
 	return answer, m, nil
 }
@@ -354,24 +347,6 @@
 	return attemptFailed, err
 }
 
-// StatusError reports an upstream's answer that is not relayed to the caller.
-type StatusError struct {
-	Upstream string
-	Status   int
-	// Unsealed is true if a successful answer lacked the header that marks it as a
-	// complete answer of the upstream.
-	Unsealed bool
-}
-
-// Error implements error.
-func (e *StatusError) Error() string {
-	msg := "upstream " + e.Upstream + " answered " + http.StatusText(e.Status)
-	if e.Unsealed {
-		msg += " without the header that marks its answers"
-	}
-	return msg
-}
-
 // hopByHopHeaders are the headers that apply to a single connection and are not
 // forwarded.
 var hopByHopHeaders = []string{
