Forward: answer 502 when an upstream answers 408 and may have run the request

Callers got 408, which promises that a request has not run and never will, for requests that an upstream had run: the first of two causes found for REFUSED. The answer of an upstream with 429 or 503 that does not state "not run" became 502, but one with 408 was relayed as it was.

TestTimeoutStatusOfUpstream plays 408 on four kinds of routes, sealed or not, marked as not run or not. Before: all 8 cases without the mark gave 408 to the caller, and the routes that may run twice were not sent again. After: 502 in all 8, the repeatable ones after a second attempt within the retry budget; the 8 marked ones are refused as not run, as before. TestOtherStatusesOfUpstream plays 20 further statuses the same way; it passes before and after.

Every status that states "not run" now goes through one test, statesNotRun, so that none is relayed without the mark.

--- a/forward/rejection_test.go
+++ b/forward/rejection_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
@@ -75,3 +78,98 @@
 		t.Errorf("the counter of unmarked rejections grew by %d, want 1", n)
 	}
 }
+
+// rejectionCase is an answer of an upstream to a request of a route.
+type rejectionCase struct {
+	path           string
+	status         int
+	sealed, marked bool
+}
+
+func (c rejectionCase) String() string {
+	return fmt.Sprintf("%s answered %d, sealed %v, marked as not run %v", c.path, c.status, c.sealed, c.marked)
+}
+
+// headers returns the header lines of the answer.
+func (c rejectionCase) headers() (lines string) {
+	if c.sealed {
+		lines += sealHeader
+	}
+	if c.marked {
+		lines += notRunHeader
+	}
+	return lines
+}
+
+// repeatable reports whether requests of the route may run twice.
+func (c rejectionCase) repeatable() bool { return c.path == "/read/x" || c.path == "/resume/x" }
+
+// rejectionCases returns all routes with a status, sealed or not, marked as not run or not.
+func rejectionCases(status int) (cases []rejectionCase) {
+	for _, path := range []string{"/order/x", "/stream/x", "/read/x", "/resume/x"} {
+		for _, sealed := range []bool{false, true} {
+			for _, marked := range []bool{false, true} {
+				cases = append(cases, rejectionCase{path, status, sealed, marked})
+			}
+		}
+	}
+	return cases
+}
+
+// promisesNotRun reports whether a status promises that the request has not run and never will.
+func promisesNotRun(status int) bool { return slices.Contains([]int{408, 421, 429, 503}, status) }
+
+// play sends a request to upstreams that all answer as the case says, and checks what the caller gets and what the
+// upstreams received.
+func (c rejectionCase) play(t *testing.T) {
+	t.Helper()
+	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) {
+		writeAnswer(conn, r, c.status, c.headers(), "upstream body")
+	})
+	status, _, header, err := f.send(t, c.path, "b")
+	if err != nil {
+		t.Errorf("%v: %v", c, err)
+		return
+	}
+	sends := len(f.receivedRequests())
+	ran := !c.marked // an unmarked answer states nothing
+	if promisesNotRun(status) && ran {
+		t.Errorf("%v: the caller got %d, which promises that the request did not run", c, status)
+	}
+	if c.marked && !promisesNotRun(status) {
+		t.Errorf("%v: the caller got %d, want a status that promises that the request did not run", c, status)
+	}
+	if ran && !c.repeatable() && sends != 1 {
+		t.Errorf("%v: upstreams received the request %d times, want once", c, sends)
+	}
+	if header.Get("Response-Seal") != "" && status != c.status {
+		t.Errorf("%v: the answer with status %d has the seal of an upstream", c, status)
+	}
+	if !c.marked && !promisesNotRun(c.status) && status != c.status {
+		t.Errorf("%v: the caller got %d, want the upstream's status", c, status)
+	}
+	if ran && promisesNotRun(c.status) && status != http.StatusBadGateway {
+		t.Errorf("%v: the caller got %d, want 502", c, status)
+	}
+	if ran && promisesNotRun(c.status) && c.repeatable() && sends != 2 {
+		t.Errorf("%v: upstreams received the request %d times, want once at each of two", c, sends)
+	}
+}
+
+// TestTimeoutStatusOfUpstream guards against 408 of an upstream that is relayed: it promises that the request did not
+// run, while the upstream ran it.
+func TestTimeoutStatusOfUpstream(t *testing.T) {
+	for _, c := range rejectionCases(http.StatusRequestTimeout) {
+		c.play(t)
+	}
+}
+
+// TestOtherStatusesOfUpstream guards against a refusal of a request that ran, or a repeated run, for all other
+// statuses that reject requests.
+func TestOtherStatusesOfUpstream(t *testing.T) {
+	for _, status := range []int{300, 400, 401, 404, 409, 412, 413, 417, 423, 425, 429, 431, 500, 501, 502, 503, 504, 507, 511, 529} {
+		for _, c := range rejectionCases(status) {
+			c.play(t)
+		}
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -70,9 +70,9 @@
 		a.Close(true)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
 	}
-	// The upstream ran the request, so the answer must not have a status (429, 503)
-	// that tells the caller that it did not run.
-	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
+	// The upstream may have run the request, so the answer must not have a status that
+	// tells the caller that it did not run.
+	if statesNotRun(a.StatusCode) {
 		a.Close(!exceedsBuffer)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
 	}
