Forward: count 421 without the header for "not run" as a possible run

An upstream that answered 421 after it had run the request, or one whose 421 does not state otherwise, was taken for one that had not run it: the request was sent to another upstream and ran there again, and the caller got 429, which promises that it ran nowhere. On this wire only the header for it states that a request did not run, whatever the status.

421 without the header now counts as a possible run, also for an attempt to resume a stream: the caller gets 502 unless the route allows a second run. 421 with the header is repeated elsewhere as before. Either one is still noted as a failure of the upstream whose address it is, and its announcements are still ignored.

TestMisdirectedStatusOfUpstream plays 421 on four kinds of routes, sealed or not, marked or not. TestReusedAddress plays an address that went to another upstream; before, the order whose 421 had no mark was sent again, now only the one that was marked is.

--- a/forward/codec.go
+++ b/forward/codec.go
@@ -54,8 +54,8 @@
 	Sealed bool
 	// NotRun is true if the upstream did not run the request and never will.
 	NotRun bool
-	// WrongInstance is true if the address now belongs to another upstream than the intended
-	// one.
+	// WrongInstance is true if the answer says that the address now belongs to another upstream than
+	// the intended one. Only NotRun tells that the request did not run.
 	WrongInstance bool
 	// Leaving is true if the upstream announces that it leaves.
 	Leaving bool
--- a/forward/rejection.go
+++ b/forward/rejection.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/upstream/connpool"
@@ -48,10 +47,7 @@
 }
 
 // rejected handles the answer of an upstream that did not run the request.
-func (e *exchange) rejected(t selectedUpstream, answer *connpool.Answer, verdict AnswerMetadata) (outcome, error) {
-	if verdict.WrongInstance {
-		t.live.Fail(time.Now())
-	}
+func (e *exchange) rejected(t selectedUpstream, answer *connpool.Answer) (outcome, error) {
 	answer.CloseRejected(e.meta.RequestID, drainBody(answer))
 	return attemptNotRun, &StatusError{Upstream: t.ID, Status: answer.StatusCode}
 }
--- a/forward/rejection_test.go
+++ b/forward/rejection_test.go
@@ -173,3 +173,46 @@
 		}
 	}
 }
+
+// TestMisdirectedStatusOfUpstream guards against 421 that is taken for "not run" without the header that states it:
+// the request was sent to another upstream and ran twice, and the caller got 429.
+func TestMisdirectedStatusOfUpstream(t *testing.T) {
+	for _, c := range rejectionCases(http.StatusMisdirectedRequest) {
+		c.play(t)
+	}
+}
+
+// TestReusedAddress covers an address that belongs to another upstream since the list was read. It guards against a
+// request that may have run there and runs once more, and against a failure of one that certainly did not run.
+func TestReusedAddress(t *testing.T) {
+	for _, marked := range []bool{false, true} {
+		headers := ""
+		if marked {
+			headers = notRunHeader
+		}
+		f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) {
+			if r.Header.Get("Expect-Instance") != r.upstream {
+				writeAnswer(conn, r, http.StatusMisdirectedRequest, headers, "")
+				return
+			}
+			writeAnswer(conn, r, 200, sealHeader, "ok")
+		})
+		list := slices.Clone(f.snapshot.Load().Hosts)
+		list[0].ID = "departed"
+		f.setUpstreams(list)
+		misdirected := false
+		for range 50 { // until the departed upstream is chosen
+			status, _, _, err := f.send(t, "/order/x", "b")
+			misdirected = slices.ContainsFunc(f.receivedRequests(), func(r receivedRequest) bool { return r.Header.Get("Expect-Instance") != r.upstream })
+			if want := map[bool]int{false: http.StatusOK, true: http.StatusBadGateway}[misdirected && !marked]; err != nil || status != want {
+				t.Errorf("marked as not run %v: got status %d and error %v, want %d", marked, status, err, want)
+			}
+			if misdirected {
+				break
+			}
+		}
+		if !misdirected {
+			t.Errorf("marked as not run %v: no request was sent to the departed upstream", marked)
+		}
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -220,7 +220,7 @@
 		}
 		if answer.StatusCode != http.StatusOK || !v.Sealed {
 			answer.Close(false)
-			if !v.NotRun && !v.WrongInstance {
+			if !v.NotRun {
 				e.recordVersion(true)
 				e.possibleRuns++
 			}
--- a/forward/send.go
+++ b/forward/send.go
@@ -263,8 +263,11 @@
 	if err != nil {
 		return e.classifyFailure(t, err)
 	}
-	if verdict.NotRun || verdict.WrongInstance {
-		return e.rejected(t, answer, verdict)
+	if verdict.WrongInstance {
+		t.live.Fail(time.Now())
+	}
+	if verdict.NotRun {
+		return e.rejected(t, answer)
 	}
 	e.possibleRuns++
 	sample.answered(answer.StatusCode, e.sentAt)
