Forward: close the connection of a caller that has only ended its direction of it

A caller that sends FIN after its request and still reads got an empty answer with status 200 that no upstream had given, on every kind of route, whatever became of its request; and a stream in progress ended as complete after the events so far. net/http ends the request's context at the FIN, the handler gave up and returned, and net/http then wrote what is missing of a complete answer.

The handler now panics with http.ErrAbortHandler in that case, which closes the connection.

Callers that closed the connection altogether see no difference, as nothing could be sent to them.

--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -30,8 +30,7 @@
 // cost if no upstream ran it.
 func (e *exchange) refuse(refused *apierr.Error) {
 	if e.r.Context().Err() != nil && !e.holder.WasShed() { // net/http ends the context also when a body is interrupted
-		e.recordCallerGone()
-		return
+		e.abandonCaller()
 	}
 	Refusals.Inc(string(refused.Code))
 	ran := refused.Ran
@@ -77,14 +76,16 @@
 	return http.StatusBadGateway
 }
 
-// recordCallerGone records that the caller disconnected before its answer was
-// complete, and refunds the request's cost if no upstream received the request.
-func (e *exchange) recordCallerGone() {
+// abandonCaller records that the caller disconnected before its answer was complete, and refunds the request's
+// cost if no upstream received the request. It panics to close the connection: a caller that has only ended its
+// direction of it would take what net/http writes after a handler has returned for a complete answer.
+func (e *exchange) abandonCaller() {
 	Requests.Inc(outcomeCallerGone)
 	if e.sends == 0 {
 		e.refund()
 	}
 	e.log(events.ForwardGone, "sends", e.sends)
+	panic(http.ErrAbortHandler)
 }
 
 // log writes a log event with the data on which the decision about the request was
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -91,8 +91,7 @@
 	e.recordFirstByte()
 	if _, err := body.WriteTo(e.w); err != nil {
 		a.Close(!exceedsBuffer)
-		e.recordCallerGone()
-		return attemptDone, nil
+		e.abandonCaller()
 	}
 	if exceedsBuffer {
 		e.copyRest(t, a)
@@ -167,8 +166,7 @@
 			if !stream.callerWriteFailed {
 				e.reportBroken(t)
 			}
-			e.recordCallerGone()
-			return attemptDone, nil
+			e.abandonCaller()
 		}
 		if moved := e.noteStreamEnd(t); !e.answerBegun.Load() {
 			if moved {
--- a/forward/send.go
+++ b/forward/send.go
@@ -83,8 +83,7 @@
 			return
 		}
 		if e.r.Context().Err() != nil {
-			e.recordCallerGone()
-			return
+			e.abandonCaller()
 		}
 		repeat, reason := false, ""
 		switch result {
