Plain services: no "not run" for a call that was written before the dial failed

A GET to an idempotent plain service was reported as "not run" although the service had received it: on a reused connection that closes without an answer, http.Transport sends a GET again by itself, and when the new connection is refused its error is that of the dial, which counted as proof that nothing was sent. The chat front end promises "not run" only while no byte can have reached an upstream. Orders use a connection each and were not affected.

The client now notes that the head of the request was written; a failed dial after that counts as a broken connection.

TestDialErrorAfterSentCall failed 5 of 5 before (connect_failed, 2 calls received) and passes 3 of 3 with -race.

--- a/upstream/plainhttp/client.go
+++ b/upstream/plainhttp/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,8 @@
 // *upstream.Error. The reason is ReasonProtocol if the response carries another request's
 // id, or if its body exceeds 8 MiB or what is left of the budget.
 func (c *Client) Do(ctx context.Context, call upstream.Call) (upstream.Reply, error) {
-	req, err := c.request(ctx, call)
+	var written atomic.Bool
+	req, err := c.request(traceWrites(ctx, &written), call)
 	if err != nil {
 		return upstream.Reply{}, c.fail(upstream.ReasonRefused, err)
 	}
@@ -85,7 +87,7 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return upstream.Reply{}, c.fail(reasonOfTransport(ctx, err), err)
+		return upstream.Reply{}, c.fail(reasonOfTransport(ctx, err, written.Load()), err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, release, err := c.replies.ReadAll(res.Body, maxReplySize)
@@ -143,9 +145,16 @@
 	return &upstream.Error{Op: "call", Upstream: c.id, Reason: reason, Cause: cause}
 }
 
-// reasonOfTransport classifies an error of http.Client.Do.
-func reasonOfTransport(ctx context.Context, err error) upstream.Reason {
-	if jsonhttp.IsDialError(err) {
+// traceWrites returns a context with which http.Transport sets written once it has written the head of the request to a
+// connection.
+func traceWrites(ctx context.Context, written *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
+}
+
+// reasonOfTransport classifies an error of http.Client.Do. A connection that was not opened proves only that nothing
+// was sent if nothing was written before: http.Transport may send a request again after its connection was closed.
+func reasonOfTransport(ctx context.Context, err error, written bool) upstream.Reason {
+	if jsonhttp.IsDialError(err) && !written {
 		return upstream.ReasonConnect
 	}
 	if ctx.Err() != nil {
--- a/upstream/plainhttp/client_test.go
+++ b/upstream/plainhttp/client_test.go
@@ -123,3 +123,47 @@
 	}
 	return n, nil
 }
+
+// TestDialErrorAfterSentCall covers a service that ends when it has received a call on a reused connection:
+// http.Transport sends a GET again by itself, and the new connection is refused. It guards against an error that states
+// that such a call did not run.
+func TestDialErrorAfterSentCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan string, 8)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			received <- req.Header.Get(HeaderRequestID)
+			if n > 0 {
+				_ = listener.Close()
+				_ = conn.Close()
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s: %s\r\n\r\n", HeaderRequestID, req.Header.Get(HeaderRequestID))
+		}
+	}()
+	client := NewClient("h", listener.Addr().String(), nil)
+	client.echoesID.Store(true) // calls use pooled connections
+	if _, err := client.Do(t.Context(), upstream.Call{RequestID: "r1", Method: http.MethodGet, Path: "/"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = client.Do(t.Context(), upstream.Call{RequestID: "r2", Method: http.MethodGet, Path: "/"})
+	var failed *upstream.Error
+	if !errors.As(err, &failed) || failed.NotRun() {
+		t.Errorf("got error %v, want one that does not state that the call did not run", err)
+	}
+	if n := len(received); n != 2 {
+		t.Errorf("the service received %d calls, want 2", n)
+	}
+}
