Forward: test that a caller whose reads fail gets no answer of the host's own

TestInterruptedCaller plays a connection whose reads fail after the whole request was read, as when a caller is shed while its body ends.

--- a/forward/halfclosed_test.go
+++ b/forward/halfclosed_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -64,3 +67,26 @@
 		t.Errorf("the stream ended without an error after %q", body)
 	}
 }
+
+// TestInterruptedCaller covers a connection whose reads fail after the whole request was read, as when its caller is
+// shed while its body ends. It guards against an answer that no upstream gave.
+func TestInterruptedCaller(t *testing.T) {
+	var accepted atomic.Pointer[net.Conn]
+	f := newFixture(t, func(_ int, r receivedRequest, conn net.Conn) {
+		_ = (*accepted.Load()).SetReadDeadline(time.Unix(1, 0))
+		time.Sleep(100 * time.Millisecond)
+		writeAnswer(conn, r, 200, sealHeader, "ok")
+	})
+	server := httptest.NewUnstartedServer(f.Forwarder)
+	server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		accepted.Store(&conn)
+		return ctx
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	res, err := http.ReadResponse(bufio.NewReader(f.open(t, "/order/x")), nil)
+	if err == nil && (res.StatusCode != http.StatusOK || res.Header.Get("Response-Seal") == "") {
+		t.Errorf("got status %d with headers %v that no upstream gave", res.StatusCode, res.Header)
+	}
+}
