kv: a write whose response was lost over a change of era has an unknown outcome

The key-value service may come back from an older copy and give out its revisions again. Resolve took a value that it read back in a newer era for the outcome of a write under a version of the era before: applied if the bytes matched, refused if they were those of another writer. Neither is known: the expected revision may have been given out again, to an entry that the writer has not seen or to one that the delayed write may yet replace. Such an outcome is now unknown, as is a write that an adapter reports, with an EraError, to have been applied in another era than that of its conditions; it is not read back.

--- a/kv/client.go
+++ b/kv/client.go
@@ -111,7 +111,7 @@
 		version, err = c.store.CompareAndSwap(ctx, w)
 		return err
 	})
-	if ReasonOf(err) != ReasonUnknown {
+	if !resolvable(err) {
 		return version, err
 	}
 	result := Resolve(ctx, nonResolvingClient{c}, w, nil)
--- a/kv/era.go
+++ b/kv/era.go
@@ -1,5 +1,7 @@
 package kv
 
+import "strconv"
+
 // eraShift is the number of bits of a Version or LeaseID that hold the service's own number. The bits
 // above hold the era.
 const eraShift = 40
@@ -7,6 +9,9 @@
 // maxNumber is the largest number within an era.
 const maxNumber = 1<<eraShift - 1
 
+// MaxEra is the largest era that a Version can contain.
+const MaxEra = 1<<(64-eraShift) - 1
+
 // Era counts how often the service has come back from an older copy of itself. Each time, the service loses what it
 // acknowledged after the copy, and gives out the same revisions and lease numbers again.
 //
@@ -38,3 +43,16 @@
 
 // Number returns the service's own number of the lease.
 func (id LeaseID) Number() uint64 { return uint64(id) & maxNumber }
+
+// EraError is the cause of an Error when an answer, or a condition of a call, is of another era than the present one.
+type EraError struct {
+	// Era is that of the answer or of the condition.
+	Era Era
+	// Present is the newest era that the service has answered in.
+	Present Era
+}
+
+// Error implements error.
+func (e *EraError) Error() string {
+	return "of era " + strconv.FormatUint(uint64(e.Era), 10) + ", the service is in era " + strconv.FormatUint(uint64(e.Present), 10)
+}
--- a/kv/resolve.go
+++ b/kv/resolve.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/cardamompier/cardamompier/metrics"
 	"github.com/cardamompier/cardamompier/wait"
 )
@@ -87,22 +89,38 @@
 // Resolve to determine the outcome. A nil match means SameBytes(w.Value).
 func Swap(ctx context.Context, store Store, w Write, match MatchFunc) Result {
 	version, err := store.CompareAndSwap(ctx, w)
-	switch ReasonOf(err) {
-	case "":
+	switch {
+	case err == nil:
 		return Result{Outcome: OutcomeApplied, Version: version}
-	case ReasonUnknown:
+	case resolvable(err):
 		return Resolve(ctx, store, w, match)
+	case ReasonOf(err) == ReasonUnknown:
+		return Result{Outcome: OutcomeUnknown, Cause: err}
 	default:
 		return Result{Outcome: OutcomeNotApplied, Cause: err}
 	}
 }
 
+// resolvable reports whether a read-back can determine the outcome of a write that failed
+// with err. It cannot for a write under conditions of another era.
+func resolvable(err error) bool {
+	return ReasonOf(err) == ReasonUnknown && !isOfOtherEra(err)
+}
+
+// isOfOtherEra reports whether the chain of err contains an *EraError.
+func isOfOtherEra(err error) bool {
+	var other *EraError
+	return errors.As(err, &other)
+}
+
 // Resolve determines the outcome of a write whose response was lost, by reading
 // the key. While the key still has the version that the write expects, the write
 // may be delayed and still take effect. Resolve then repeats the write with the
 // same value and expected version, so that at most one of the two writes takes
 // effect and the service rejects the other because of the version. A nil match
-// means SameBytes(w.Value).
+// means SameBytes(w.Value). If the key has a version of a newer era than the expected one,
+// the outcome is unknown: the service may have given out the expected revision again, also to
+// an entry that this process has not seen.
 func Resolve(ctx context.Context, store Store, w Write, match MatchFunc) Result {
 	if match == nil {
 		match = SameBytes(w.Value)
@@ -148,6 +166,10 @@
 // resultOf returns the result of a write for the entry that its read-back found.
 func resultOf(entry Entry, w Write, match MatchFunc) Result {
 	cause := &Error{Op: "resolve", Key: w.Key, Current: entry.Version}
+	if w.Expect != 0 && w.Expect.Era() != entry.Version.Era() {
+		cause.Reason, cause.Cause = ReasonUnknown, &EraError{Era: w.Expect.Era(), Present: entry.Version.Era()}
+		return Result{Outcome: OutcomeUnknown, Current: entry, Cause: cause}
+	}
 	switch match(entry) {
 	case MatchOwn:
 		return Result{Outcome: OutcomeApplied, Version: entry.Version, Current: entry}
@@ -165,6 +187,9 @@
 // outcome cannot be determined yet.
 func repeatWrite(ctx context.Context, store Store, w Write) (Result, bool) {
 	version, err := store.CompareAndSwap(ctx, w)
+	if isOfOtherEra(err) { // the first attempt may yet take effect, as its numbers are given out again
+		return Result{Outcome: OutcomeUnknown, Cause: err}, true
+	}
 	switch ReasonOf(err) {
 	case "":
 		return Result{Outcome: OutcomeApplied, Version: version}, true
