platform: the store's client tells the eras of the store apart

After the store came back from an older copy, a revision or a lease number may be given out twice. The client ignored the header Store-Era, so that a write could replace an entry that its writer had never seen, a renewal could keep another process's lease alive, a watch went on from a revision of the lost history, and a late answer put back what the store had lost.

All answers, refusals too, now tell their era, and versions and leases contain it. Conditions and leases of an older era are refused without a call; if only the answer shows the new era, the write has an unknown outcome and the lease has expired. A list whose pages are of two eras begins again. A waiting watch ends as soon as any call of the process has received a newer era, so that its caller lists at once and does not wait on a connection from before the restore. Answers of an older era than the newest are not used. Event 2006 logs and platform_eras_total counts each rise.

--- a/forwarding.go
+++ b/forwarding.go
@@ -151,7 +151,7 @@
 	limitMemory(s.MemoryMB)
 	f := &ForwardServer{
 		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
-		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
+		store: kv.NewClient(platform.NewStore(s.Store, logger.Named("store")), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
 	}
 	f.innerServer.SetLogger(logger.Named("inner"))
 	peers := &replica.InnerPeers{Client: f.peers, Sources: f.sources}
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -76,9 +76,16 @@
 // Call sends body as JSON and decodes the JSON response into out. A nil body sends no body, and a
 // nil out ignores the response body. A non-nil error is an *Error.
 func (c *Client) Call(ctx context.Context, method, path string, body, out any) error {
+	_, err := c.CallWithHeader(ctx, method, path, body, out)
+	return err
+}
+
+// CallWithHeader is Call, and also returns the header of the response, that of a refusal too. The
+// header is nil if no response arrived.
+func (c *Client) CallWithHeader(ctx context.Context, method, path string, body, out any) (http.Header, error) {
 	req, err := c.request(ctx, method, path, body)
 	if err != nil {
-		return &Error{Path: path, Cause: err}
+		return nil, &Error{Path: path, Cause: err}
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
@@ -86,22 +93,22 @@
 			// Connections may go silent together, without a reset.
 			c.http.CloseIdleConnections()
 		}
-		return &Error{Path: path, Sent: !IsDialError(err), Cause: err}
+		return nil, &Error{Path: path, Sent: !IsDialError(err), Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	decoder := json.NewDecoder(io.LimitReader(res.Body, maxBodySize))
 	if res.StatusCode != http.StatusOK {
 		var refused refusal
 		_ = decoder.Decode(&refused)
-		return &Error{Path: path, Status: res.StatusCode, Code: refused.Error}
+		return res.Header, &Error{Path: path, Status: res.StatusCode, Code: refused.Error}
 	}
 	if out == nil {
-		return nil
+		return res.Header, nil
 	}
 	if err := decoder.Decode(out); err != nil {
-		return &Error{Path: path, Sent: true, Cause: err}
+		return res.Header, &Error{Path: path, Sent: true, Cause: err}
 	}
-	return nil
+	return res.Header, nil
 }
 
 // request builds an HTTP request without GetBody, so that net/http cannot resend it.
