replica: a peer's copy of an older era confirms nothing

A host that had a copy from after the key-value service came back from an older copy took a peer that had not noticed the return for up to date, as long as the peer's last confirmation was recent. It went on following that peer and did not read the service. The copies' revisions cannot be compared that way: the peer's confirmation is of a history that is gone. Such a peer now counts as stale, and it answers a host of a newer era at once in place of waiting for a change.

--- a/replica/follow.go
+++ b/replica/follow.go
@@ -35,8 +35,8 @@
 		events.ReplicaFromPeer.Log(r.logger, "prefix", r.prefix, "revision", uint64(change.Revision), "known", uint64(after))
 		r.apply(change, requestedAt)
 	}
-	if change.age() <= r.maxPeerAge() && r.current.Load() != nil {
-		r.confirm(max(change.Revision, r.revision()), change.confirmedAt(requestedAt))
+	if known := r.revision(); known != 0 && r.isFresh(change, known) {
+		r.confirm(max(change.Revision, known), change.confirmedAt(requestedAt))
 		return
 	}
 	r.peerIndex++
@@ -67,7 +67,7 @@
 			r.apply(change, requestedAt)
 			known = r.revision()
 		}
-		if known == 0 || change.age() > r.maxPeerAge() {
+		if known == 0 || !r.isFresh(change, known) {
 			Failures.Inc(labelPeerStale)
 			r.peerIndex++
 			continue
@@ -79,6 +79,12 @@
 	return false
 }
 
+// isFresh reports whether a peer's copy confirms that nothing has changed since a known revision. A copy
+// of an older era does not: the key-value service has come back from an older copy since.
+func (r *Replica) isFresh(change *Change, known kv.Version) bool {
+	return change.age() <= r.maxPeerAge() && change.Revision.Era() >= known.Era()
+}
+
 // tooOld reports whether the copy is older than that of a healthy host.
 func (r *Replica) tooOld() bool {
 	view := r.current.Load()
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -53,7 +53,8 @@
 		changed := *r.changed.Load()
 		view := r.current.Load()
 		if view != nil {
-			if change := since(view); !change.empty() {
+			// A peer of a newer era needs another host.
+			if change := since(view); !change.empty() || after.Era() > view.Revision.Era() {
 				return change
 			}
 		}
