replica: a rise of the era ends an outage

Records that the key-value service lost by coming back from an older copy are written again within about two seconds. Hosts keep what is missing from a list for that time after an outage, but the end of an outage was recorded only if reads had failed for a second, so that after a shorter failure upstreams and entry hosts without a record were dropped at once. A host that installs a copy of a newer era now records the end of an outage, and takes its time from the peer that noticed it first, so that late hosts keep such records no longer.

TestRestoreEndsAnOutage, on the parent: no outage in all three rows. After: 0, 700 and 0 ms ago.

--- a/replica/follow.go
+++ b/replica/follow.go
@@ -118,8 +118,9 @@
 
 // apply installs a change that a peer returned for the request sent at requestedAt.
 func (r *Replica) apply(change *Change, requestedAt time.Time) {
+	var ended time.Time
 	if change.OutageAgoMS > 0 {
-		ended := requestedAt.Add(-time.Duration(change.OutageAgoMS) * time.Millisecond)
+		ended = requestedAt.Add(-time.Duration(change.OutageAgoMS) * time.Millisecond)
 		reported := outage{began: ended.Add(-time.Duration(change.OutageForMS) * time.Millisecond), ended: ended}
 		confirmed := time.Time{}
 		if view := r.current.Load(); view != nil {
@@ -152,5 +153,6 @@
 	}
 	r.install(copied{
 		entries: entries, revision: change.Revision, readAt: change.confirmedAt(requestedAt), deleted: change.Deleted, complete: complete, source: labelPeer,
+		restoredAt: ended,
 	})
 }
--- a/replica/outage.go
+++ b/replica/outage.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// recordRestore records the end of an outage for a rise of the era, however short the outage was: what
+// the key-value service has lost is written again, as what expired in an outage is. Began is when the
+// service last answered in the era before. The caller must hold r.mu.
+func (r *Replica) recordRestore(began, ended time.Time) {
+	if !ended.After(began) {
+		ended = time.Now()
+	}
+	r.outage = outage{began: began, ended: ended}
+}
+
 // latest returns the later of a and b.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -81,7 +81,7 @@
 	// Complete is the revision after which Deleted lists every deletion.
 	Complete kv.Version
 	// OutageBegan and OutageEnded bound the last finished outage of the key-value service, on
-	// this host's clock; both are zero if there was none.
+	// this host's clock; both are zero if there was none. A rise of the era ends an outage.
 	OutageBegan, OutageEnded time.Time
 }
 
@@ -257,6 +257,9 @@
 	deleted  []Deletion
 	complete kv.Version
 	source   string
+	// restoredAt is when the key-value service was found to have come back in the era of the copy, if a
+	// peer told so; otherwise zero.
+	restoredAt time.Time
 }
 
 // install replaces the current view and notifies the subscribers, unless the current view is newer.
@@ -268,6 +271,9 @@
 		return
 	}
 	Updates.Inc(c.source)
+	if old != nil && c.revision.Era() > old.Revision.Era() {
+		r.recordRestore(old.ReadAt, c.restoredAt)
+	}
 	view := &View{
 		Entries: c.entries, Revision: c.revision, ReadAt: c.readAt, Source: c.source, Complete: c.complete,
 		OutageBegan: r.outage.began, OutageEnded: r.outage.ended,
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -32,3 +32,33 @@
 		}
 	})
 }
+
+// TestRestoreEndsAnOutage guards against records that count as deleted because the key-value service came back without them after a failure
+// that was too short for an outage: their writers write them again.
+func TestRestoreEndsAnOutage(t *testing.T) {
+	now := time.Now()
+	for _, row := range []struct {
+		name    string
+		change  *Change // nil if the host lists
+		wantAgo time.Duration
+	}{
+		{"list", nil, 0},
+		{"peer that noticed it 700 ms ago", &Change{Revision: kv.VersionOf(1, 2), OutageAgoMS: 700, OutageForMS: 300}, 700 * time.Millisecond},
+		{"peer that started since", &Change{Revision: kv.VersionOf(1, 2)}, 0},
+	} {
+		r := New(nil, "p/", watchTimeout, nil, hclog.NewNullLogger())
+		r.install(copied{entries: map[string]kv.Entry{"p/a": entry("p/a", 3)}, revision: 5, readAt: now.Add(-time.Second), complete: 5, source: labelList})
+		if row.change == nil {
+			r.install(copied{entries: map[string]kv.Entry{}, revision: kv.VersionOf(1, 2), readAt: now, complete: kv.VersionOf(1, 2), source: labelList})
+		} else {
+			r.apply(row.change, now)
+		}
+		view := r.Current()
+		if ago := now.Sub(view.OutageEnded); ago < row.wantAgo-clockMargin || ago > row.wantAgo+clockMargin {
+			t.Errorf("%s: the outage ended %v ago, want %v", row.name, ago, row.wantAgo)
+		}
+		if at := view.since(5, now); at.OutageAgoMS == 0 {
+			t.Errorf("%s: peers do not learn of the outage", row.name)
+		}
+	}
+}
