replica: hosts retain a newer configuration over an older copy of the service

After the key-value service came back from an older copy, its configuration was the one from before until the operator had written the newer one again. Hosts that ran kept their table, but their copies of the keys held the older one and passed it on: a host that started then took it, and the value in force was known to nobody who could tell it. An unreadable value in between took the place of the good one in the same way.

A replica may now be given a function that decides whether a held value stays in place of the next one. For the configuration, its own version decides: a copy keeps a newer or the only readable configuration, under the version of the entry that it replaces, so that peers get it as usual, until one at least as new is written. A host that has no copy and lists a service in an era above 0 asks up to three peers for such values first. Other keys are not affected.

Restarting all three readers of the service at once is not covered: a host that starts asks the readers or relays that it copies from only.

--- a/forwarding.go
+++ b/forwarding.go
@@ -156,6 +156,7 @@
 	f.innerServer.SetLogger(logger.Named("inner"))
 	peers := &replica.InnerPeers{Client: f.peers, Sources: f.sources}
 	f.routes = replica.New(f.store, platform.ConfigPrefix, milliseconds(watchShare*s.RoutesMS), peers, logger.Named("routes"))
+	f.routes.Retain(platform.RetainTable)
 	f.runners = replica.New(f.store, platform.RunnersPrefix, milliseconds(watchShare*s.LeavingMS), peers, logger.Named("upstreams"))
 	f.members = replica.New(f.store, presence.Prefix, membersWatchTimeout, peers, logger.Named("members"))
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -75,6 +75,7 @@
 	store func(*fleetHost) kv.Store
 	// installed is called with each copy that a host installs.
 	installed func(*fleetHost, *View)
+	retain    func(held, next kv.Entry) bool // may be nil
 }
 
 // fleetHost is one host of a fleet.
@@ -171,6 +172,7 @@
 func (h *fleetHost) start() {
 	r := New(h.f.copied.store(h), h.f.copied.prefix, h.f.copied.watchTimeout, fleetPeers{h, h.f.network.Client(h.id)}, hclog.NewNullLogger())
 	h.replica.Store(r)
+	r.Retain(h.f.copied.retain)
 	r.Subscribe(func(v *View) { h.f.copied.installed(h, v) })
 	server := inner.NewServer()
 	Serve(server, r)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -116,6 +116,7 @@
 	changed     atomic.Pointer[chan struct{}] // the channel is closed when the entries change
 	mu          sync.Mutex                    // serializes updates and the calls of subscribers
 	subscribers []func(*View)
+	retain      func(held, next kv.Entry) bool // nil if no value is retained
 	packed      packer
 
 	peerIndex       int       // selects the peer for the next request; accessed by Run only
@@ -193,6 +194,9 @@
 	for _, e := range entries {
 		byKey[e.Key] = e
 	}
+	if r.current.Load() == nil && revision.Era() > 0 {
+		r.retainFromPeers(ctx, byKey)
+	}
 	r.install(copied{entries: byKey, revision: revision, readAt: began, complete: revision, source: labelList})
 	return nil
 }
@@ -271,8 +275,11 @@
 		return
 	}
 	Updates.Inc(c.source)
-	if old != nil && c.revision.Era() > old.Revision.Era() {
-		r.recordRestore(old.ReadAt, c.restoredAt)
+	if old != nil {
+		if c.revision.Era() > old.Revision.Era() {
+			r.recordRestore(old.ReadAt, c.restoredAt)
+		}
+		r.retainValues(old.Entries, c.entries)
 	}
 	view := &View{
 		Entries: c.entries, Revision: c.revision, ReadAt: c.readAt, Source: c.source, Complete: c.complete,
