presence: hosts register again as soon as the era has risen

A host learned that the key-value service had come back without its record from its next renewal, up to 1.5 s later, and then needed two more calls. Other hosts keep missing hosts for 3 s, but hosts that start meanwhile do not list it. The replica of the records tells the new era earlier; the host now registers again within 0.5 s of that, at a random time, so that the hosts of a large fleet do not all write at once.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,14 +42,18 @@
 	// reregistrationGrace is how long after an outage of the key-value service
 	// hosts whose records are missing stay in the view, as they may register again.
 	reregistrationGrace = 3 * time.Second
+	// reregistrationSpread is the time over which the hosts spread their registrations
+	// after the key-value service has come back from an older copy.
+	reregistrationSpread = 500 * time.Millisecond
 )
 
 // Registrations counts writes of this host's own record, by outcome.
-var Registrations = metrics.New("presence_registrations_total", "Writes of the host's own record, by outcome.")
+var Registrations = metrics.New("presence_registrations_total", "Writes of the host's own record, by outcome, and rises of the era that began one.")
 
 const (
 	labelDone   = "done"
 	labelFailed = "failed"
+	labelEra    = "era_risen"
 )
 
 // View is an immutable snapshot of the entry hosts, sorted by id.
@@ -69,7 +74,8 @@
 	view        atomic.Pointer[View]
 	leaving     atomic.Bool
 	elapsed     clock.Elapsed
-	lastRenewal atomic.Int64 // when the last successful renewal was sent, in ns of elapsed; 0 if never
+	eraRisen    chan struct{} // has a value when the records are of a newer era
+	lastRenewal atomic.Int64  // when the last successful renewal was sent, in ns of elapsed; 0 if never
 
 	mu            sync.Mutex // serializes view updates
 	hostCounts    []hostCount
@@ -89,7 +95,7 @@
 // New returns a Presence of the host self that updates its view from hosts, a
 // replica of the records under Prefix. It measures its lease by elapsed.
 func New(store kv.Store, self membership.Member, hosts *replica.Replica, elapsed clock.Elapsed, logger hclog.Logger) *Presence {
-	p := &Presence{store: store, self: self, elapsed: elapsed, logger: logger}
+	p := &Presence{store: store, self: self, elapsed: elapsed, logger: logger, eraRisen: make(chan struct{}, 1)}
 	p.view.Store(&View{View: membership.View{Members: []membership.Member{self}}, Recent: 1})
 	hosts.Subscribe(p.update)
 	return p
@@ -121,6 +127,12 @@
 func (p *Presence) update(v *replica.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.newestRecords != nil && v.Revision.Era() > p.newestRecords.Revision.Era() {
+		select {
+		case p.eraRisen <- struct{}{}:
+		default:
+		}
+	}
 	p.newestRecords = v
 	p.buildView(v, time.Now())
 	if remaining := reregistrationGrace - time.Since(v.OutageEnded); !v.OutageEnded.IsZero() && remaining > 0 {
@@ -195,13 +207,27 @@
 			lease, version = 0, 0
 			continue
 		}
-		wait.For(ctx, renewInterval)
+		p.awaitRenewal(ctx)
 	}
 	if lease != 0 {
 		_ = p.call(context.WithoutCancel(ctx), func(ctx context.Context) error { return p.store.Revoke(ctx, lease) })
 	}
 }
 
+// awaitRenewal waits until the lease is to be renewed. After a rise of the era the lease is
+// gone, so that the wait ends within reregistrationSpread.
+func (p *Presence) awaitRenewal(ctx context.Context) {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.eraRisen:
+		Registrations.Inc(labelEra)
+		wait.For(ctx, rand.N(reregistrationSpread))
+	case <-ctx.Done():
+	}
+}
+
 // renew renews the lease. It returns false if the lease has ended, and true on other
 // errors.
 func (p *Presence) renew(ctx context.Context, lease kv.LeaseID) bool {
--- /dev/null
+++ b/presence/restore_test.go
@@ -0,0 +1,43 @@
+package presence
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cardamompier/cardamompier/clock/clocktest"
+	"github.com/cardamompier/cardamompier/kv/kvmem"
+	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/replica"
+)
+
+// TestRegistrationAfterARestore guards against a host whose record the key-value service lost by coming back from an older copy, and
+// that writes it again only when its next renewal is due: until then, hosts that start do not list it.
+func TestRegistrationAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const watchTimeout = 800 * time.Millisecond
+		store := kvmem.New()
+		older := store.Copy()
+		hosts := replica.New(store, Prefix, watchTimeout, nil, hclog.NewNullLogger())
+		self := membership.Member{ID: "a", Address: "10.0.0.1:80", InnerAddress: "10.0.0.1:81"}
+		p := New(store, self, hosts, clocktest.New(1).Elapsed, hclog.NewNullLogger())
+		ctx, stop := context.WithCancel(t.Context())
+		for _, run := range []func(context.Context){hosts.Run, p.Run} {
+			go run(ctx)
+		}
+		time.Sleep(3*renewInterval + renewInterval/10)
+		store.Restore(older)
+		time.Sleep(renewInterval / 2)
+		if _, err := store.Get(t.Context(), Prefix+"a"); err != nil {
+			t.Errorf("%v after the restore, the host's record is missing: %v", renewInterval/2, err)
+		}
+		if !p.LeaseValid() || len(p.View().Members) != 1 {
+			t.Errorf("the host does not list itself, or its lease is not valid: %v", p.View().Members)
+		}
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
