Upstreams: records of an older copy revive no upstream that is gone

After the key-value service came back from a copy from before an upstream's deletion, the upstream's record was there again as that of a live one, and hosts sent it requests until the service deleted the record once more. The same held for the record of an earlier run under the id of a newer one. Marks of leaving upstreams did not cover these cases: the record had never been seen as leaving, or its run had no known start.

In a newer era, a record whose revision is not above that one is from before the deletion and is ignored, as is the record of a run that started before the newest known one. What the upstream writes again has a revision or a start of its own.

Not covered: a host that starts after the restore has not seen the deletion.

--- a/forwarding.go
+++ b/forwarding.go
@@ -121,6 +121,7 @@
 	listing hosts.Listing
 	reading hosts.Reading
 	decoded map[string]decodedUpstream // by store key; used only by applyUpstreams
+	removed removedUpstreams           // used only by applyUpstreams
 
 	guard       *callerconn.Guard
 	stopping    atomic.Bool
--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -19,11 +19,14 @@
 	err     error
 	// startedMS is the start of the newest run that a record under the key has stated; zero if none has.
 	startedMS int64
+	// outdated is true if a newer run's record was lost when the key-value service came back from an older copy.
+	outdated bool
 }
 
 // decode replaces d by the decoded entry. An upstream that has stated the start of its run states it in each record;
 // one without is no run of its own.
 func (d *decodedUpstream) decode(entry kv.Entry) {
+	eraRisen := entry.Version.Era() > d.version.Era()
 	d.version = entry.Version
 	if d.host, d.err = platform.DecodeRunner(entry.Key, entry.Value); d.err != nil {
 		return
@@ -31,12 +34,17 @@
 	if d.host.StartedMS == 0 && d.startedMS != 0 {
 		d.err = platform.NoStart(entry.Key)
 	}
+	d.outdated = eraRisen && d.host.StartedMS < d.startedMS
 	d.startedMS = max(d.startedMS, d.host.StartedMS)
 }
 
 // applyUpstreams installs the upstreams of a new store view. It decodes only the records that
 // changed since the previous view.
 func (f *ForwardServer) applyUpstreams(view *replica.View) {
+	if f.removed == nil {
+		f.removed = removedUpstreams{}
+	}
+	f.removed.update(f.decoded, view, time.Now())
 	list := make([]hosts.Host, 0, len(view.Entries))
 	decoded := make(map[string]decodedUpstream, len(view.Entries))
 	for key, entry := range view.Entries {
@@ -47,7 +55,13 @@
 			}
 		}
 		decoded[key] = d
-		if d.err == nil {
+		switch {
+		case d.err != nil:
+		case d.outdated:
+			outdatedUpstreams.Inc(outdatedRun)
+		case f.removed.has(entry):
+			outdatedUpstreams.Inc(outdatedRemoved)
+		default:
 			list = append(list, d.host)
 		}
 	}
