presence: registrations after a restore are spread by the number of hosts

After a rise of the era all hosts learn within milliseconds that they have to register again, which takes two writes each. They spread this over 0.5 s whatever their number: 600 writes from 300 hosts, in a moment at which other parts write again too, and a write beyond the service's limit costs the host 1.5 s. The time is now 5 ms times the number of hosts, at most 1.5 s, half of the time for which others keep a missing host.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -42,9 +42,10 @@
 	// reregistrationGrace is how long after an outage of the key-value service
 	// hosts whose records are missing stay in the view, as they may register again.
 	reregistrationGrace = 3 * time.Second
-	// reregistrationSpread is the time over which the hosts spread their registrations
-	// after the key-value service has come back from an older copy.
-	reregistrationSpread = 500 * time.Millisecond
+	// registrationGap is the mean time between the registrations of two hosts after the
+	// key-value service has come back from an older copy. Each takes two writes, and the
+	// service limits the writes per second of all hosts.
+	registrationGap = 5 * time.Millisecond
 )
 
 // Registrations counts writes of this host's own record, by outcome.
@@ -215,7 +216,8 @@
 }
 
 // awaitRenewal waits until the lease is to be renewed. After a rise of the era the lease is
-// gone, so that the wait ends within reregistrationSpread.
+// gone, so that the wait ends within registrationGap times the number of hosts, and at most
+// renewInterval.
 func (p *Presence) awaitRenewal(ctx context.Context) {
 	timer := time.NewTimer(renewInterval)
 	defer timer.Stop()
@@ -223,7 +225,8 @@
 	case <-timer.C:
 	case <-p.eraRisen:
 		Registrations.Inc(labelEra)
-		wait.For(ctx, rand.N(reregistrationSpread))
+		spread := registrationGap * time.Duration(max(1, len(p.View().Members)))
+		wait.For(ctx, rand.N(min(spread, renewInterval)))
 	case <-ctx.Done():
 	}
 }
