--- a/kv/era_test.go
+++ b/kv/era_test.go
@@ -37,8 +37,9 @@
 	return 0, &kv.Error{Reason: kv.ReasonUnknown}
 }
 
-// TestLostResponseOverEras guards against a write whose response was lost and that is taken for applied or for refused, although
-// the service came back from an older copy meanwhile and the condition of the write has lost its meaning.
+// TestLostResponseOverEras guards against a write whose response was lost and that is taken for applied or for
+// refused, although the service came back from an older copy meanwhile and the condition of the write has lost its
+// meaning.
 func TestLostResponseOverEras(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		matchOther := func(kv.Entry) kv.Match { return kv.MatchOther }
@@ -73,8 +74,8 @@
 	return store.Copy()
 }
 
-// TestAppliedInAnotherEra guards against a write that is read back and taken for a success, although the service applied it in a newer era
-// than that of its condition.
+// TestAppliedInAnotherEra guards against a write that is read back and taken for a success, although the service
+// applied it in a newer era than that of its condition.
 func TestAppliedInAnotherEra(t *testing.T) {
 	store := appliedInAnotherEra{kvmem.New()}
 	w := kv.Write{Key: "k", Value: []byte("a")}
--- a/replica/restore_test.go
+++ b/replica/restore_test.go
@@ -144,9 +144,9 @@
 	p.stopHosts()
 }
 
-// TestRestoredServiceReachesHosts guards against copies that stand still after the key-value service has come back from an older copy, because
-// its revisions are below those that hosts know, and against hosts that go back to a value from before or that start
-// with one, although others still have the newer value.
+// TestRestoredServiceReachesHosts guards against copies that stand still after the key-value service has come back
+// from an older copy, because its revisions are below those that hosts know, and against hosts that go back to a
+// value from before or that start with one, although others still have the newer value.
 func TestRestoredServiceReachesHosts(t *testing.T) {
 	for seed := range *fleetSeeds {
 		for _, hosts := range []int{4, 40, 300} {
@@ -158,8 +158,8 @@
 	}
 }
 
-// TestPeerOfAnOlderEraConfirmsNothing guards against a host that follows a peer which has not noticed that the key-value service came back
-// from an older copy, and takes the peer's confirmation for one of its own copy.
+// TestPeerOfAnOlderEraConfirmsNothing guards against a host that follows a peer which has not noticed that the
+// key-value service came back from an older copy, and takes the peer's confirmation for one of its own copy.
 func TestPeerOfAnOlderEraConfirmsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lists := 0
@@ -181,8 +181,8 @@
 	})
 }
 
-// TestRestoreEndsAnOutage guards against records that count as deleted because the key-value service came back without them after a failure
-// that was too short for an outage: their writers write them again.
+// TestRestoreEndsAnOutage guards against records that count as deleted because the key-value service came back
+// without them after a failure that was too short for an outage: their writers write them again.
 func TestRestoreEndsAnOutage(t *testing.T) {
 	now := time.Now()
 	for _, row := range []struct {
--- a/upstreamremoved_test.go
+++ b/upstreamremoved_test.go
@@ -10,9 +10,9 @@
 	"github.com/cardamompier/cardamompier/replica"
 )
 
-// TestUpstreamsOfAnOlderCopy guards against requests for an upstream that is gone or leaves, because the key-value service came back
-// from a copy in which its record is still that of a live one, and against an upstream that is dropped because the copy
-// does not have its record yet.
+// TestUpstreamsOfAnOlderCopy guards against requests for an upstream that is gone or leaves, because the key-value
+// service came back from a copy in which its record is still that of a live one, and against an upstream that is
+// dropped because the copy does not have its record yet.
 func TestUpstreamsOfAnOlderCopy(t *testing.T) {
 	const key = "servers/u"
 	record := func(state, born string) string {
