--- a/kv/kv.go
+++ b/kv/kv.go
@@ -63,7 +63,9 @@
 	List(ctx context.Context, prefix string) ([]Entry, Version, error)
 	// CompareAndSwap writes a key if its version equals w.Expect, and returns
 	// the new version. It fails with ReasonConflict if the versions differ, and
-	// with ReasonLeaseExpired if w.Lease is of an older era.
+	// with ReasonLeaseExpired if w.Lease is of an older era. If the service applied
+	// the write in another era than that of w.Expect or w.Lease, it fails with
+	// ReasonUnknown and an *EraError as the cause.
 	CompareAndSwap(ctx context.Context, w Write) (Version, error)
 	// Delete removes a key if its version equals expect. It fails with
 	// ReasonConflict if the versions differ.
