Lease: one holder at a time, and growing fences, over a restore of the store

Callers of duties saw, after the key-value service had come back from an older copy, two hosts act for one duty with the same fencing number: the copy shows an earlier holder, a released lease or none. Cause: a contender takes a lease that is stored as released or missing at once, and the next fence is the stored one plus one; both trust that the store has lost nothing. A holder that read an earlier term ended its own; one whose key was missing could never renew, and nobody but a restarted host could take over. Change: the stored lease names the era that its writer knew. A release of an earlier era is not believed; a missing lease is free when this process has known the era for a whole lease, or knows of no restore. Fences that begin in an era are greater than all versions of the eras before. A write that was answered in another era than it was prepared for begins and extends no term. A holder that finds an earlier term or none in a new era renews over it. A release is written only while the term lasts. kv.Client notes when it saw the present era first. kvmem can compare revisions without eras, as the service does with a write under way. Why it works: a term that the copy lacks was renewed before the restore at the latest, so that it ends on the holder's clock within a lease of it, and a contender counts from an answer of the new era. A service that counts eras from 0, with a host that starts within one lease after its first restore, and a copy without the key, is not told from one that was never restored.

--- a/kv/client.go
+++ b/kv/client.go
@@ -71,9 +71,13 @@
 	store   Store
 	budget  *budget
 	breaker *breaker
+	eras    eraLog
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store       = (*Client)(nil)
+	_ EraObserver = (*Client)(nil)
+)
 
 // NewClient returns a Client that sends its calls to store.
 func NewClient(store Store, options Options) *Client {
@@ -89,7 +93,7 @@
 func (c *Client) Get(ctx context.Context, key string) (entry Entry, err error) {
 	err = c.read(ctx, "get", key, func() error {
 		entry, err = c.store.Get(ctx, key)
-		return err
+		return c.noteEra(entry.Version.Era(), err)
 	})
 	return entry, err
 }
@@ -98,7 +102,7 @@
 func (c *Client) List(ctx context.Context, prefix string) (entries []Entry, revision Version, err error) {
 	err = c.read(ctx, "list", prefix, func() error {
 		entries, revision, err = c.store.List(ctx, prefix)
-		return err
+		return c.noteEra(revision.Era(), err)
 	})
 	return entries, revision, err
 }
@@ -109,7 +113,7 @@
 func (c *Client) CompareAndSwap(ctx context.Context, w Write) (version Version, err error) {
 	err = c.call(ctx, PurposeWrite, "swap", w.Key, func() error {
 		version, err = c.store.CompareAndSwap(ctx, w)
-		return err
+		return c.noteEra(version.Era(), err)
 	})
 	if ReasonOf(err) != ReasonUnknown {
 		return version, err
@@ -127,7 +131,7 @@
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
 	err = c.call(ctx, PurposeLease, "grant", "", func() error {
 		id, err = c.store.Grant(ctx, ttl)
-		return err
+		return c.noteEra(id.Era(), err)
 	})
 	return id, err
 }
@@ -147,11 +151,19 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after Version) (events []Event, revision Version, err error) {
 	err = c.call(ctx, PurposeRead, "watch", prefix, func() error {
 		events, revision, err = c.store.Watch(ctx, prefix, after)
-		return err
+		return c.noteEra(revision.Era(), err)
 	})
 	return events, revision, err
 }
 
+// noteEra records the era of the answer to a call that succeeded, and returns the error of the call.
+func (c *Client) noteEra(era Era, err error) error {
+	if err == nil {
+		c.eras.note(era)
+	}
+	return err
+}
+
 // read sends an idempotent call and retries it with backoff, up to
 // maxReadAttempts in total. It does not retry a call that the breaker rejected.
 func (c *Client) read(ctx context.Context, op, key string, do func() error) error {
@@ -224,7 +236,7 @@
 func (c nonResolvingClient) CompareAndSwap(ctx context.Context, w Write) (version Version, err error) {
 	err = c.call(ctx, PurposeWrite, "swap", w.Key, func() error {
 		version, err = c.store.CompareAndSwap(ctx, w)
-		return err
+		return c.noteEra(version.Era(), err)
 	})
 	return version, err
 }
--- a/kv/kvmem/faults.go
+++ b/kv/kvmem/faults.go
@@ -53,6 +53,9 @@
 	// WritesPerSecond and ReadsPerSecond limit the rate of calls. Zero means no limit.
 	WritesPerSecond float64 `json:"writes_per_second"`
 	ReadsPerSecond  float64 `json:"reads_per_second"`
+	// IgnoreEras compares the revisions of swaps only, without their eras, as the service does with a write
+	// that was under way when it came back from a copy.
+	IgnoreEras bool `json:"ignore_eras"`
 	// Seed is the seed of the random numbers that select the calls with a fault.
 	Seed uint64 `json:"seed"`
 }
@@ -182,6 +185,16 @@
 	return st.active.StaleReads > 0 && st.random.Float64() < st.active.StaleReads
 }
 
+// sameVersion returns whether the version that a key has is the one that a write expects.
+func (st *faultState) sameVersion(current, expected kv.Version) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.active.IgnoreEras {
+		return current.Revision() == expected.Revision()
+	}
+	return current == expected
+}
+
 // outageStarted returns a channel that is closed during an outage.
 func (st *faultState) outageStarted() <-chan struct{} {
 	st.mu.Lock()
--- a/kv/kvmem/store.go
+++ b/kv/kvmem/store.go
@@ -111,7 +111,7 @@
 func (s *Store) swap(w kv.Write) (kv.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if current := s.entries[w.Key].Version; current != w.Expect {
+	if current := s.entries[w.Key].Version; !s.faults.sameVersion(current, w.Expect) {
 		return 0, &kv.Error{Op: opSwap, Key: w.Key, Reason: kv.ReasonConflict, Current: current}
 	}
 	if w.Lease != 0 {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,16 @@
 // Terms counts the terms that this host began and ended. Its label is "begun" or a Reason.
 var Terms = metrics.New("lease_terms_total", "Terms of duties that this host held, by what happened.")
 
+// Eras counts the new eras of the key-value service in which this host read a lease. Its label is eraHolding or
+// eraWaiting.
+var Eras = metrics.New("lease_eras_total", "New eras of the key-value service in which a lease was read, by whether this host held it.")
+
+// These are the labels of the metric Eras.
+const (
+	eraHolding = "holding"
+	eraWaiting = "waiting"
+)
+
 // termBegun is the label of the metric Terms for a term that began. A term that ended is labelled
 // with its Reason.
 const termBegun = "begun"
@@ -58,6 +69,8 @@
 	seen      duty
 	version   kv.Version
 	seenSince time.Duration
+	// asOf is a version of the store at which seen was stored. It names the era also if the lease is missing.
+	asOf kv.Version
 }
 
 // New returns a Holder that competes for the lease called name on behalf of host.
@@ -91,33 +104,122 @@
 // observe reads the stored lease and reports whether it is free: never written, released, or
 // unchanged for longer than the longest lease that its last holder may have.
 func (h *Holder) observe(ctx context.Context) bool {
-	entry, err := h.store.Get(ctx, keyPrefix+h.name)
-	if kv.ReasonOf(err) == kv.ReasonNotFound && h.version == 0 {
-		return true
-	}
-	if err != nil || entry.Version < h.version {
+	entry, asOf, err := h.read(ctx)
+	if err != nil || h.outdated(entry, asOf) {
 		return false
 	}
-	if entry.Version > h.version {
+	if changed := asOf.Era() != h.asOf.Era(); changed || entry.Version > h.version {
 		seen, ok := decode(entry)
 		if !ok {
+			seen = duty{}
+		}
+		if changed {
+			h.logEra(asOf.Era(), seen.Fence, false)
+		}
+		if !ok && entry.Version != 0 {
 			// No term can have had a greater fencing number.
 			seen = duty{Fence: max(uint64(entry.Version), h.seen.Fence)}
 			events.LeaseUnreadable.Log(h.logger, "duty", h.name, "revision", uint64(entry.Version), "bytes", len(entry.Value))
 		}
 		h.seen, h.version, h.seenSince = seen, entry.Version, h.options.Elapsed()
 	}
-	return h.seen.Released || h.options.Elapsed()-h.seenSince > max(h.seen.ttl(), h.options.TTL)
+	h.asOf = asOf
+	return h.free()
+}
+
+// read returns the stored lease and a version of the store at which it was stored. The entry has version 0 if the lease
+// is missing.
+func (h *Holder) read(ctx context.Context) (kv.Entry, kv.Version, error) {
+	key := keyPrefix + h.name
+	entry, err := h.store.Get(ctx, key)
+	if kv.ReasonOf(err) != kv.ReasonNotFound {
+		return entry, entry.Version, err
+	}
+	// A list names the era also if the key is missing.
+	entries, asOf, err := h.store.List(ctx, key)
+	for _, entry := range entries {
+		if entry.Key == key {
+			return entry, entry.Version, err
+		}
+	}
+	return kv.Entry{Key: key}, asOf, err
+}
+
+// outdated reports whether an entry is older than the one last observed. Versions of different eras compare by era; a
+// missing lease has none.
+func (h *Holder) outdated(entry kv.Entry, asOf kv.Version) bool {
+	return asOf.Era() < h.asOf.Era() || asOf.Era() == h.asOf.Era() && entry.Version < h.version
+}
+
+// free reports whether no host can hold the lease that was last observed.
+func (h *Holder) free() bool {
+	longest, now := max(h.seen.ttl(), h.options.TTL), h.options.Elapsed()
+	era := h.asOf.Era()
+	switch {
+	case h.version == 0:
+		return now-h.missingSince() > longest
+	case h.seen.Released && h.seen.Era == era:
+		return true
+	default:
+		return now-h.seenSince > longest
+	}
+}
+
+// missingSince returns the earliest time for which the missing lease is known to have had no holder that is not stored.
+// Since the present era began, every term has been stored.
+func (h *Holder) missingSince() time.Duration {
+	if h.asOf.Era() == 0 {
+		return neverHeld
+	}
+	observer, ok := h.store.(kv.EraObserver)
+	if !ok {
+		return h.seenSince
+	}
+	sight, ok := observer.EraSight()
+	switch {
+	case !ok || sight.Era != h.asOf.Era():
+		return h.seenSince
+	case sight.First:
+		return neverHeld
+	default:
+		return min(h.seenSince, h.options.Elapsed()-time.Since(sight.Since))
+	}
+}
+
+// neverHeld stands for a lease that no host has held yet.
+const neverHeld = time.Duration(math.MinInt64 / 2)
+
+// logEra logs and counts that the lease was read in a new era of the store.
+func (h *Holder) logEra(era kv.Era, stored uint64, holding bool) {
+	if h.asOf == 0 {
+		return // the first observation
+	}
+	label := eraWaiting
+	if holding {
+		label = eraHolding
+	}
+	Eras.Inc(label)
+	events.LeaseEra.Log(h.logger, "duty", h.name, "era", uint64(era), "stored", stored, "holding", holding)
 }
 
 // acquire begins a term by writing the next fencing number, and reports whether the write won.
 func (h *Holder) acquire(ctx context.Context) bool {
-	return h.write(ctx, duty{Holder: h.host, Fence: h.seen.Fence + 1}) == kv.OutcomeApplied
+	return h.write(ctx, duty{Holder: h.host, Fence: h.nextFence()}) == kv.OutcomeApplied
 }
 
-// write replaces the stored lease, provided that its version is still the one last observed.
+// nextFence returns a fencing number that no term has had. Numbers of terms that began in the present era are greater
+// than all versions of the eras before, and the stored lease may lack terms of those only.
+func (h *Holder) nextFence() uint64 {
+	if h.seen.Fence < uint64(kv.VersionOf(h.asOf.Era(), 0)) {
+		return uint64(h.asOf) + 1
+	}
+	return h.seen.Fence + 1
+}
+
+// write replaces the stored lease, provided that its version is still the one last observed. The outcome is unknown if
+// the era of the store has changed since.
 func (h *Holder) write(ctx context.Context, d duty) kv.Outcome {
-	d.Nonce, d.TTLMS = uuid.New(), h.options.TTL.Milliseconds()
+	d.Nonce, d.TTLMS, d.Era = uuid.New(), h.options.TTL.Milliseconds(), h.asOf.Era()
 	value, err := cbor.Marshal(d)
 	if err != nil {
 		return kv.OutcomeNotApplied
@@ -134,10 +236,16 @@
 			return kv.MatchUnknown
 		}
 	})
-	if result.Outcome == kv.OutcomeApplied {
-		h.seen, h.version, h.seenSince = d, result.Version, h.options.Elapsed()
+	if result.Outcome != kv.OutcomeApplied {
+		return result.Outcome
+	}
+	if result.Version.Era() != d.Era {
+		// The store has come back from a copy meanwhile and gives out the same revisions again: the value that was
+		// replaced is not known.
+		return kv.OutcomeUnknown
 	}
-	return result.Outcome
+	h.seen, h.version, h.asOf, h.seenSince = d, result.Version, result.Version, h.options.Elapsed()
+	return kv.OutcomeApplied
 }
 
 // hold runs lead and renews the term until the term ends. The argument sent is when the write that
@@ -162,8 +270,8 @@
 	Terms.Inc(string(reason))
 	events.LeaseEnded.Log(h.logger, "duty", h.name, "fence", term.Fence, "reason", string(reason),
 		"age_ms", age.Milliseconds(), "left_ms", left.Milliseconds())
-	if reason == ReasonStopped {
-		h.release(ctx)
+	if reason == ReasonStopped && left > 0 {
+		h.release(ctx, term)
 	}
 }
 
@@ -198,26 +306,32 @@
 	}
 }
 
-// replaced reads the stored lease and reports whether another term has begun. When it finds a
-// renewal by this host whose answer was lost, it records the new version but doesn't extend the
-// term.
+// replaced reads the stored lease and reports whether another term has begun. Otherwise it records the
+// version that the next renewal replaces, but doesn't extend the term: after a renewal by this host whose answer was
+// lost, and after the store has come back from a copy that shows an earlier term or none.
 func (h *Holder) replaced(ctx context.Context, term *Term) bool {
-	entry, err := h.store.Get(ctx, keyPrefix+h.name)
-	if err != nil || entry.Version < h.version {
+	entry, asOf, err := h.read(ctx)
+	if err != nil || h.outdated(entry, asOf) {
 		return false
 	}
 	stored, ok := decode(entry)
-	if !ok || stored.Fence != term.Fence {
-		return ok
+	if !ok && entry.Version != 0 {
+		return false
+	}
+	if stored.Fence > term.Fence {
+		return true
+	}
+	if asOf.Era() != h.asOf.Era() {
+		h.logEra(asOf.Era(), stored.Fence, true)
 	}
-	h.seen, h.version = stored, entry.Version
+	h.seen, h.version, h.asOf = stored, entry.Version, asOf
 	return false
 }
 
 // release marks the stored lease as free, so that another host can acquire it without waiting for
 // the lease to expire. It is called after lead has returned.
-func (h *Holder) release(ctx context.Context) {
+func (h *Holder) release(ctx context.Context, term *Term) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.options.TTL/renewalsPerTTL)
 	defer cancel()
-	h.write(ctx, duty{Holder: h.host, Fence: h.seen.Fence, Released: true})
+	h.write(ctx, duty{Holder: h.host, Fence: term.Fence, Released: true})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,6 +7,10 @@
 // value has not changed for a whole lease, measured on the contender's clock from when it first
 // read the value. Clocks of different hosts are never compared.
 //
+// The store may come back from an older copy, see kv.Era: the copy may show an earlier holder, a released lease or none.
+// A term goes on or ends on the holder's own clock all the same. What was stored before the present era says nothing
+// about the present holder, so that a contender waits for a whole lease from when it first read it.
+//
 // A host may be suspended between a check of its term and the call that follows. The context of a term
 // is cancelled within expiryCheckInterval after the host resumes, which ends calls that are under way.
 package lease
@@ -42,6 +46,8 @@
 	TTLMS  int64     `cbor:"4,keyasint"`
 	// Released reports that the holder has ended its term and the lease is free.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// Era is the era of the version that this value replaced, as its writer knew it.
+	Era kv.Era `cbor:"6,keyasint,omitempty"`
 }
 
 func (d duty) ttl() time.Duration { return time.Duration(d.TTLMS) * time.Millisecond }
--- a/lease/property_test.go
+++ b/lease/property_test.go
@@ -161,10 +161,10 @@
 	}
 }
 
-// TestOneLeaderAtATime runs three hosts that compete for one lease through random pauses,
-// suspensions, store outages, lost answers and delayed writes, with clocks that run at different rates. It checks that no two hosts hold the lease at once,
-// that fencing numbers grow, and that engines with and without a fencing check reach the wanted
-// state.
+// TestOneLeaderAtATime runs three hosts that compete for one lease through random pauses, suspensions, store outages,
+// lost answers, delayed writes and returns of the store from older copies, with clocks that run at different rates. It
+// checks that no two hosts hold the lease at once, that fencing numbers grow, and that engines with and without a
+// fencing check reach the wanted state.
 func TestOneLeaderAtATime(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -180,6 +180,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	store := kvmem.New()
 	store.SetFaults(kvmem.Faults{Latency: callTime})
+	var taken []*kvmem.Copy
 	l := &leaders{
 		terms: map[string]*lease.Term{}, checked: enginesim.New(enginesim.Options{}),
 		unfenced: enginesim.New(enginesim.Options{IgnoreFence: true}),
@@ -196,7 +197,8 @@
 		running.Go(func() { holder.Run(ctx, l.lead(name, reconciler)) })
 	}
 	for step := range testSteps {
-		injectFault(random, store, gates, clocks)
+		taken = append(taken, store.Copy())
+		injectFault(random, store, gates, clocks, taken)
 		l.mu.Lock()
 		l.wanted = control.WantedState{Role: "decode", Model: fmt.Sprintf("m%d", step)}
 		l.mu.Unlock()
@@ -216,9 +218,9 @@
 	return fault
 }
 
-func injectFault(random *rand.Rand, store *kvmem.Store, gates []*gate, clocks []*clocktest.Clock) {
+func injectFault(random *rand.Rand, store *kvmem.Store, gates []*gate, clocks []*clocktest.Clock, copies []*kvmem.Copy) {
 	share := func() float64 { return random.Float64() / 2 }
-	switch g := gates[random.IntN(len(gates))]; random.IntN(7) {
+	switch g := gates[random.IntN(len(gates))]; random.IntN(9) {
 	case 0, 1:
 		g.set(true)
 	case 2:
@@ -231,7 +233,7 @@
 		store.SetFaults(kvmem.Faults{
 			LoseAnswers: share(), DelayWrites: share(), StaleReads: share() / 2, Seed: random.Uint64(),
 			Latency: callTime,
-			DelayBy: time.Duration(random.IntN(8000)) * time.Millisecond,
+			DelayBy: time.Duration(random.IntN(8000)) * time.Millisecond, IgnoreEras: random.IntN(2) == 0,
 		})
 	case 6:
 		// Time passes that no host's timers count. A host that was suspended alone looks the same to itself,
@@ -240,6 +242,8 @@
 		for _, c := range clocks {
 			c.Suspend(d)
 		}
+	case 7, 8:
+		store.Restore(copies[max(0, len(copies)-1-random.IntN(4))])
 	}
 }
 
