Usage: reports of a window stay the same over a restore of the store

The platform got two reports of one window with different counts after the key-value service had come back from a copy some seconds old. Cause: the final sum of a window is only in the store. When the store has lost it, the next term, of the same host or of another, sums its own counts again: they have grown since, or are those of another collector. Evidence: TestReportsStayTheSameOverRestore on the code before: in all three cases (same host, successor that hears the first host, successor that does not) two windows are reported with other counts. Change: a collector keeps the sums that it has stored, read or received for eight windows and puts them before the stored ones; they travel to the other collectors with the usage counts. A window without a sum is summed only if no other holder can have reported it before: it was current or later when the term began, or when this process first saw the present era, or the store is not known to have come back from a copy. Otherwise it is left out (event 2217, counter report_lost). A list in place of a read names the era also if the sum is missing. Result: no window differs, and none of 16 is missing, in all three cases. Why it works: sums are final before they are reported, and whoever cannot know whether one was lost reports nothing; a report that is missing costs less than one that differs.

--- a/usage/report.go
+++ b/usage/report.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,11 +18,6 @@
 	// settleDelay is the time from the end of a usage window until its counts are
 	// summed: long enough for each host to send its counts twice.
 	settleDelay = 2*sendInterval + callTimeout
-	// settledPrefix is the key prefix under which the sums of usage windows are stored.
-	settledPrefix = "usage/settled/"
-	// settledTTL is the time for which the sum of a usage window stays in the store:
-	// longer than any reporter repeats the window.
-	settledTTL = 2 * time.Minute
 	// reportInterval is the time between checks for usage windows that are due.
 	reportInterval = time.Second
 )
@@ -49,10 +42,13 @@
 // does not hold up the windows after it.
 func (r *Reporter) Run(ctx context.Context, term *lease.Term) {
 	next := windowNumber(r.Now().Add(-settleDelay), r.Window) - keptWindows
+	// Until now, another holder may have reported every window before the current one. A clock ahead of this one by up
+	// to settleDelay is allowed for.
+	first := windowNumber(r.Now(), r.Window)
 	for ctx.Err() == nil {
 		due := windowNumber(r.Now().Add(-settleDelay), r.Window)
 		for next < due && ctx.Err() == nil {
-			err := r.report(ctx, term, next)
+			err := r.report(ctx, term, next, first)
 			if err != nil {
 				Records.Inc(labelReportFailed)
 				events.UsageFailed.Log(r.Logger, "step", "report", "window", next, "fence", term.Fence, "error", err)
@@ -74,11 +70,12 @@
 }
 
 // report determines the final counts of a window and sends them to the sink. It
-// sends nothing if the counts are empty or the lease term has expired.
-func (r *Reporter) report(ctx context.Context, term *lease.Term, window int64) error {
+// sends nothing if the counts are empty or the lease term has expired. No other holder
+// can have reported the window first or a later one.
+func (r *Reporter) report(ctx context.Context, term *lease.Term, window, first int64) error {
 	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	counts, err := r.settle(call, window)
+	counts, err := r.settle(call, window, first)
 	if err != nil {
 		return err
 	}
@@ -93,56 +90,3 @@
 		"lease_age_ms", term.Age().Milliseconds(), "lease_left_ms", term.Remaining().Milliseconds())
 	return nil
 }
-
-// settle returns the final counts of a window. The first lease holder stores the sum;
-// a later holder returns the stored counts, so that each repeated report of a window
-// is the same.
-func (r *Reporter) settle(ctx context.Context, window int64) (map[string]int64, error) {
-	name := strconv.FormatInt(window, 10)
-	if entry, err := r.Store.Get(ctx, settledPrefix+name); err == nil {
-		return decodeSettled(entry)
-	} else if kv.ReasonOf(err) != kv.ReasonNotFound {
-		return nil, err
-	}
-	counts := r.Counts.sum(window)
-	if len(counts) == 0 {
-		return nil, nil
-	}
-	value, err := json.Marshal(counts)
-	if err != nil {
-		return nil, &kv.RecordError{Key: settledPrefix + name, Cause: err}
-	}
-	leaseID, err := r.Store.Grant(ctx, settledTTL)
-	if err != nil {
-		return nil, err
-	}
-	_, err = r.Store.CompareAndSwap(ctx, kv.Write{Key: settledPrefix + name, Value: value, Lease: leaseID})
-	if kv.ReasonOf(err) == kv.ReasonConflict {
-		entry, err := r.Store.Get(ctx, settledPrefix+name)
-		if err != nil {
-			return nil, err
-		}
-		return decodeSettled(entry)
-	}
-	return counts, err
-}
-
-// decodeSettled decodes the stored counts of a window, by client account.
-func decodeSettled(entry kv.Entry) (map[string]int64, error) {
-	var counts map[string]int64
-	if err := json.Unmarshal(entry.Value, &counts); err != nil {
-		return nil, &kv.RecordError{Key: entry.Key, Cause: err}
-	}
-	for account, n := range counts {
-		if n < 0 {
-			return nil, &kv.RecordError{Key: entry.Key, Cause: negativeCountError(account)}
-		}
-	}
-	return counts, nil
-}
-
-// negativeCountError reports a negative count of the client account that it names.
-type negativeCountError string
-
-// Error returns the text with the name of the client account.
-func (e negativeCountError) Error() string { return "negative count of account " + string(e) }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -5,7 +5,8 @@
 //
 // Every host sends its counts to a few collectors. The collector that holds the
 // lease for usage reports sums the counts and stores the sum in the key-value
-// service before it reports it, so that a successor repeats the report exactly.
+// service before it reports it, so that a successor repeats the report exactly. It also
+// sends the sum to the other collectors, for the case that the service loses it.
 package usage
 
 import (
@@ -46,12 +47,15 @@
 var Records = metrics.New("usage_records_total", "Steps of usage reports, by outcome.")
 
 // These are the outcome labels of Records: the first two for sending counts to a
-// collector, the last two for reporting a window.
+// collector, the others for reporting a window.
 const (
 	labelSent         = "told"
 	labelSendFailed   = "tell_failed"
 	labelReported     = "reported"
 	labelReportFailed = "report_failed"
+	// labelReportLost stands for a window that is not reported, because the store may have lost
+	// the sum that was reported.
+	labelReportLost = "report_lost"
 )
 
 // windows maps window numbers to the request counts by client account.
@@ -69,6 +73,8 @@
 	// counts of a restarted process to those of the earlier one.
 	Process string  `cbor:"1,keyasint"`
 	Windows windows `cbor:"2,keyasint"`
+	// Settled are the final sums over all hosts that the sender knows.
+	Settled windows `cbor:"3,keyasint,omitempty"`
 }
 
 // Counter counts the requests that this host's upstreams began to run, and collects
@@ -85,6 +91,9 @@
 	own       windows
 	unsent    bool               // whether own has counts that a collector may lack
 	collected map[string]windows // by process
+	// settled are the final sums of windows that this host has read, stored or received. A map of counts in it is not
+	// changed any more.
+	settled windows
 }
 
 // NewCounter returns a counter for usage windows of the given length and registers
@@ -93,7 +102,7 @@
 func NewCounter(host string, window time.Duration, now func() time.Time, client *inner.Client, server *inner.Server, hosts func() *membership.View) *Counter {
 	c := &Counter{
 		self: host, process: host + "/" + uuid.NewString(), window: window, now: now, client: client, hosts: hosts,
-		own: windows{}, collected: map[string]windows{},
+		own: windows{}, collected: map[string]windows{}, settled: windows{},
 	}
 	inner.Register(server, inner.KindUsageCounts, func(_ context.Context, m countsMessage) (struct{}, error) {
 		c.collect(m)
@@ -126,6 +135,7 @@
 	oldest := windowNumber(c.now(), c.window) - keptWindows
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.settle(m.Settled)
 	c.collected[m.Process] = m.Windows
 	for process, w := range c.collected {
 		if w.expire(oldest); len(w) == 0 {
@@ -177,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.own.expire(oldest)
-	message := countsMessage{Process: c.process, Windows: windows{}}
+	message := countsMessage{Process: c.process, Windows: windows{}, Settled: maps.Clone(c.settled)}
 	for n, counts := range c.own {
 		message.Windows[n] = maps.Clone(counts)
 	}
@@ -190,7 +200,7 @@
 // is this host. After a failed call, the counts are sent again with the next ones.
 func (c *Counter) send(ctx context.Context, m membership.Member, counts countsMessage) {
 	if m.ID == c.self {
-		c.collect(countsMessage{Process: counts.Process, Windows: maps.Clone(counts.Windows)})
+		c.collect(countsMessage{Process: counts.Process, Windows: maps.Clone(counts.Windows), Settled: counts.Settled})
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
