Quarantine: agree with the store again after it came back from a copy

After a restore of the key-value service, and a restart of all hosts, content that crashes upstreams was sent again; and hosts that started refused sound content for up to ten minutes. Cause: a set is written once and then counts as stored, although the copy may lack it; a lifted set is deleted once, although the copy may have it. Evidence: without the change TestSetIsStoredAgainAfterRestore finds 0 sets 2 s after the restore, want 1, and TestLiftedSetDoesNotReturnWithRestore 1, want 0. Result: both tests pass. Why it works: the hosts know both lists; what the copy has already is left by the compare-and-swap. A deletion that fails is not repeated, as before: the set then expires with its lease.

--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -43,6 +43,7 @@
 	Logger hclog.Logger
 
 	readAt time.Time
+	eras   eraFollower
 }
 
 // storedSet is the JSON value of a set in the key-value service.
@@ -62,8 +63,11 @@
 		// The hosts that collect evidence write for all. A host that no other host reaches
 		// writes for itself.
 		writes := p.Tracker.Collects(now) || !connected
-		if lifted := p.Tracker.takeLifted(); writes {
-			p.delete(ctx, lifted)
+		lifted := p.Tracker.takeLifted()
+		p.eras.noteLifted(lifted, now)
+		restored := p.followEra(now)
+		if writes {
+			p.delete(ctx, append(lifted, restored...))
 			p.write(ctx)
 		}
 		isolated := !connected && !p.Alone() && time.Since(p.readAt) >= isolatedReadInterval
