Roll-outs: a decided outcome outlasts a restore of the store

After the key-value service had come back from an older copy, a target that was rolled back got requests again and was completed, and a completed roll-out returned to the old versions. Cause: hosts take an order with a greater revision for a new one, and the same target after an outcome for a new roll-out. In a new era all revisions are greater, of orders that the copy has unchanged too, and what was lost is written again; the record and the status in the copy are of an earlier phase, or gone. Change: an order of a new era with the contents of the known one keeps its phase, base and evidence; its outcome counts as not published, so that a coordinator stores and publishes it. An order that the known one has replaced is ignored if it returns with the revision that it had. The coordinator gives a record the phase that its own host applies if that is later (rollout_restored_total). Why it works: hosts apply stored phases only, so that a record behind its host has been lost. Open: a coordinator on a host that has started since the restore knows no phase and decides anew.

--- a/rollout/agent/agent.go
+++ b/rollout/agent/agent.go
@@ -116,6 +116,11 @@
 	rollout.Order
 	// SeenAt is when this host first saw the order, by Config.Now.
 	SeenAt time.Time
+	// Base and Phase are those that this host applies, and Old and Barred the versions; see Record. The phase is empty
+	// if this host knows none.
+	Base        uint64
+	Phase       rollout.Phase
+	Old, Barred []string
 }
 
 // Undecided returns the orders whose outcome is not known to be published, sorted by pool.
@@ -123,7 +128,7 @@
 	var out []Order
 	a.eachPool(func(p *pool) {
 		if s := p.current.Load().state; s.ordered() && !s.done {
-			out = append(out, Order{Order: s.order, SeenAt: s.seenAt})
+			out = append(out, Order{Order: s.order, SeenAt: s.seenAt, Base: s.base, Phase: s.phase, Old: s.old, Barred: s.barred})
 		}
 	})
 	slices.SortFunc(out, func(x, y Order) int { return cmp.Compare(x.Pool, y.Pool) })
--- a/rollout/agent/directive.go
+++ b/rollout/agent/directive.go
@@ -179,7 +179,7 @@
 // adopt takes over the order, the phase and the versions of a directive or a record. It returns false if they are
 // older than what this host knows.
 func (p *pool) adopt(s *state, d Directive) bool {
-	if d.Order.Revision < s.order.Revision {
+	if d.Order.Revision < s.order.Revision || s.replacedBefore(d.Order) {
 		return false
 	}
 	if d.Order.Revision > s.order.Revision {
@@ -192,7 +192,7 @@
 	}
 	s.old, s.barred = d.Old, d.Barred
 	s.done = s.done || d.Done
-	if !follows(s.phase, d.Phase) {
+	if !d.Phase.Follows(s.phase) {
 		return true
 	}
 	if s.phase != d.Phase {
@@ -219,19 +219,6 @@
 	}
 }
 
-// follows reports whether a roll-out may be in the next phase after it was in phase current. An empty phase
-// stands for an unknown one.
-func follows(current, next rollout.Phase) bool {
-	switch current {
-	case "", rollout.PhaseCanary:
-		return true
-	case rollout.PhasePromoting:
-		return next != rollout.PhaseCanary
-	default:
-		return next == current
-	}
-}
-
 // withdraw moves the resumable streams from old upstreams to the target.
 func (p *pool) withdraw() {
 	target := p.current.Load().state.order.Target
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamompier/cardamompier/events"
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/rollout"
 )
 
@@ -57,6 +58,8 @@
 	bad int64
 	// done is whether the outcome is stored and published.
 	done bool
+	// replaced are the newest orders that the order has replaced, at most maxReplaced.
+	replaced []rollout.Order
 
 	credit   *rollout.Credit
 	recorder *rollout.Recorder
@@ -235,7 +238,7 @@
 // applyOrder takes over an order if it is newer than the known one.
 func (p *pool) applyOrder(o rollout.Order) {
 	p.change(func(s *state) bool {
-		if o.Revision <= s.order.Revision {
+		if o.Revision <= s.order.Revision || s.replacedBefore(o) {
 			return false
 		}
 		s.replaceOrder(o, p.agent.Now(), p.agent.Bounds)
@@ -245,14 +248,22 @@
 }
 
 // replaceOrder changes s to that of a newer order. The same target, while its roll-out runs, keeps its phase and
-// its evidence. The target of an undecided roll-out that the order replaces is barred, as is one that was rolled back.
+// its evidence. An order that is read again after the store has come back from a copy keeps everything, but its outcome
+// has to be stored and published again. The target of an undecided roll-out that the order replaces is barred, as is one that was rolled back.
 func (s *state) replaceOrder(o rollout.Order, now time.Time, bounds rollout.Bounds) {
+	if o.Restores(s.order) {
+		s.order, s.done = o, false
+		return
+	}
 	if s.undecided() && o.Target == s.order.Target {
 		s.order, s.seenAt = o, now
 		return
 	}
 	next := state{order: o, seenAt: now, base: o.Revision, credit: rollout.NewCredit(bounds), recorder: &rollout.Recorder{}}
 	next.barred = slices.Clone(s.barred)
+	if s.ordered() {
+		next.replaced = append(slices.Clone(s.replaced[max(0, len(s.replaced)-maxReplaced+1):]), s.order)
+	}
 	switch {
 	case s.undecided() || s.phase == rollout.PhaseRolledBack:
 		next.barred = append(next.barred, s.order.Target)
@@ -264,3 +275,14 @@
 	next.old = slices.DeleteFunc(next.old, func(v string) bool { return v == o.Target })
 	*s = next
 }
+
+// maxReplaced limits the replaced orders in memory.
+const maxReplaced = 8
+
+// replacedBefore reports whether an order is one that the known order has replaced: the store shows it again with the
+// revision that it had, after it has come back from a copy that lacks the known order.
+func (s *state) replacedBefore(o rollout.Order) bool {
+	return slices.ContainsFunc(s.replaced, func(r rollout.Order) bool {
+		return o.Restores(r) && kv.Version(o.Revision).Revision() == kv.Version(r.Revision).Revision()
+	})
+}
--- a/rollout/coordinator/coordinator.go
+++ b/rollout/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 var (
 	Phases     = metrics.New("rollout_phases_total", "Phases of roll-outs that this host stored as the coordinator, by phase.")
 	Directives = metrics.New("rollout_directives_total", "Calls of the coordinator to hosts, by outcome.")
+	Restored   = metrics.New("rollout_restored_total", "Records of roll-outs that were stored again because the key-value service had come back from an older copy, by phase.")
 	Writes     = metrics.New("rollout_writes_total", "Writes of records and statuses of roll-outs, by outcome.")
 )
 
--- a/rollout/coordinator/course.go
+++ b/rollout/coordinator/course.go
@@ -56,6 +56,10 @@
 		return agent.Directive{}, false
 	}
 	now := c.Now()
+	if restored, lost := restorePhase(*c.record, o, now); lost {
+		c.want(restored)
+		return agent.Directive{}, false
+	}
 	decision := c.next(list, now)
 	next := *c.record
 	halt := ""
@@ -79,6 +83,10 @@
 
 // begin prepares the record of a new order. It replaces the record of the pool's previous order.
 func (c *course) begin(o agent.Order, list *hosts.Snapshot) {
+	if kv.Version(o.Base).Era() < kv.Version(o.Revision).Era() {
+		c.want(c.restore(o, list))
+		return
+	}
 	next := agent.Record{Base: o.Revision}
 	var previous *rollout.Record
 	if c.record != nil {
@@ -89,9 +97,36 @@
 		}
 	}
 	next.Record = rollout.Begin(previous, o.Order, c.oldVersions(o.Target, next.Barred, list), o.SeenAt)
+	next, _ = restorePhase(next, o, c.Now())
 	c.want(next)
 }
 
+// restore returns the record of an order that was read again after the store has come back from an older copy. The copy
+// may lack the record of the roll-out, or what was decided since.
+func (c *course) restore(o agent.Order, list *hosts.Snapshot) agent.Record {
+	next := agent.Record{Base: o.Base, Barred: o.Barred}
+	if c.record != nil && c.record.Base == o.Base {
+		next = *c.record
+		next.Order, next.Published = o.Order, false
+	} else {
+		old := append(slices.Clone(o.Old), c.oldVersions(o.Target, o.Barred, list)...)
+		next.Record = rollout.Begin(nil, o.Order, old, o.SeenAt)
+	}
+	next, _ = restorePhase(next, o, c.Now())
+	Restored.Inc(string(next.Phase))
+	return next
+}
+
+// restorePhase returns a record with the phase that this host applies, and whether the record had an earlier one. Hosts
+// apply stored phases only, so that the store has then lost a record.
+func restorePhase(r agent.Record, o agent.Order, now time.Time) (restored agent.Record, lost bool) {
+	if o.Revision != r.Revision || o.Base != r.Base || o.Phase == "" || o.Phase == r.Phase || !o.Phase.Follows(r.Phase) {
+		return r, false
+	}
+	r.Record = r.Apply(rollout.Decision{Phase: o.Phase, Reason: r.Reason}, now)
+	return r, true
+}
+
 // barredAfter returns the versions that get no requests once an order for the target has replaced the record.
 func barredAfter(r *agent.Record, target string) []string {
 	barred := slices.Clone(r.Barred)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 	"unicode/utf8"
+
+	"github.com/cardamompier/cardamompier/kv"
 )
 
 // Order is an operator's order to move a pool's traffic to the upstreams of another version.
@@ -21,6 +23,13 @@
 	Revision uint64
 }
 
+// Restores reports whether o is the known order, read again after the store has come back from an older copy: the copy
+// has it still, or the operator has written it again.
+func (o Order) Restores(known Order) bool {
+	later := kv.Version(o.Revision).Era() > kv.Version(known.Revision).Era()
+	return later && known.Revision != 0 && o.Pool == known.Pool && o.Target == known.Target && o.Duration == known.Duration
+}
+
 const (
 	// MaxName is the maximum length of a pool's, version's or route's name, in bytes.
 	MaxName = 128
@@ -95,5 +104,18 @@
 // Final reports whether a roll-out in this phase has ended.
 func (p Phase) Final() bool { return p == PhaseComplete || p == PhaseRolledBack }
 
+// Follows reports whether a roll-out may be in the phase after it was in phase current. An empty current phase stands
+// for an unknown one.
+func (p Phase) Follows(current Phase) bool {
+	switch current {
+	case "", PhaseCanary:
+		return true
+	case PhasePromoting:
+		return p != PhaseCanary
+	default:
+		return p == current
+	}
+}
+
 // Valid reports whether the phase is one of the four phases.
 func (p Phase) Valid() bool { return p == PhaseCanary || p == PhasePromoting || p.Final() }
