kv: lease IDs hold the whole number of a lease

An ID now has 53 bits for the number, what a number in JSON holds exactly, and the last 11 bits of the era, which is enough to tell a lease of the present era from one of an earlier era.

TestLargeLeaseNumbers fails on the code before.

--- a/kv/client.go
+++ b/kv/client.go
@@ -131,7 +131,7 @@
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
 	err = c.call(ctx, PurposeLease, "grant", "", func() error {
 		id, err = c.store.Grant(ctx, ttl)
-		return c.noteEra(id.Era(), err)
+		return err
 	})
 	return id, err
 }
--- a/kv/era.go
+++ b/kv/era.go
@@ -2,7 +2,7 @@
 
 import "strconv"
 
-// eraShift is the number of bits of a Version or LeaseID that hold the service's own number. The bits
+// eraShift is the number of bits of a Version that hold the service's own number. The bits
 // above hold the era.
 const eraShift = 40
 
@@ -30,29 +30,38 @@
 // Revision returns the service's own revision number.
 func (v Version) Revision() uint64 { return uint64(v) & maxNumber }
 
+const (
+	// leaseEraShift is the number of bits of a LeaseID that hold the service's own number: all that a number in
+	// JSON holds exactly. Services draw them at random.
+	leaseEraShift = 53
+	// MaxLeaseNumber is the largest number of a lease.
+	MaxLeaseNumber = 1<<leaseEraShift - 1
+	// leaseEras is the number of eras that lease IDs tell apart.
+	leaseEras = 1 << (64 - leaseEraShift)
+)
+
 // LeaseIDOf returns the ID for the service's number of a lease in an era. The number zero means no lease in each era.
 func LeaseIDOf(era Era, number uint64) LeaseID {
 	if number == 0 {
 		return 0
 	}
-	return LeaseID(uint64(era)<<eraShift | number&maxNumber)
+	return LeaseID(uint64(era)<<leaseEraShift | number&MaxLeaseNumber)
 }
 
-// Era returns the era in which the service granted the lease, or confirmed it last.
-func (id LeaseID) Era() Era { return Era(id >> eraShift) }
+// IsOf reports whether the service granted the lease in an era, or confirmed it last then. The ID holds the last bits of
+// the era only.
+func (id LeaseID) IsOf(era Era) bool { return uint64(id>>leaseEraShift) == uint64(era)%leaseEras }
 
 // Number returns the service's own number of the lease.
-func (id LeaseID) Number() uint64 { return uint64(id) & maxNumber }
+func (id LeaseID) Number() uint64 { return uint64(id) & MaxLeaseNumber }
 
 // EraError is the cause of an Error when an answer, or a condition of a call, is of another era than the present one.
 type EraError struct {
-	// Era is that of the answer or of the condition.
-	Era Era
 	// Present is the newest era that the service has answered in.
 	Present Era
 }
 
 // Error implements error.
 func (e *EraError) Error() string {
-	return "of era " + strconv.FormatUint(uint64(e.Era), 10) + ", the service is in era " + strconv.FormatUint(uint64(e.Present), 10)
+	return "of another era than " + strconv.FormatUint(uint64(e.Present), 10) + ", the present one"
 }
--- a/kv/resolve.go
+++ b/kv/resolve.go
@@ -167,7 +167,7 @@
 func resultOf(entry Entry, w Write, match MatchFunc) Result {
 	cause := &Error{Op: "resolve", Key: w.Key, Current: entry.Version}
 	if w.Expect != 0 && w.Expect.Era() != entry.Version.Era() {
-		cause.Reason, cause.Cause = ReasonUnknown, &EraError{Era: w.Expect.Era(), Present: entry.Version.Era()}
+		cause.Reason, cause.Cause = ReasonUnknown, &EraError{Present: entry.Version.Era()}
 		return Result{Outcome: OutcomeUnknown, Current: entry, Cause: cause}
 	}
 	switch match(entry) {
