Soak: upstreams that answer 408, 421, 429 or 503 after they ran the request

No check at the level of processes had upstreams whose status states that a request did not run while it did; all rejections of the stand-ins were marked.

--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -24,6 +24,8 @@
 	losesAnswers
 	// answersErrors executes requests and returns status 500.
 	answersErrors
+	// answersRejections executes requests and answers with a status that states the opposite, without the header for it.
+	answersRejections
 )
 
 const (
@@ -58,6 +60,9 @@
 	// pauseSpan is the pause in ns that rejections name; 0 if the upstream rejects nothing.
 	pauseSpan atomic.Int64
 
+	// rejections counts the requests that were answered with a rejection after they ran.
+	rejections atomic.Int64
+
 	mu      sync.Mutex
 	arrived []time.Time       // times at which requests arrived
 	pauses  map[string]*pause // newest pause by entry host
@@ -187,6 +192,9 @@
 	case answersErrors:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case answersRejections:
+		u.rejectAfterRun(w)
+		return
 	}
 	if !sent.kind.streams {
 		_, _ = io.WriteString(w, answerOf(id))
