Dispatch: report "not run" for a plain call only if no attempt may have run

A call to an idempotent plain service that one upstream received and did not answer was reported as "not run" when the next upstream could not be reached: the error was that of the last attempt alone. The chat front end promises "not run" only while no byte can have reached an upstream. Orders end at the first attempt that may have run and were not affected.

The error now says "unknown" once any attempt may have run.

--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -17,6 +17,7 @@
 func (d *Dispatcher) CallPlain(ctx context.Context, service *config.Service, call upstream.Call) (upstream.Reply, *apierr.Error) {
 	failure := apierr.New(apierr.CodeNoUpstream, "no upstream is available").WithRetryAfter(retryAfter)
 	tried := map[string]bool{}
+	mayHaveRun := false // at any of the attempts so far
 	for range maxAttempts {
 		host, ok := d.pick(service.Pool, tried)
 		if !ok {
@@ -29,7 +30,10 @@
 		}
 		events.AttemptFailed.Log(d.logger, "request", call.RequestID, "upstream", host.ID, "error", err)
 		d.recordFailure(service.Pool, host, err)
-		failure = failureOf(err)
+		if failure = failureOf(err); mayHaveRun {
+			failure = failure.WithRan(apierr.RanUnknown)
+		}
+		mayHaveRun = failure.Ran != apierr.NotRun
 		if !service.Idempotent && failure.Ran != apierr.NotRun {
 			return upstream.Reply{}, failure
 		}
