Plain services: let no other test take the address that must refuse

TestDialErrorAfterSentCall closes its listener; on 127.0.0.1 the listener of another package's test may then get the port, as seen once with a test of package dispatch.

--- a/upstream/plainhttp/client_test.go
+++ b/upstream/plainhttp/client_test.go
@@ -128,7 +128,7 @@
 // http.Transport sends a GET again by itself, and the new connection is refused. It guards against an error that states
 // that such a call did not run.
 func TestDialErrorAfterSentCall(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.83.1.1:0") // where no other test listens once it is closed
 	if err != nil {
 		t.Fatal(err)
 	}
