Dispatch: report "not run" for a generation only if no attempt may have run

A chat request that one engine had received without an answer was reported as "not run" when the later attempts were refused or could not connect: as for plain calls, the error was that of the last attempt alone.

The error now says "unknown" once a failed attempt may have run.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -120,7 +120,14 @@
 				continue
 			}
 			failure = failureOf(err)
-			if ctx.Err() != nil || r.recordAttemptFailure(host, err, r.Log.Count() > before) > maxAttempts {
+			if ctx.Err() != nil {
+				return failure
+			}
+			failures := r.recordAttemptFailure(host, err, r.Log.Count() > before)
+			if failures > 0 {
+				failure = failure.WithRan(apierr.RanUnknown)
+			}
+			if failures > maxAttempts {
 				return failure
 			}
 		}
