Roll-outs: a coordinator that started after a restore learns the stored phase

A target that was rolled back got requests again after the key-value service had come back from an older copy, if the next coordinator was a host that had started since: it knows only the copy's record, or none. Cause: its directives name a new base for an order that other hosts know from before, and these then drop their phase and evidence; it also takes a record of the same order for one of an earlier roll-out. Change: reports name the stored phase that the host knows and its base; the coordinator gives the record the latest of them. A host that knows an order from before the restore keeps its base. A record whose order has the contents of the one in the new era is that order's. Why it works: each host that was there at the decision says so in its first answer, before a promotion.

--- a/rollout/agent/directive.go
+++ b/rollout/agent/directive.go
@@ -185,7 +185,7 @@
 	if d.Order.Revision > s.order.Revision {
 		s.replaceOrder(d.Order, p.agent.Now(), p.agent.Bounds)
 	}
-	if d.Base != s.base { // the coordinator decides whether a repeated order keeps the evidence
+	if d.Base != s.base && !s.restoredBefore(d) { // the coordinator decides whether a repeated order keeps the evidence
 		s.base, s.recorder = d.Base, &rollout.Recorder{}
 		s.stopped, s.phase = "", ""
 		s.credit = rollout.NewCredit(p.agent.Bounds)
@@ -230,7 +230,7 @@
 // report returns this host's report on the pool.
 func (p *pool) report() rollout.HostReport {
 	s := p.current.Load().state // before the requests in flight are read, see Send
-	r := rollout.HostReport{Host: p.agent.Host, Process: p.agent.process, Applied: s.phase, Revision: s.order.Revision}
+	r := rollout.HostReport{Host: p.agent.Host, Process: p.agent.process, Applied: s.phase, Revision: s.order.Revision, Stored: s.phase, Base: s.base}
 	switch {
 	case s.stopped != "" && !s.phase.Final():
 		r.Applied = rollout.PhaseRolledBack
--- a/rollout/agent/pool.go
+++ b/rollout/agent/pool.go
@@ -286,3 +286,10 @@
 		return o.Restores(r) && kv.Version(o.Revision).Revision() == kv.Version(r.Revision).Revision()
 	})
 }
+
+// restoredBefore reports whether a directive is for the known order, from a coordinator that takes it for a new one since
+// it does not know the order from before the store came back from a copy. The coordinator learns the phase from the report.
+func (s *state) restoredBefore(d Directive) bool {
+	era := kv.Version(s.order.Revision).Era()
+	return d.Order.Revision == s.order.Revision && kv.Version(s.base).Era() < era && kv.Version(d.Base).Era() == era
+}
--- a/rollout/coordinator/course.go
+++ b/rollout/coordinator/course.go
@@ -56,8 +56,8 @@
 		return agent.Directive{}, false
 	}
 	now := c.Now()
-	if restored, lost := restorePhase(*c.record, o, now); lost {
-		c.want(restored)
+	if phase := c.laterPhase(*c.record, o); phase != c.record.Phase {
+		c.want(restorePhase(*c.record, phase, now))
 		return agent.Directive{}, false
 	}
 	decision := c.next(list, now)
@@ -83,7 +83,7 @@
 
 // begin prepares the record of a new order. It replaces the record of the pool's previous order.
 func (c *course) begin(o agent.Order, list *hosts.Snapshot) {
-	if kv.Version(o.Base).Era() < kv.Version(o.Revision).Era() {
+	if kv.Version(o.Base).Era() < kv.Version(o.Revision).Era() || c.record != nil && o.Restores(c.record.Order) {
 		c.want(c.restore(o, list))
 		return
 	}
@@ -97,34 +97,46 @@
 		}
 	}
 	next.Record = rollout.Begin(previous, o.Order, c.oldVersions(o.Target, next.Barred, list), o.SeenAt)
-	next, _ = restorePhase(next, o, c.Now())
-	c.want(next)
+	c.want(restorePhase(next, c.laterPhase(next, o), c.Now()))
 }
 
 // restore returns the record of an order that was read again after the store has come back from an older copy. The copy
 // may lack the record of the roll-out, or what was decided since.
 func (c *course) restore(o agent.Order, list *hosts.Snapshot) agent.Record {
 	next := agent.Record{Base: o.Base, Barred: o.Barred}
-	if c.record != nil && c.record.Base == o.Base {
+	if c.record != nil && (c.record.Base == o.Base || o.Restores(c.record.Order)) {
 		next = *c.record
 		next.Order, next.Published = o.Order, false
 	} else {
 		old := append(slices.Clone(o.Old), c.oldVersions(o.Target, o.Barred, list)...)
 		next.Record = rollout.Begin(nil, o.Order, old, o.SeenAt)
 	}
-	next, _ = restorePhase(next, o, c.Now())
+	next = restorePhase(next, c.laterPhase(next, o), c.Now())
 	Restored.Inc(string(next.Phase))
 	return next
 }
 
-// restorePhase returns a record with the phase that this host applies, and whether the record had an earlier one. Hosts
-// apply stored phases only, so that the store has then lost a record.
-func restorePhase(r agent.Record, o agent.Order, now time.Time) (restored agent.Record, lost bool) {
-	if o.Revision != r.Revision || o.Base != r.Base || o.Phase == "" || o.Phase == r.Phase || !o.Phase.Follows(r.Phase) {
-		return r, false
+// laterPhase returns the latest phase of a record's roll-out that this host or one that has reported knows. Hosts know
+// stored phases only, so that the store has lost a record if the phase is not the record's.
+func (c *course) laterPhase(r agent.Record, o agent.Order) rollout.Phase {
+	latest := r.Phase
+	consider := func(revision, base uint64, phase rollout.Phase) {
+		same := revision == r.Revision && (base == r.Base || kv.Version(base).Era() < kv.Version(revision).Era())
+		if same && phase != "" && phase.Follows(latest) {
+			latest = phase
+		}
+	}
+	consider(o.Revision, o.Base, o.Phase)
+	for _, report := range c.processes {
+		consider(report.Revision, report.Base, report.Stored)
 	}
-	r.Record = r.Apply(rollout.Decision{Phase: o.Phase, Reason: r.Reason}, now)
-	return r, true
+	return latest
+}
+
+// restorePhase returns a record with a phase that may be later.
+func restorePhase(r agent.Record, phase rollout.Phase, now time.Time) agent.Record {
+	r.Record = r.Apply(rollout.Decision{Phase: phase, Reason: r.Reason}, now)
+	return r
 }
 
 // barredAfter returns the versions that get no requests once an order for the target has replaced the record.
--- a/rollout/coordinator/restore_test.go
+++ b/rollout/coordinator/restore_test.go
@@ -16,11 +16,15 @@
 		outcome  rollout.Phase
 		recorded bool   // whether the copy has the record of an earlier phase
 		revision uint64 // of the order after the restore, in the new era
+		started  int    // number of hosts that start after the restore
 	}{
-		"rolled back, order in the copy":     {outcome: rollout.PhaseRolledBack, recorded: true, revision: 5},
-		"rolled back, order written again":   {outcome: rollout.PhaseRolledBack, revision: 3},
-		"complete, order in the copy":        {outcome: rollout.PhaseComplete, recorded: true, revision: 5},
-		"complete, order written once again": {outcome: rollout.PhaseComplete, revision: 9},
+		"rolled back, order in the copy":                    {outcome: rollout.PhaseRolledBack, recorded: true, revision: 5},
+		"rolled back, order written again":                  {outcome: rollout.PhaseRolledBack, revision: 3},
+		"complete, order in the copy":                       {outcome: rollout.PhaseComplete, recorded: true, revision: 5},
+		"complete, order written once again":                {outcome: rollout.PhaseComplete, revision: 9},
+		"rolled back, order in the copy, hosts started":     {outcome: rollout.PhaseRolledBack, recorded: true, revision: 5, started: 3},
+		"rolled back, order written again, hosts started":   {outcome: rollout.PhaseRolledBack, revision: 3, started: 3},
+		"complete, order written once again, hosts started": {outcome: rollout.PhaseComplete, revision: 9, started: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -38,9 +42,14 @@
 			time.Sleep(time.Second) // until the hosts know that the outcome is published
 			f.listVersions("v1", "v2")
 			f.store.Restore(older)
+			for _, h := range f.hosts[:test.started] {
+				h.kill()
+				f.start(h)
+			}
 			revision := uint64(kv.VersionOf(f.store.Era(), test.revision))
 			f.order("v2", 6*time.Second, revision)
 			f.await(t, 8*time.Second, revision, test.outcome)
+			time.Sleep(time.Second) // until the hosts know that the outcome is published
 			for _, h := range f.hosts {
 				for _, s := range h.agent.Status() {
 					if s.Phase != test.outcome {
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -23,6 +23,10 @@
 	AtOld          int64 `cbor:"6,keyasint"`
 	AtTarget       int64 `cbor:"7,keyasint"`
 	ResumableAtOld int64 `cbor:"8,keyasint"`
+	// Stored is the newest stored phase that the host knows, and Base the revision since which its evidence counts. The
+	// store may have lost the record since.
+	Stored Phase  `cbor:"9,keyasint,omitempty"`
+	Base   uint64 `cbor:"10,keyasint,omitempty"`
 	// ReportedAgo is the time since the directive was sent that the report answers. The coordinator measures it.
 	ReportedAgo time.Duration `cbor:"-"`
 }
