Config: hosts follow the store after it came back from an older copy

Entry hosts stayed on a configuration that the key-value service had lost, until as many new revisions were published as had been lost; hosts that started since had another one. Cause: documents are numbered by their predecessor in the store, and hosts ignore a revision that is not greater than that in force. After a restore lost revisions are given out again. Evidence: TestHostsFollowTheStoreAfterRestore on the code before: all five hosts stay on the lost revision 3 (m3) 5 s after revision 2 with m4 was published. Change: a document names the era in which it was published; hosts order documents by era and revision, and spread them under that number. Documents without an era are ordered as before. Result: all five hosts have m4 in force. Why it works: what is published after a restore has a greater era than all that was lost. Open: hosts keep a lost document until something is published; a publisher that has seen no answer of the new era and finds no document at all publishes in era 0.

--- a/config/follow.go
+++ b/config/follow.go
@@ -117,8 +117,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.current.Load()
-	if doc.Revision == 0 || (now != nil && doc.Revision <= now.Revision) {
-		if now != nil && doc.Revision < now.Revision {
+	if doc.Revision == 0 || (now != nil && doc.order() <= now.order()) {
+		if now != nil && doc.order() < now.order() {
 			IgnoredDocuments.Inc(ignoredOlder)
 			events.ConfigOlderIgnored.Log(f.logger, "offered", doc.Revision, "in_force", now.Revision, "source", source)
 		}
@@ -132,7 +132,7 @@
 
 // receiveFromPeer adopts a document that a peer sent, if it is newer.
 func (f *Follower) receiveFromPeer(version uint64, value []byte) {
-	if now := f.current.Load(); now != nil && version <= now.Revision {
+	if now := f.current.Load(); now != nil && version <= now.order() {
 		return
 	}
 	doc, err := Decode(value)
@@ -152,7 +152,7 @@
 		return
 	}
 	if f.offer(doc, SourceStore) && f.spreader != nil {
-		f.spreader.Set(ReplicatedName, doc.Revision, value)
+		f.spreader.Set(ReplicatedName, doc.order(), value)
 	}
 }
 
--- a/config/publish.go
+++ b/config/publish.go
@@ -87,6 +87,7 @@
 		changed = changed || current.Revision == 0
 		if changed {
 			next.setRevision(RevisionMark{Revision: current.Revision + 1, Writer: p.Writer, Nonce: nonce, PublishedAt: p.Now().UTC()})
+			next.Era = max(current.Era, p.era(version))
 		}
 		won, err := p.commit(ctx, replacement{current: current, next: next, version: version, changed: changed})
 		if err != nil {
@@ -107,6 +108,17 @@
 	return PublishResult{}, &PublishError{Reason: PublishUnavailable, Nonce: nonce}
 }
 
+// era returns the era of the store, given the version at which the document was read; zero if there is none.
+func (p *Publisher) era(version kv.Version) kv.Era {
+	era := version.Era()
+	if observer, ok := p.Store.(kv.EraObserver); ok {
+		if sight, known := observer.EraSight(); known {
+			era = max(era, sight.Era)
+		}
+	}
+	return era
+}
+
 // replacement is a write that replaces the document current with next.
 type replacement struct {
 	current, next Document
--- a/config/types.go
+++ b/config/types.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/strictjson"
 )
 
@@ -112,7 +113,10 @@
 // Document is the whole configuration in its stored form: every service and
 // client account, each with the revision that last changed it.
 type Document struct {
-	Revision uint64                 `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// Era is the era of the key-value service in which the revision was published. After the service has come back
+	// from an older copy, lost revisions are given out again.
+	Era      kv.Era                 `json:"era,omitempty"`
 	Services map[string]ServiceItem `json:"services"`
 	Accounts map[string]AccountItem `json:"accounts"`
 	// Writer and Nonce identify the publish that wrote this revision. A publisher
@@ -130,6 +134,12 @@
 	Recent []RevisionMark `json:"recent"`
 }
 
+// order returns a number by which documents of all eras are ordered.
+func (d Document) order() uint64 { return uint64(kv.VersionOf(d.Era, d.Revision)) }
+
+// order returns that of the document.
+func (s *Snapshot) order() uint64 { return uint64(kv.VersionOf(s.era, s.Revision)) }
+
 // RevisionMark records which publish wrote a revision.
 type RevisionMark struct {
 	Revision    uint64    `json:"revision"`
@@ -154,6 +164,7 @@
 // and by API key.
 type Snapshot struct {
 	Revision uint64
+	era      kv.Era
 	Services map[string]*Service
 	Accounts map[string]*Account
 	keys     []accountKey
@@ -166,7 +177,7 @@
 
 // NewSnapshot builds the indexed view of a document.
 func NewSnapshot(doc Document) *Snapshot {
-	s := &Snapshot{Revision: doc.Revision, Services: map[string]*Service{}, Accounts: map[string]*Account{}}
+	s := &Snapshot{Revision: doc.Revision, era: doc.Era, Services: map[string]*Service{}, Accounts: map[string]*Account{}}
 	for name, item := range doc.Services {
 		service := item.Service
 		s.Services[name] = &service
