Soak: a store that comes back from an older copy of itself

This is the reproduction, with real processes; no fix. The soak's store now speaks the wire of such a store: revisions and lease numbers without the era, so that a number that is given out again matches; Store-Era in every answer, also in errors; 410 for a watch from a revision that is above the newest or below the copy; the present entry in the answer to a conflict. A call during which the store is restored gets no answer. kvmem gets Revision, which the 410 needs.

The operator's writes move from deployment.publish to a type that remembers them, so that it can write the newest version again. checkChange counts a 404 for a route that only one version has as CONFIG, not also as DENIED. The report prints at most 8 violations of a rule, and their numbers.

--- a/kv/kvmem/restore.go
+++ b/kv/kvmem/restore.go
@@ -61,3 +61,10 @@
 	defer s.mu.Unlock()
 	return s.revision.Era()
 }
+
+// Revision returns the newest version that the store has given out in the present era.
+func (s *Store) Revision() kv.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -22,6 +22,8 @@
 	idempotent, streams bool
 	// prompt is the list of prompt parts; empty for a request without a prompt.
 	prompt string
+	// oneVersion is whether only one version of the configuration has the route, so that it may be missing.
+	oneVersion bool
 }
 
 var kinds = []kind{
@@ -175,7 +177,9 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		d.log.recordNotRun(id)
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
-		d.log.violate("DENIED: %s %s got %d", k.name, id, res.StatusCode)
+		if !k.oneVersion || res.StatusCode != http.StatusNotFound {
+			d.log.violate("DENIED: %s %s got %d of %s", k.name, id, res.StatusCode, address)
+		}
 	}
 	if text, _ := io.ReadAll(res.Body); bytes.Contains(text, []byte("request_quarantined")) {
 		return outcomeQuarantined
--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -43,8 +43,9 @@
 	}
 }
 
-// depart lets a random upstream leave, in half of the cases without an announcement, after another one has started.
-func (d *deployment) depart(t *testing.T, random *rand.Rand) {
+// depart lets a random upstream leave, in half of the cases without an announcement, after another one has started. The
+// upstream serves on for a while.
+func (d *deployment) depart(t *testing.T, random *rand.Rand, servesOn time.Duration) {
 	d.mu.Lock()
 	i := random.IntN(len(d.upstreams))
 	old := d.upstreams[i]
@@ -67,7 +68,7 @@
 		}
 		old.departedAt.Store(time.Now().UnixNano())
 	}
-	time.Sleep(servesOnSpan)
+	time.Sleep(servesOn)
 	old.crash()
 }
 
@@ -126,7 +127,7 @@
 			for n := range *callers {
 				calling.Go(func() { d.callUntil(callCtx, rand.New(rand.NewPCG(seed, uint64(n)))) })
 			}
-			faults.Go(func() { every(ctx, seed, meanDepartureGap, func(r *rand.Rand) { d.depart(t, r) }) })
+			faults.Go(func() { every(ctx, seed, meanDepartureGap, func(r *rand.Rand) { d.depart(t, r, servesOnSpan) }) })
 			faults.Go(func() { every(ctx, seed+1, meanRestartGap, func(r *rand.Rand) { d.disturbHost(t, r) }) })
 			faults.Go(func() {
 				every(ctx, seed+2, meanHistoryGap, func(*rand.Rand) {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,4 +4,5 @@
 //
 //	go test ./soak -soak.seeds 50 -soak.storm 8s -parallel 6
 //	go test ./soak -soak.seed 17
+//	go test -race ./soak -run 'RestoredStore' -soak.first 1 -soak.seeds 20 -parallel 2
 package soak
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,7 +21,6 @@
 	"testing"
 	"time"
 
-	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
 )
 
@@ -116,11 +115,14 @@
 type deployment struct {
 	dir     string
 	store   *kvmem.Store
+	server  *httptest.Server // serves the store
 	log     requestLog
 	hosts   []*host
 	nextID  atomic.Int64
 	trouble storeTrouble
-	config  atomic.Uint64 // version of the newest published configuration
+	drill   drill
+	// operator holds what the operator wrote.
+	operator operator
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -130,8 +132,8 @@
 	fatal      fatalRuns
 	ways       []wayOfEnding // in which fatal requests end upstreams
 	heard      heardNotices
-	// extra holds settings of the hosts besides those that all tests have.
-	extra map[string]any
+	// extra holds settings of the hosts besides those that all tests have, and autoscale the bounds of ordered upstreams.
+	extra, autoscale map[string]any
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -141,6 +143,7 @@
 	settings             string
 	store                *proxy
 	disturbedAt          atomic.Int64 // when the process was last paused, stopped or started, in Unix ns
+	starts               atomic.Int64 // how often the process was started
 
 	mu      sync.Mutex // held while the process is stopped and restarted
 	command *exec.Cmd
@@ -174,12 +177,22 @@
 	d.log.report(t)
 }
 
+// shownViolations is how many violations of a rule are printed.
+const shownViolations = 8
+
 // report reports the violations as errors and logs the outcomes.
 func (l *requestLog) report(t *testing.T) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	byRule := map[string]int{}
 	for _, v := range l.violations {
-		t.Error(v)
+		rule, _, _ := strings.Cut(v, ":")
+		if byRule[rule]++; byRule[rule] <= shownViolations {
+			t.Error(v)
+		}
+	}
+	if len(l.violations) > 0 {
+		t.Errorf("violations by rule: %v", byRule)
 	}
 	t.Logf("requests %d, outcomes %v", len(l.requests), l.outcomes)
 }
@@ -210,8 +223,8 @@
 // test it ends the upstreams and the hosts.
 func (d *deployment) startHosts(t *testing.T) {
 	t.Helper()
-	server := httptest.NewServer(storeHandler(d.store, &d.trouble))
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	d.server = httptest.NewServer(storeHandler(d.store, &d.trouble))
+	t.Cleanup(func() { d.server.CloseClientConnections(); d.server.Close() })
 	d.publish(t)
 	t.Cleanup(func() {
 		for _, u := range d.upstreams {
@@ -219,7 +232,7 @@
 		}
 	})
 	for i := range *hostCount {
-		d.addHost(t, i, server.Listener.Addr().String())
+		d.addHost(t, i, d.server.Listener.Addr().String())
 	}
 	t.Cleanup(func() {
 		for _, h := range d.hosts {
@@ -238,7 +251,17 @@
 // publish writes a new configuration with a route that no older configuration contains, and returns
 // its version.
 func (d *deployment) publish(t *testing.T) uint64 {
-	version := d.config.Add(1)
+	return d.operator.write(d.store, func(version uint64) []byte {
+		value, err := json.Marshal(d.configuration(version))
+		if err != nil {
+			t.Error(err)
+		}
+		return value
+	})
+}
+
+// configuration returns the configuration of a version.
+func (d *deployment) configuration(version uint64) map[string]any {
 	routes := []map[string]any{}
 	add := func(name, kind string, prefix string, attempts int) {
 		routes = append(routes, map[string]any{
@@ -253,24 +276,14 @@
 	add("resume", "stream", resumable.prefix, 3)
 	routes[len(routes)-1]["resumable"] = true
 	add("new", "idempotent", newPrefix(version), 2)
-	value, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": []map[string]any{{"name": "desk", "max_conns": 100}},
+	service := map[string]any{"name": "desk", "max_conns": 100}
+	if d.autoscale != nil {
+		service["autoscale"] = d.autoscale
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "services": []map[string]any{service},
 		"limits":  map[string]any{"max_body_bytes": 1 << 20},
 		"tenants": []map[string]any{{"name": "account", "api_keys": []string{accountKey}}},
-	})
-	if err != nil {
-		t.Error(err)
-	}
-	for { // retries until the write is confirmed
-		e, _ := d.store.Get(context.Background(), "op/config")
-		if e.Version != 0 && strings.Contains(string(e.Value), fmt.Sprintf(`"version":%d}`, version)) {
-			return version
-		}
-		_, err := d.store.CompareAndSwap(context.Background(), kv.Write{Key: "op/config", Value: value, Expect: e.Version})
-		if err == nil {
-			return version
-		}
-		time.Sleep(50 * time.Millisecond)
 	}
 }
 
@@ -331,6 +344,7 @@
 // start starts the process and appends its output to the host's log file.
 func (h *host) start(t *testing.T) {
 	h.disturb()
+	h.starts.Add(1)
 	log, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Error(err)
@@ -426,8 +440,7 @@
 func (d *deployment) checkChange(t *testing.T) {
 	version := d.publish(t)
 	time.Sleep(applySpan)
-	fresh := kind{name: "new route", method: http.MethodGet, prefix: newPrefix(version), idempotent: true}
-	old := kind{name: "old route", method: http.MethodGet, prefix: newPrefix(version - 1), idempotent: true}
+	fresh, old := addedRoute(version), addedRoute(version-1)
 	client := newClient()
 	for _, h := range d.hosts {
 		if got := d.call(context.Background(), client, h.listen, fresh); got != "served" {
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -23,7 +23,21 @@
 }
 
 func itemOf(e kv.Entry) storeItem {
-	return storeItem{Key: e.Key, Value: e.Value, Revision: uint64(e.Version), Lease: uint64(e.Lease)}
+	return storeItem{Key: e.Key, Value: e.Value, Revision: e.Version.Revision(), Lease: e.Lease.Number()}
+}
+
+const (
+	// eraHeader is the header of all answers that counts how often the store came back from a copy, and firstEra its
+	// value before the first time.
+	eraHeader, firstEra = "Store-Era", 3
+)
+
+// versionOf returns the version of an era for a revision on the wire, which a caller may have from an earlier era.
+func versionOf(era kv.Era, revision uint64) kv.Version {
+	if revision == 0 {
+		return 0
+	}
+	return kv.VersionOf(era, revision)
 }
 
 // pageItems is the number of keys in a page of a list. Pages are read one after the other and are no snapshot.
@@ -35,16 +49,45 @@
 	dropped atomic.Uint64
 	// pageDelay is the time that each page of a list takes, in ns.
 	pageDelay atomic.Int64
+	// silent is whether calls through the wire get no answer.
+	silent atomic.Bool
+	// rewriteSpan is the longest time after which upstreams write their records again once the store came back from a
+	// copy, in ns.
+	rewriteSpan atomic.Int64
+}
+
+// storeCall is a call to the store in the era in which it arrived. It is the writer of its answer, which names the era.
+type storeCall struct {
+	http.ResponseWriter
+	store *kvmem.Store
+	era   kv.Era
+}
+
+// WriteHeader begins the answer. A call during which the store went away gets none.
+func (c *storeCall) WriteHeader(status int) {
+	if c.store.Era() != c.era {
+		panic(http.ErrAbortHandler)
+	}
+	c.Header().Set(eraHeader, strconv.FormatUint(uint64(c.era)+firstEra, 10))
+	c.ResponseWriter.WriteHeader(status)
 }
 
 // storeHandler serves an in-memory store through the platform's wire protocol.
 func storeHandler(store *kvmem.Store, trouble *storeTrouble) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /cardamompier/kv-key", func(w http.ResponseWriter, r *http.Request) {
+	handle := func(pattern string, do func(w *storeCall, r *http.Request)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			if trouble.silent.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			do(&storeCall{ResponseWriter: w, store: store, era: store.Era()}, r)
+		})
+	}
+	handle("GET /cardamompier/kv-key", func(w *storeCall, r *http.Request) {
 		entry, err := store.Get(r.Context(), r.FormValue("key"))
 		answerStore(w, itemOf(entry), err)
 	})
-	mux.HandleFunc("GET /cardamompier/kv-range", func(w http.ResponseWriter, r *http.Request) {
+	handle("GET /cardamompier/kv-range", func(w *storeCall, r *http.Request) {
 		entries, revision, err := store.List(r.Context(), r.FormValue("prefix"))
 		items := []storeItem{}
 		for _, e := range entries {
@@ -54,20 +97,21 @@
 		}
 		time.Sleep(time.Duration(trouble.pageDelay.Load()))
 		page := items[:min(len(items), pageItems)]
-		answerStore(w, map[string]any{"items": page, "truncated": len(page) < len(items), "as_of": revision}, err)
+		answerStore(w, map[string]any{"items": page, "truncated": len(page) < len(items), "as_of": revision.Revision()}, err)
 	})
-	mux.HandleFunc("GET /cardamompier/kv-watch", func(w http.ResponseWriter, r *http.Request) {
+	handle("GET /cardamompier/kv-watch", func(w *storeCall, r *http.Request) {
 		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 		wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
-		if after < trouble.dropped.Load() {
+		if after < trouble.dropped.Load() || after > store.Revision().Revision() {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 		defer cancel()
-		changes, revision, err := store.Watch(ctx, r.FormValue("prefix"), kv.Version(after))
+		version := versionOf(w.era, after)
+		changes, revision, err := store.Watch(ctx, r.FormValue("prefix"), version)
 		if ctx.Err() != nil && len(changes) == 0 {
-			changes, revision, err = nil, kv.Version(after), nil
+			changes, revision, err = nil, version, nil
 		}
 		items := []storeItem{}
 		for _, c := range changes {
@@ -75,9 +119,9 @@
 			i.Deleted = c.Deleted
 			items = append(items, i)
 		}
-		answerStore(w, map[string]any{"events": items, "as_of": revision}, err)
+		answerStore(w, map[string]any{"events": items, "as_of": revision.Revision()}, err)
 	})
-	mux.HandleFunc("POST /cardamompier/kv-txn", func(w http.ResponseWriter, r *http.Request) {
+	handle("POST /cardamompier/kv-txn", func(w *storeCall, r *http.Request) {
 		var txn struct {
 			Expect []storeItem `json:"expect_rev"`
 			Set    []storeItem `json:"set_keys"`
@@ -87,16 +131,19 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		key := txn.Expect[0].Key
 		if len(txn.Set) == 0 {
-			answerStore(w, struct{}{}, store.Delete(r.Context(), txn.Remove[0], kv.Version(txn.Expect[0].Revision)))
+			err := store.Delete(r.Context(), txn.Remove[0], versionOf(w.era, txn.Expect[0].Revision))
+			answerStore(w, conflictOr(r.Context(), store, key, struct{}{}, err), err)
 			return
 		}
 		revision, err := store.CompareAndSwap(r.Context(), kv.Write{
-			Key: txn.Set[0].Key, Value: txn.Set[0].Value, Expect: kv.Version(txn.Expect[0].Revision), Lease: kv.LeaseID(txn.Set[0].Lease),
+			Key: txn.Set[0].Key, Value: txn.Set[0].Value, Expect: versionOf(w.era, txn.Expect[0].Revision),
+			Lease: kv.LeaseIDOf(w.era, txn.Set[0].Lease),
 		})
-		answerStore(w, map[string]any{"revision": revision}, err)
+		answerStore(w, conflictOr(r.Context(), store, key, map[string]any{"revision": revision.Revision()}, err), err)
 	})
-	mux.HandleFunc("POST /cardamompier/kv-lease", func(w http.ResponseWriter, r *http.Request) {
+	handle("POST /cardamompier/kv-lease", func(w *storeCall, r *http.Request) {
 		var grant struct {
 			TTLMS int64 `json:"ttl_ms"`
 		}
@@ -105,19 +152,31 @@
 			return
 		}
 		id, err := store.Grant(r.Context(), time.Duration(grant.TTLMS)*time.Millisecond)
-		answerStore(w, map[string]any{"lease": id, "ttl_ms": grant.TTLMS}, err)
+		answerStore(w, map[string]any{"lease": id.Number(), "ttl_ms": grant.TTLMS}, err)
 	})
-	lease := func(prefix string, call func(context.Context, kv.LeaseID) error) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
+	lease := func(prefix string, call func(context.Context, kv.LeaseID) error) func(*storeCall, *http.Request) {
+		return func(w *storeCall, r *http.Request) {
 			id, _ := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, prefix), 10, 64)
-			answerStore(w, struct{}{}, call(r.Context(), kv.LeaseID(id)))
+			answerStore(w, struct{}{}, call(r.Context(), kv.LeaseIDOf(w.era, id)))
 		}
 	}
-	mux.HandleFunc("POST /cardamompier/kv-keep/", lease("/cardamompier/kv-keep/", store.KeepAlive))
-	mux.HandleFunc("DELETE /cardamompier/kv-lease-end/", lease("/cardamompier/kv-lease-end/", store.Revoke))
+	handle("POST /cardamompier/kv-keep/", lease("/cardamompier/kv-keep/", store.KeepAlive))
+	handle("DELETE /cardamompier/kv-lease-end/", lease("/cardamompier/kv-lease-end/", store.Revoke))
 	return mux
 }
 
+// conflictOr returns the answer to a transaction: the present state of its key after a conflict, and body otherwise.
+func conflictOr(ctx context.Context, store *kvmem.Store, key string, body any, err error) any {
+	if kv.ReasonOf(err) != kv.ReasonConflict {
+		return body
+	}
+	items := []storeItem{}
+	if e, err := store.Get(ctx, key); err == nil {
+		items = append(items, itemOf(e))
+	}
+	return map[string]any{"items": items}
+}
+
 // answerStore writes the response to a store call. It closes the connection without a response if
 // the store's fault is a lost response.
 func answerStore(w http.ResponseWriter, body any, err error) {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -87,7 +88,12 @@
 	var lease kv.LeaseID
 	var version kv.Version
 	written := ""
+	era := u.d.store.Era()
 	for ctx.Err() == nil {
+		if span := u.d.trouble.rewriteSpan.Load(); era != u.d.store.Era() && span > 0 {
+			time.Sleep(time.Duration(rand.Int64N(span)))
+		}
+		era = u.d.store.Era()
 		state := "ready"
 		if u.leaves.Load() != 0 {
 			state = "draining"
