--- a/soak/duties_test.go
+++ b/soak/duties_test.go
@@ -135,8 +135,9 @@
 	return false
 }
 
-// TestDutiesOverRestoredStore guards against a fence that two holders use, a fence that goes back, two different reports
-// of one usage window, and duties without a holder, once the store has lost the terms and the reports since its copy.
+// TestDutiesOverRestoredStore guards against a fence that two holders use, a fence that goes back, two different
+// reports of one usage window, and duties without a holder, once the store has lost the terms and the reports since
+// its copy.
 func TestDutiesOverRestoredStore(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -31,9 +31,10 @@
 	heardSpan = applySpan + 500*time.Millisecond
 )
 
-// TestRestoredStore guards against hosts that do not apply confirmed changes, apply older or invalid ones, reject allowed
-// requests, or send requests to upstreams that have left, once the store has come back from an older copy of itself: it
-// loses what it acknowledged since, gives out revisions and lease numbers again, and answers with the next era.
+// TestRestoredStore guards against hosts that do not apply confirmed changes, apply older or invalid ones, reject
+// allowed requests, or send requests to upstreams that have left, once the store has come back from an older copy of
+// itself: it loses what it acknowledged since, gives out revisions and lease numbers again, and answers with the next
+// era.
 func TestRestoredStore(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
@@ -133,8 +134,8 @@
 }
 
 // invalidConfiguration returns a configuration with a newer version that is not valid: bytes that end early, a route
-// without a kind that exists, or a route whose service is not listed. The version is that of the next valid one, or above
-// all versions of the test.
+// without a kind that exists, or a route whose service is not listed. The version is that of the next valid one, or
+// above all versions of the test.
 func (d *deployment) invalidConfiguration(fault int) []byte {
 	version := uint64(len(d.operator.versions()) + 1)
 	if fault >= invalidFaults {
@@ -159,7 +160,8 @@
 }
 
 // writeOthers writes a key that no host reads, again and again until ctx ends or the store is restored, so that more
-// revisions are lost in a restore. They are given out again soon, or only to writes of hosts, upstreams and the operator.
+// revisions are lost in a restore. They are given out again soon, or only to writes of hosts, upstreams and the
+// operator.
 func (d *deployment) writeOthers(ctx context.Context, pause time.Duration, untilRestore bool) {
 	const key = "other/writer"
 	for n := 0; ctx.Err() == nil && (!untilRestore || d.store.Era() == 0); n++ {
