--- a/forward/relay.go
+++ b/forward/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,9 +70,9 @@
 		a.Close(true)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
 	}
-	// The upstream ran the request, so the answer must not have a status (429, 503)
-	// that tells the caller that it did not run.
-	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
+	// The upstream may have run the request, so the answer must not have a status that
+	// tells the caller that it did not run.
+	if statesNotRun(a.StatusCode) {
 		a.Close(!exceedsBuffer)
 		return attemptFailed, &StatusError{Upstream: t.ID, Status: a.StatusCode}
 	}
@@ -90,8 +91,7 @@
 	e.recordFirstByte()
 	if _, err := body.WriteTo(e.w); err != nil {
 		a.Close(!exceedsBuffer)
-		e.recordCallerGone()
-		return attemptDone, nil
+		e.abandonCaller()
 	}
 	if exceedsBuffer {
 		e.copyRest(t, a)
@@ -166,8 +166,7 @@
 			if !stream.callerWriteFailed {
 				e.reportBroken(t)
 			}
-			e.recordCallerGone()
-			return attemptDone, nil
+			e.abandonCaller()
 		}
 		if moved := e.noteStreamEnd(t); !e.answerBegun.Load() {
 			if moved {
@@ -219,10 +218,11 @@
 		}
 		if answer.StatusCode != http.StatusOK || !v.Sealed {
 			answer.Close(false)
-			if !v.NotRun && !v.WrongInstance {
+			if !v.NotRun {
 				e.recordVersion(true)
 				e.possibleRuns++
 			}
+			e.log(events.ForwardAttempt, slices.Concat(e.versionField(t), e.head.logFields(), []any{"upstream", t.ID, "outcome", "resume_failed"})...)
 			e.tried = append(e.tried, t.ID)
 			continue
 		}
--- a/forwarding.go
+++ b/forwarding.go
@@ -121,6 +121,7 @@
 	listing hosts.Listing
 	reading hosts.Reading
 	decoded map[string]decodedUpstream // by store key; used only by applyUpstreams
+	removed removedUpstreams           // used only by applyUpstreams
 
 	guard       *callerconn.Guard
 	stopping    atomic.Bool
@@ -151,11 +152,12 @@
 	limitMemory(s.MemoryMB)
 	f := &ForwardServer{
 		settings: s, logger: logger, clock: clock.New(), peers: inner.NewClient(), innerServer: inner.NewServer(),
-		store: kv.NewClient(platform.NewStore(s.Store), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
+		store: kv.NewClient(platform.NewStore(s.Store, logger.Named("store")), kv.Options{CallsPerSecond: s.StoreCalls / 4, Burst: storeBurst, ProbeInterval: probeInterval}),
 	}
 	f.innerServer.SetLogger(logger.Named("inner"))
 	peers := &replica.InnerPeers{Client: f.peers, Sources: f.sources}
 	f.routes = replica.New(f.store, platform.ConfigPrefix, milliseconds(watchShare*s.RoutesMS), peers, logger.Named("routes"))
+	f.routes.Retain(platform.RetainTable)
 	f.runners = replica.New(f.store, platform.RunnersPrefix, milliseconds(watchShare*s.LeavingMS), peers, logger.Named("upstreams"))
 	f.members = replica.New(f.store, presence.Prefix, membersWatchTimeout, peers, logger.Named("members"))
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
@@ -168,8 +170,8 @@
 	prompts := prefixes.New(s.HostID, f.peers, f.innerServer, f.hosts)
 	config := forward.Config{
 		Domain: s.FailureDomain, Codec: platform.Headers{}, Table: f.table.Load, Upstreams: f.upstreams.Load, ListConfirmed: f.listConfirmed,
-		Limits: f.limits, Prompts: prompts, Hosts: f.hostCount, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
-		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)},
+		Limits: f.limits, Prompts: prompts, Hosts: f.presence.Sharers, OnStarted: f.counter.Started, LimitSlack: s.LimitExcess,
+		Retries: retry.Bound{Ratio: s.RetryRatio, Slack: s.RetryBurst, Window: seconds(s.RetryWindowSeconds)}, Started: clock.SinceBoot(),
 		Permits: f.pacer, Crashes: f.crashes, DemandWindow: demandWindowOf(s), Balance: balanceOf(s), Versions: f.rollouts.versions(),
 		Logger: logger.Named("forward"),
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -81,7 +81,7 @@
 	// Complete is the revision after which Deleted lists every deletion.
 	Complete kv.Version
 	// OutageBegan and OutageEnded bound the last finished outage of the key-value service, on
-	// this host's clock; both are zero if there was none.
+	// this host's clock; both are zero if there was none. A rise of the era ends an outage.
 	OutageBegan, OutageEnded time.Time
 }
 
@@ -116,6 +116,7 @@
 	changed     atomic.Pointer[chan struct{}] // the channel is closed when the entries change
 	mu          sync.Mutex                    // serializes updates and the calls of subscribers
 	subscribers []func(*View)
+	retain      func(held, next kv.Entry) bool // nil if no value is retained
 	packed      packer
 
 	peerIndex       int       // selects the peer for the next request; accessed by Run only
@@ -193,6 +194,9 @@
 	for _, e := range entries {
 		byKey[e.Key] = e
 	}
+	if r.current.Load() == nil && revision.Era() > 0 {
+		r.retainFromPeers(ctx, byKey)
+	}
 	r.install(copied{entries: byKey, revision: revision, readAt: began, complete: revision, source: labelList})
 	return nil
 }
@@ -257,6 +261,9 @@
 	deleted  []Deletion
 	complete kv.Version
 	source   string
+	// restoredAt is when the key-value service was found to have come back in the era of the copy, if a
+	// peer told so; otherwise zero.
+	restoredAt time.Time
 }
 
 // install replaces the current view and notifies the subscribers, unless the current view is newer.
@@ -268,6 +275,12 @@
 		return
 	}
 	Updates.Inc(c.source)
+	if old != nil {
+		if c.revision.Era() > old.Revision.Era() {
+			r.recordRestore(old.ReadAt, c.restoredAt)
+		}
+		r.retainValues(old.Entries, c.entries)
+	}
 	view := &View{
 		Entries: c.entries, Revision: c.revision, ReadAt: c.readAt, Source: c.source, Complete: c.complete,
 		OutageBegan: r.outage.began, OutageEnded: r.outage.ended,
--- a/rollout/agent/directive.go
+++ b/rollout/agent/directive.go
@@ -179,20 +179,20 @@
 // adopt takes over the order, the phase and the versions of a directive or a record. It returns false if they are
 // older than what this host knows.
 func (p *pool) adopt(s *state, d Directive) bool {
-	if d.Order.Revision < s.order.Revision {
+	if d.Order.Revision < s.order.Revision || s.replacedBefore(d.Order) {
 		return false
 	}
 	if d.Order.Revision > s.order.Revision {
 		s.replaceOrder(d.Order, p.agent.Now(), p.agent.Bounds)
 	}
-	if d.Base != s.base { // the coordinator decides whether a repeated order keeps the evidence
+	if d.Base != s.base && !s.restoredBefore(d) { // the coordinator decides whether a repeated order keeps the evidence
 		s.base, s.recorder = d.Base, &rollout.Recorder{}
 		s.stopped, s.phase = "", ""
 		s.credit = rollout.NewCredit(p.agent.Bounds)
 	}
 	s.old, s.barred = d.Old, d.Barred
 	s.done = s.done || d.Done
-	if !follows(s.phase, d.Phase) {
+	if !d.Phase.Follows(s.phase) {
 		return true
 	}
 	if s.phase != d.Phase {
@@ -219,19 +219,6 @@
 	}
 }
 
-// follows reports whether a roll-out may be in the next phase after it was in phase current. An empty phase
-// stands for an unknown one.
-func follows(current, next rollout.Phase) bool {
-	switch current {
-	case "", rollout.PhaseCanary:
-		return true
-	case rollout.PhasePromoting:
-		return next != rollout.PhaseCanary
-	default:
-		return next == current
-	}
-}
-
 // withdraw moves the resumable streams from old upstreams to the target.
 func (p *pool) withdraw() {
 	target := p.current.Load().state.order.Target
@@ -243,7 +230,7 @@
 // report returns this host's report on the pool.
 func (p *pool) report() rollout.HostReport {
 	s := p.current.Load().state // before the requests in flight are read, see Send
-	r := rollout.HostReport{Host: p.agent.Host, Process: p.agent.process, Applied: s.phase, Revision: s.order.Revision}
+	r := rollout.HostReport{Host: p.agent.Host, Process: p.agent.process, Applied: s.phase, Revision: s.order.Revision, Stored: s.phase, Base: s.base}
 	switch {
 	case s.stopped != "" && !s.phase.Final():
 		r.Applied = rollout.PhaseRolledBack
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -24,6 +25,8 @@
 	losesAnswers
 	// answersErrors executes requests and returns status 500.
 	answersErrors
+	// answersRejections executes requests and answers with a status that states the opposite, without the header for it.
+	answersRejections
 )
 
 const (
@@ -58,6 +61,9 @@
 	// pauseSpan is the pause in ns that rejections name; 0 if the upstream rejects nothing.
 	pauseSpan atomic.Int64
 
+	// rejections counts the requests that were answered with a rejection after they ran.
+	rejections atomic.Int64
+
 	mu      sync.Mutex
 	arrived []time.Time       // times at which requests arrived
 	pauses  map[string]*pause // newest pause by entry host
@@ -87,7 +93,12 @@
 	var lease kv.LeaseID
 	var version kv.Version
 	written := ""
+	era := u.d.store.Era()
 	for ctx.Err() == nil {
+		if span := u.d.trouble.rewriteSpan.Load(); era != u.d.store.Era() && span > 0 {
+			time.Sleep(time.Duration(rand.Int64N(span)))
+		}
+		era = u.d.store.Era()
 		state := "ready"
 		if u.leaves.Load() != 0 {
 			state = "draining"
@@ -135,6 +146,7 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	u.d.log.recordArrival(id)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -187,6 +199,9 @@
 	case answersErrors:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case answersRejections:
+		u.rejectAfterRun(w)
+		return
 	}
 	if !sent.kind.streams {
 		_, _ = io.WriteString(w, answerOf(id))
