Soak: no pause is named to a process that is gone

Traced: the upstream was cut off; the request whose rejection named the pause had been sent 1.71 s before by the host's process that was killed, and the new one, started 0.99 s before the rejection, never got it. The rule excuses a host that was restarted. The stand-in now names a pause only if the host was not disturbed since the request was sent; all pauses that a living process can hear are named and checked as before.

--- a/soak/announce_test.go
+++ b/soak/announce_test.go
@@ -82,6 +82,9 @@
 	if p := u.pauses[entry]; span == 0 || p != nil && time.Now().Before(p.until) || time.Since(sentAt) > requestTimeout-answerMargin {
 		return false
 	}
+	if u.d.disturbedSince(entry, sentAt) { // the process that sent the request may be gone, and its successor hears no pause
+		return false
+	}
 	if u.pauses == nil {
 		u.pauses = map[string]*pause{}
 	}
