Upstreams: a record written again after a restore counts, whatever its revision

An upstream that had been removed and was back before the restore was ignored too, and one whose last heartbeat was deleted in one batch with it was live again (DRAIN).

A record of a removed upstream is now ignored in a newer era until it is written again there, which upstreams do each heartbeat, or states a newer run; an upstream that is registered again in the same era is no longer remembered as removed. The new rows of TestUpstreamsOfAnOlderCopy fail before (4 of 5; live 3 times late or never, once too early) and pass now.

--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -59,7 +59,7 @@
 		case d.err != nil:
 		case d.outdated:
 			outdatedUpstreams.Inc(outdatedRun)
-		case f.removed.has(entry):
+		case f.removed.has(entry, d.host.StartedMS):
 			outdatedUpstreams.Inc(outdatedRemoved)
 		default:
 			list = append(list, d.host)
--- a/upstreamremoved_test.go
+++ b/upstreamremoved_test.go
@@ -43,6 +43,23 @@
 		"next run":         {{0, 5, record("ready", first), true}, {0, 6, record("ready", second), true}, {1, 7, record("ready", second), true}},
 		"not in the copy":  {{0, 5, record("ready", first), true}, {1, 2, "", true}, {1, 3, record("ready", first), true}},
 		"without a change": {{0, 5, record("ready", first), true}, {1, 5, record("ready", first), true}},
+		"new run with a revision given out again": {
+			{0, 5, record("ready", first), true}, {0, 20, record("draining", first), false}, {0, 21, "", false}, {1, 6, record("ready", second), true},
+		},
+		"new run that the copy does not have": {
+			{0, 5, record("ready", first), true}, {0, 21, "", false}, {0, 23, record("ready", second), true}, {1, 5, record("ready", first), true},
+			{1, 6, record("ready", second), true},
+		},
+		"registered again, not in the copy": {
+			{0, 20, record("ready", ""), true}, {0, 21, "", false}, {0, 23, record("ready", ""), true}, {1, 10, "", true}, {1, 12, record("ready", ""), true},
+		},
+		"written between the last read and the deletion": {
+			{0, 20, record("ready", first), true}, {0, 23, "", false}, {1, 22, record("ready", first), false}, {1, 24, record("ready", first), true},
+		},
+		"two restores": {
+			{0, 20, record("ready", first), true}, {0, 23, "", false}, {1, 20, record("ready", first), false}, {2, 20, record("ready", first), false},
+			{2, 21, record("ready", first), true},
+		},
 		"expired in an outage": {
 			{0, 5, record("ready", first), true}, {0, 6, "", false}, {0, 7, record("ready", first), true},
 		},
@@ -54,7 +71,7 @@
 				if s.value != "" {
 					view.Entries[key] = kv.Entry{Key: key, Value: []byte(s.value), Version: view.Revision}
 				}
-				if s.era > 0 {
+				if s.era > 0 && i < len(steps)-1 { // the last view is one after the time for which missing upstreams are retained
 					view.OutageEnded = time.Now()
 				}
 				f.applyUpstreams(view)
