Presence: a host that has read no records of hosts has no part of a limit

Repeats beyond the budget, at a host that can register but not read: its view began with itself, so that it took the whole slack once it had run for a window. View().Recent is zero until the records have been read. TestShareOfHostThatKnowsNoOther fails before (shares among 1 host).

--- a/presence/lease_test.go
+++ b/presence/lease_test.go
@@ -99,3 +99,30 @@
 		running.Wait()
 	})
 }
+
+// unlistedStore is a store whose lists fail.
+type unlistedStore struct{ kv.Store }
+
+func (unlistedStore) List(context.Context, string) ([]kv.Entry, kv.Version, error) {
+	return nil, 0, &kv.Error{Op: "list", Reason: kv.ReasonUnavailable}
+}
+
+// TestShareOfHostThatKnowsNoOther guards against a registered host that takes a whole limit for itself because it has not
+// read the records of the other hosts.
+func TestShareOfHostThatKnowsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := unlistedStore{kvmem.New()}
+		hosts := replica.New(store, Prefix, time.Second, nil, hclog.NewNullLogger())
+		p := New(store, membership.Member{ID: "a"}, hosts, clocktest.New(1).Elapsed, hclog.NewNullLogger())
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { hosts.Run(ctx) })
+		running.Go(func() { p.Run(ctx) })
+		time.Sleep(2 * renewInterval)
+		if got := p.Sharers(); got != 0 || !p.LeaseValid() {
+			t.Errorf("registered %v, shares a limit among %d hosts, want registered and no share", p.LeaseValid(), got)
+		}
+		stop()
+		running.Wait()
+	})
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -60,7 +60,8 @@
 // View is an immutable snapshot of the entry hosts, sorted by id.
 type View struct {
 	membership.View
-	// Recent is the largest number of hosts within recentWindow. While hosts
+	// Recent is the largest number of hosts within recentWindow; zero until the records
+	// of the hosts have been read. While hosts
 	// join and leave, a host's share of a limit is the limit divided by Recent.
 	Recent int
 }
@@ -97,7 +98,7 @@
 // replica of the records under Prefix. It measures its lease by elapsed.
 func New(store kv.Store, self membership.Member, hosts *replica.Replica, elapsed clock.Elapsed, logger hclog.Logger) *Presence {
 	p := &Presence{store: store, self: self, elapsed: elapsed, logger: logger, eraRisen: make(chan struct{}, 1)}
-	p.view.Store(&View{View: membership.View{Members: []membership.Member{self}}, Recent: 1})
+	p.view.Store(&View{View: membership.View{Members: []membership.Member{self}}})
 	hosts.Subscribe(p.update)
 	return p
 }
@@ -117,7 +118,7 @@
 }
 
 // Sharers returns the number of hosts that share a limit which each host uses a part of, by Recent. It is zero if this
-// host must not use a part: it has not registered yet, or its registration has expired for so long that the other hosts
+// host must not use a part: it has not registered or read the records of the hosts yet, or its registration has expired for so long that the other hosts
 // may share the whole limit among themselves.
 func (p *Presence) Sharers() int {
 	renewed := p.lastRenewal.Load()
