Soak: stores without Store-Era, from 0 and from 1, and large lease numbers; a budget that is used

The check of the budget passed also for hosts that repeat nothing, and its faults began a second before hosts could use their whole share.

--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -55,6 +55,9 @@
 			t.Errorf("BUDGET: %d repeats in a window of %v with %d requests, at most %.0f are allowed", count, budgetWindow, requests, bound)
 		}
 	}
+	if len(repeats) == 0 {
+		t.Error("no request was repeated")
+	}
 	t.Logf("%d requests, %d repeats, at most %.2f of the bound in a window", len(sent), len(repeats), most)
 }
 
@@ -72,7 +75,7 @@
 				d.upstreams = append(d.upstreams, d.startUpstream(t))
 			}
 			d.startHosts(t)
-			time.Sleep(budgetWindow) // until each host may repeat its whole share
+			time.Sleep(budgetWindow + budgetWindow/5) // until each host may repeat its whole share
 			for _, u := range d.upstreams {
 				u.mode.Store([]int32{answersErrors, losesAnswers}[random.IntN(2)])
 			}
--- a/soak/duties_test.go
+++ b/soak/duties_test.go
@@ -156,6 +156,7 @@
 func playDuties(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	d := emptyDeployment(t)
+	d.trouble.firstEra.Store(firstEraOf(seed))
 	api := newDutyAPI(t, d)
 	d.extra = map[string]any{"duties": api.server.Listener.Addr().String(), "usage_window_seconds": usageWindow.Seconds()}
 	d.autoscale = map[string]any{"min": 1, "max": 8, "startup_s": 1}
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -51,7 +51,9 @@
 // playRestores plays one restore, or two for every third seed.
 func playRestores(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	d := newDeployment(t, seed)
+	d := emptyDeployment(t)
+	d.trouble.firstEra.Store(firstEraOf(seed))
+	d.start(t, seed)
 	d.trouble.rewriteSpan.Store(int64(maxRewrite))
 	ctx, end := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -203,13 +203,19 @@
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
 	d := emptyDeployment(t)
+	d.start(t, seed)
+	return d
+}
+
+// start starts the store, 4 upstreams and the entry hosts of an empty deployment.
+func (d *deployment) start(t *testing.T, seed uint64) {
+	t.Helper()
 	d.store.SetFaults(kvmem.Faults{Seed: seed})
 	for range 4 {
 		u := d.startUpstream(t)
 		d.upstreams = append(d.upstreams, u)
 	}
 	d.startHosts(t)
-	return d
 }
 
 // emptyDeployment returns a deployment without upstreams and hosts.
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -23,15 +23,35 @@
 }
 
 func itemOf(e kv.Entry) storeItem {
-	return storeItem{Key: e.Key, Value: e.Value, Revision: e.Version.Revision(), Lease: e.Lease.Number()}
+	return storeItem{Key: e.Key, Value: e.Value, Revision: e.Version.Revision(), Lease: numberOf(e.Lease)}
 }
 
 const (
-	// eraHeader is the header of all answers that counts how often the store came back from a copy, and firstEra its
-	// value before the first time.
-	eraHeader, firstEra = "Store-Era", 3
+	// eraHeader is the header of all answers that counts how often the store came back from a copy. Answers lack it while
+	// the count is zero.
+	eraHeader = "Store-Era"
+	// leaseNumbers is added to the numbers of leases on the wire, which are large there.
+	leaseNumbers = 1 << 47
 )
 
+// firstEraOf returns how often the store of a seed had come back from a copy before the test.
+func firstEraOf(seed uint64) uint64 { return []uint64{3, 0, 1}[seed%3] }
+
+// numberOf returns the number of a lease on the wire, and leaseOf the lease of an era for such a number.
+func numberOf(lease kv.LeaseID) uint64 {
+	if lease == 0 {
+		return 0
+	}
+	return lease.Number() + leaseNumbers
+}
+
+func leaseOf(era kv.Era, number uint64) kv.LeaseID {
+	if number < leaseNumbers {
+		return 0
+	}
+	return kv.LeaseIDOf(era, number-leaseNumbers)
+}
+
 // versionOf returns the version of an era for a revision on the wire, which a caller may have from an earlier era.
 func versionOf(era kv.Era, revision uint64) kv.Version {
 	if revision == 0 {
@@ -51,6 +71,8 @@
 	pageDelay atomic.Int64
 	// silent is whether calls through the wire get no answer.
 	silent atomic.Bool
+	// firstEra is how often the store had come back from a copy before the test.
+	firstEra atomic.Uint64
 	// rewriteSpan is the longest time after which upstreams write their records again once the store came back from a
 	// copy, in ns.
 	rewriteSpan atomic.Int64
@@ -61,6 +83,7 @@
 	http.ResponseWriter
 	store *kvmem.Store
 	era   kv.Era
+	first uint64 // value of eraHeader in era 0
 }
 
 // WriteHeader begins the answer. A call during which the store went away gets none.
@@ -68,7 +91,9 @@
 	if c.store.Era() != c.era {
 		panic(http.ErrAbortHandler)
 	}
-	c.Header().Set(eraHeader, strconv.FormatUint(uint64(c.era)+firstEra, 10))
+	if era := uint64(c.era) + c.first; era > 0 {
+		c.Header().Set(eraHeader, strconv.FormatUint(era, 10))
+	}
 	c.ResponseWriter.WriteHeader(status)
 }
 
@@ -80,7 +105,7 @@
 			if trouble.silent.Load() {
 				panic(http.ErrAbortHandler)
 			}
-			do(&storeCall{ResponseWriter: w, store: store, era: store.Era()}, r)
+			do(&storeCall{ResponseWriter: w, store: store, era: store.Era(), first: trouble.firstEra.Load()}, r)
 		})
 	}
 	handle("GET /cardamompier/kv-key", func(w *storeCall, r *http.Request) {
@@ -139,7 +164,7 @@
 		}
 		revision, err := store.CompareAndSwap(r.Context(), kv.Write{
 			Key: txn.Set[0].Key, Value: txn.Set[0].Value, Expect: versionOf(w.era, txn.Expect[0].Revision),
-			Lease: kv.LeaseIDOf(w.era, txn.Set[0].Lease),
+			Lease: leaseOf(w.era, txn.Set[0].Lease),
 		})
 		answerStore(w, conflictOr(r.Context(), store, key, map[string]any{"revision": revision.Revision()}, err), err)
 	})
@@ -152,12 +177,12 @@
 			return
 		}
 		id, err := store.Grant(r.Context(), time.Duration(grant.TTLMS)*time.Millisecond)
-		answerStore(w, map[string]any{"lease": id.Number(), "ttl_ms": grant.TTLMS}, err)
+		answerStore(w, map[string]any{"lease": numberOf(id), "ttl_ms": grant.TTLMS}, err)
 	})
 	lease := func(prefix string, call func(context.Context, kv.LeaseID) error) func(*storeCall, *http.Request) {
 		return func(w *storeCall, r *http.Request) {
 			id, _ := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, prefix), 10, 64)
-			answerStore(w, struct{}{}, call(r.Context(), kv.LeaseIDOf(w.era, id)))
+			answerStore(w, struct{}{}, call(r.Context(), leaseOf(w.era, id)))
 		}
 	}
 	handle("POST /cardamompier/kv-keep/", lease("/cardamompier/kv-keep/", store.KeepAlive))
