Quota: owners hold the deputies' parts of known accounts before the first request

Callers of an account that had been idle for 10 s got 429 below its limit: since an owner spends the deputy's half only while it holds it, and it began to hold with the first request; what had accrued before counted for half.

The owner now holds for all accounts of the route table that it owns, as long as there are at most 256.

--- a/forwardfeatures.go
+++ b/forwardfeatures.go
@@ -10,6 +10,7 @@
 	"github.com/cardamompier/cardamompier/platform"
 	"github.com/cardamompier/cardamompier/prefixes"
 	"github.com/cardamompier/cardamompier/promptcache"
+	"github.com/cardamompier/cardamompier/routes"
 	"github.com/cardamompier/cardamompier/settings"
 )
 
@@ -48,3 +49,12 @@
 	}
 	return f.hostCount()
 }
+
+// limitedAccounts returns the names of the client accounts with a limit.
+func (f *ForwardServer) limitedAccounts() []string {
+	table := f.table.Load()
+	if table == nil {
+		return nil
+	}
+	return lo.Keys(lo.PickBy(table.Accounts, func(_ string, a *routes.Account) bool { return a.Rate > 0 }))
+}
--- a/forwarding.go
+++ b/forwarding.go
@@ -164,6 +164,7 @@
 	f.presence = presence.New(f.store, f.self(), f.members, clock.SinceBoot, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
 	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.knownHosts, f.knownHostCount, f.presence.LeaseValid)
+	f.limits.SetAccounts(f.limitedAccounts)
 	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.knownHosts)
 	f.trackCrashes()
 	f.rollouts = f.newRollouts()
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -114,6 +114,9 @@
 	// evenShares holds its own share of each limit about which no other host decides.
 	owned, evenShares admission.Shares
 
+	// accounts returns the names of the client accounts with a limit; nil if they are not known.
+	accounts func() []string
+
 	// unreachable marks hosts that did not respond. They are not called for a while.
 	unreachable inner.Backoff
 
--- a/quota/ownerfleet_test.go
+++ b/quota/ownerfleet_test.go
@@ -79,6 +79,7 @@
 	server := inner.NewServer()
 	f.network.Serve(id, server)
 	owners := quota.NewOwners(id, f.network.Client(id), server, view.Load, func() int { return len(view.Load().Members) }, func() bool { return true })
+	owners.SetAccounts(func() []string { return []string{limitedAccount} })
 	ctx, stop := context.WithCancel(f.ctx)
 	f.views[id], f.stops[id] = view, stop
 	go owners.Run(ctx)
@@ -262,3 +263,20 @@
 		}
 	}
 }
+
+// TestBurstOfAnIdleAccount guards against an account that was idle and gets a part of its burst only, because its owner does
+// not hold the deputy's part before the first request.
+func TestBurstOfAnIdleAccount(t *testing.T) {
+	playOwnerFleet(t, func(t *testing.T, f *ownerFleet) {
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		sum := 0.0
+		for _, a := range f.admitted {
+			sum += a.cost
+		}
+		if want := 0.9 * floodedLimit.Burst; sum < want {
+			t.Errorf("%.0f admitted at once after an idle time, want %.0f or more", sum, want)
+		}
+	})
+}
--- a/quota/standin.go
+++ b/quota/standin.go
@@ -25,6 +25,9 @@
 	standInDelay = 600 * time.Millisecond
 	// heldUse is how long an owner holds the deputy's part after the last request for a client account.
 	heldUse = 10 * time.Second
+	// maxHeldAccounts is the largest number of known client accounts for which owners hold the deputies' parts also before
+	// the first request.
+	maxHeldAccounts = 256
 	// relayTimeout is the timeout of a request that a deputy passes on to the owner.
 	relayTimeout = takeTimeout / 2
 )
@@ -52,10 +55,32 @@
 	since, until time.Time
 }
 
-// holdParts renews the holds at the deputies of all client accounts that this host decides about as owner and that were
-// used recently.
+// SetAccounts sets the function that returns the names of the client accounts with a limit. Owners then hold the deputies'
+// parts also before the first request, so that an account that was idle has its whole limit at once. It must be called
+// before Run.
+func (o *Owners) SetAccounts(accounts func() []string) { o.accounts = accounts }
+
+// markOwned records the known client accounts of which this host is the owner as used. o.mu must be held.
+func (o *Owners) markOwned(now time.Time) {
+	if o.accounts == nil {
+		return
+	}
+	known := o.accounts()
+	if len(known) > maxHeldAccounts {
+		return
+	}
+	for _, account := range known {
+		if o.owns(account) {
+			o.usedAt[account] = now
+		}
+	}
+}
+
+// holdParts renews the holds at the deputies of all client accounts that this host decides about as owner and that are
+// known or were used recently.
 func (o *Owners) holdParts(ctx context.Context, now time.Time) {
 	o.mu.Lock()
+	o.markOwned(now)
 	maps.DeleteFunc(o.usedAt, func(_ string, at time.Time) bool { return now.Sub(at) > heldUse })
 	maps.DeleteFunc(o.holds, func(_ string, h hold) bool { return now.Sub(h.until) > heldUse })
 	maps.DeleteFunc(o.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > heldUse })
