kv: ask for the present era in one place; drop what no era can be any more

Four packages wrote the same check whether a store notes eras; kv.EraSightOf serves them. EraSight.First was true in era 0 only, and both of its readers return before they ask in era 0, so that it decided nothing.

--- a/config/publish.go
+++ b/config/publish.go
@@ -110,13 +110,8 @@
 
 // era returns the era of the store, given the version at which the document was read; zero if there is none.
 func (p *Publisher) era(version kv.Version) kv.Era {
-	era := version.Era()
-	if observer, ok := p.Store.(kv.EraObserver); ok {
-		if sight, known := observer.EraSight(); known {
-			era = max(era, sight.Era)
-		}
-	}
-	return era
+	sight, _ := kv.EraSightOf(p.Store)
+	return max(version.Era(), sight.Era)
 }
 
 // replacement is a write that replaces the document current with next.
--- a/kv/sight.go
+++ b/kv/sight.go
@@ -5,16 +5,11 @@
 	"time"
 )
 
-// firstEra is the only era in which a service cannot have come back from a copy. One that counts from 1 looks as if it had.
-const firstEra = 0
-
 // EraSight is what this process knows of the service's present era.
 type EraSight struct {
 	Era Era
 	// Since is when an answer of the era arrived first.
 	Since time.Time
-	// First reports that the service has never come back from a copy.
-	First bool
 }
 
 // EraObserver is implemented by a Store that notes the eras in the answers of the service.
@@ -23,6 +18,15 @@
 	EraSight() (sight EraSight, ok bool)
 }
 
+// EraSightOf returns what is known of the present era of a service. ok is false if the store does not note eras, and
+// before the first answer that names the era.
+func EraSightOf(store Store) (sight EraSight, ok bool) {
+	if observer, notes := store.(EraObserver); notes {
+		return observer.EraSight()
+	}
+	return EraSight{}, false
+}
+
 // eraLog is the record of a Client of the present era.
 type eraLog struct {
 	mu    sync.Mutex
@@ -37,7 +41,7 @@
 	if l.known && era <= l.sight.Era {
 		return
 	}
-	l.sight = EraSight{Era: era, Since: time.Now(), First: era == firstEra}
+	l.sight = EraSight{Era: era, Since: time.Now()}
 	l.known = true
 }
 
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -171,19 +171,11 @@
 	if h.asOf.Era() == 0 {
 		return neverHeld
 	}
-	observer, ok := h.store.(kv.EraObserver)
-	if !ok {
+	sight, ok := kv.EraSightOf(h.store)
+	if !ok || sight.Era != h.asOf.Era() {
 		return h.seenSince
 	}
-	sight, ok := observer.EraSight()
-	switch {
-	case !ok || sight.Era != h.asOf.Era():
-		return h.seenSince
-	case sight.First:
-		return neverHeld
-	default:
-		return min(h.seenSince, h.options.Elapsed()-time.Since(sight.Since))
-	}
+	return min(h.seenSince, h.options.Elapsed()-time.Since(sight.Since))
 }
 
 // neverHeld stands for a lease that no host has held yet.
--- a/quarantine/restored.go
+++ b/quarantine/restored.go
@@ -35,11 +35,7 @@
 
 // changed reports whether the service has begun a new era since the last call.
 func (f *eraFollower) changed(store kv.Store) bool {
-	observer, ok := store.(kv.EraObserver)
-	if !ok {
-		return false
-	}
-	sight, ok := observer.EraSight()
+	sight, ok := kv.EraSightOf(store)
 	if !ok {
 		return false
 	}
--- a/usage/settled.go
+++ b/usage/settled.go
@@ -94,15 +94,11 @@
 	if era == 0 {
 		return false
 	}
-	observer, ok := r.Store.(kv.EraObserver)
-	if !ok {
-		return true
-	}
-	sight, ok := observer.EraSight()
+	sight, ok := kv.EraSightOf(r.Store)
 	if !ok || sight.Era != era {
 		return true
 	}
-	return !sight.First && window < windowNumber(r.Now().Add(-time.Since(sight.Since)), r.Window)
+	return window < windowNumber(r.Now().Add(-time.Since(sight.Since)), r.Window)
 }
 
 // settledSum returns the final counts of a window by client account, if they are known on this host.
