kv: read a key together with the service's version in one place

The lease and the usage reports each listed a key's prefix and searched the list for the key, to learn the era also if the key is missing. kv.Lookup does so for both. The calls to the store are the same ones; the tests of both packages pass.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -135,14 +135,11 @@
 	if kv.ReasonOf(err) != kv.ReasonNotFound {
 		return entry, entry.Version, err
 	}
-	// A list names the era also if the key is missing.
-	entries, asOf, err := h.store.List(ctx, key)
-	for _, entry := range entries {
-		if entry.Key == key {
-			return entry, entry.Version, err
-		}
+	entry, asOf, err := kv.Lookup(ctx, h.store, key)
+	if entry.Version != 0 { // written since
+		asOf = entry.Version
 	}
-	return kv.Entry{Key: key}, asOf, err
+	return entry, asOf, err
 }
 
 // outdated reports whether an entry is older than the one last observed. Versions of different eras compare by era; a
--- a/usage/settled.go
+++ b/usage/settled.go
@@ -31,15 +31,12 @@
 		return counts, nil
 	}
 	key := settledPrefix + strconv.FormatInt(window, 10)
-	// A list names the era of the store also if the key is missing.
-	entries, revision, err := r.Store.List(ctx, key)
+	entry, revision, err := kv.Lookup(ctx, r.Store, key)
 	if err != nil {
 		return nil, err
 	}
-	for _, entry := range entries {
-		if entry.Key == key {
-			return r.settled(entry, window)
-		}
+	if entry.Version != 0 {
+		return r.settled(entry, window)
 	}
 	if window < first && r.mayBeLost(window, revision.Era()) {
 		Records.Inc(labelReportLost)
