Hosts: one count of the hosts that share limits

Since presence counts no hosts until their records were read, hostCount is zero then by itself, and knownHostCount, which checked that once more, says the same. TestHostThatKnowsNoOtherHasNoShare keeps its checks, on hostCount.

--- a/forwardfeatures.go
+++ b/forwardfeatures.go
@@ -42,14 +42,6 @@
 	return f.hosts()
 }
 
-// knownHostCount returns hostCount, or 0 until the entry hosts' records were read.
-func (f *ForwardServer) knownHostCount() int {
-	if f.members.Current() == nil {
-		return 0
-	}
-	return f.hostCount()
-}
-
 // limitedAccounts returns the names of the client accounts with a limit.
 func (f *ForwardServer) limitedAccounts() []string {
 	table := f.table.Load()
--- a/forwarding.go
+++ b/forwarding.go
@@ -163,7 +163,7 @@
 	replica.Serve(f.innerServer, f.routes, f.runners, f.members)
 	f.presence = presence.New(f.store, f.self(), f.members, clock.SinceBoot, logger.Named("presence"))
 	f.counter = usage.NewCounter(s.HostID, seconds(s.UsageWindowSeconds), f.clock.Now, f.peers, f.innerServer, f.hosts)
-	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.knownHosts, f.knownHostCount, f.presence.LeaseValid)
+	f.limits = quota.NewOwners(s.HostID, f.peers, f.innerServer, f.knownHosts, f.hostCount, f.presence.LeaseValid)
 	f.limits.SetAccounts(f.limitedAccounts)
 	f.pacer = quota.NewPacer(s.HostID, f.peers, f.innerServer, f.knownHosts)
 	f.trackCrashes()
@@ -207,7 +207,7 @@
 func (f *ForwardServer) hosts() *membership.View { return &f.presence.View().View }
 
 // hostCount returns the largest number of entry hosts in the most recent spans of the rate
-// limits.
+// limits, or 0 until their records were read.
 func (f *ForwardServer) hostCount() int { return f.presence.View().Recent }
 
 // sources returns this host's depth in the tree on which store changes spread, and the inner
--- a/forwarding_test.go
+++ b/forwarding_test.go
@@ -94,10 +94,10 @@
 	members := replica.New(nil, presence.Prefix, time.Second, nil, hclog.NewNullLogger())
 	self := membership.Member{ID: "a"}
 	f := &ForwardServer{members: members, presence: presence.New(nil, self, members, clock.SinceBoot, hclog.NewNullLogger())}
-	if hosts, count := f.knownHosts().Members, f.knownHostCount(); len(hosts) != 0 || count != 0 {
+	if hosts, count := f.knownHosts().Members, f.hostCount(); len(hosts) != 0 || count != 0 {
 		t.Errorf("before the records are read: hosts %v, count %d, want none", hosts, count)
 	}
-	limits := quota.NewOwners("a", inner.NewClient(), inner.NewServer(), f.knownHosts, f.knownHostCount, func() bool { return true })
+	limits := quota.NewOwners("a", inner.NewClient(), inner.NewServer(), f.knownHosts, f.hostCount, func() bool { return true })
 	if wait, _, ok := limits.Take(t.Context(), "account", admission.AccountLimit{Rate: 1000, Burst: 1000}, 1); ok || wait <= 0 {
 		t.Errorf("a share of an account's limit: admitted %v, retry after %v, want a refusal", ok, wait)
 	}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -118,8 +118,8 @@
 }
 
 // Sharers returns the number of hosts that share a limit which each host uses a part of, by Recent. It is zero if this
-// host must not use a part: it has not registered or read the records of the hosts yet, or its registration has expired for so long that the other hosts
-// may share the whole limit among themselves.
+// host must not use a part: it has not registered or read the records of the hosts yet, or its registration has expired
+// for so long that the other hosts may share the whole limit among themselves.
 func (p *Presence) Sharers() int {
 	renewed := p.lastRenewal.Load()
 	if renewed == 0 || p.elapsed()-time.Duration(renewed) >= leaseTTL+recentWindow-leaseMargin {
