Quota: rank the hosts of each held account once, outside the lock

Every 200 ms an owner ranked the hosts of each known account twice, to find that it is the owner and then the deputy, and held the lock of all decisions meanwhile. The known accounts also went through the map of used ones only to be read from it. They are now joined to the used ones, and ranked once after the lock is released. The same holds are sent; the tests of the package pass with -race.

--- a/quota/standin.go
+++ b/quota/standin.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 
 	"github.com/cardamompier/cardamompier/admission"
 	"github.com/cardamompier/cardamompier/inner"
@@ -60,37 +62,33 @@
 // before Run.
 func (o *Owners) SetAccounts(accounts func() []string) { o.accounts = accounts }
 
-// markOwned records the known client accounts of which this host is the owner as used. o.mu must be held.
-func (o *Owners) markOwned(now time.Time) {
+// knownAccounts returns the client accounts for which owners hold the deputies' parts whether they are used or not.
+func (o *Owners) knownAccounts() []string {
 	if o.accounts == nil {
-		return
+		return nil
 	}
-	known := o.accounts()
-	if len(known) > maxHeldAccounts {
-		return
-	}
-	for _, account := range known {
-		if o.owns(account) {
-			o.usedAt[account] = now
-		}
+	if known := o.accounts(); len(known) <= maxHeldAccounts {
+		return known
 	}
+	return nil
 }
 
 // holdParts renews the holds at the deputies of all client accounts that this host decides about as owner and that are
 // known or were used recently.
 func (o *Owners) holdParts(ctx context.Context, now time.Time) {
+	known := o.knownAccounts()
 	o.mu.Lock()
-	o.markOwned(now)
 	maps.DeleteFunc(o.usedAt, func(_ string, at time.Time) bool { return now.Sub(at) > heldUse })
 	maps.DeleteFunc(o.holds, func(_ string, h hold) bool { return now.Sub(h.until) > heldUse })
 	maps.DeleteFunc(o.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > heldUse })
+	used := slices.Collect(maps.Keys(o.usedAt))
+	o.mu.Unlock()
 	deputies := map[string]string{} // address by ID
-	for account := range o.usedAt {
+	for _, account := range lo.Union(known, used) {
 		if ranked := o.hosts().Chosen(ownerKeyPrefix+account, 2); len(ranked) == 2 && ranked[0].ID == o.self {
 			deputies[ranked[1].ID] = ranked[1].InnerAddress
 		}
 	}
-	o.mu.Unlock()
 	var calls sync.WaitGroup
 	for id, address := range deputies {
 		calls.Go(func() {
