Soak: one loop over seeds; kvmem: one way to add a lease

Five soak tests wrote the same loop over the flags' seeds, two of them without the flag for a single seed; eachSeed serves them and TestSoak. The plays moved to functions of their own, unchanged: the same seeds draw the same faults, and all checks are as they were. kvmem made leases in Grant and in Restore with the same lines; Era is read by Revision.

--- a/kv/kvmem/lease.go
+++ b/kv/kvmem/lease.go
@@ -19,10 +19,15 @@
 	defer s.mu.Unlock()
 	s.lastLease++
 	id := kv.LeaseIDOf(s.revision.Era(), s.lastLease)
+	s.addLease(id, ttl)
+	return id, s.faults.responseError(opGrant, "")
+}
+
+// addLease adds a lease that expires after its time to live. The caller holds s.mu.
+func (s *Store) addLease(id kv.LeaseID, ttl time.Duration) {
 	lease := &leaseState{ttl: ttl, keys: map[string]struct{}{}}
 	lease.timer = time.AfterFunc(ttl, func() { s.expire(id) })
 	s.leases[id] = lease
-	return id, s.faults.responseError(opGrant, "")
 }
 
 // KeepAlive implements kv.Store.
--- a/kv/kvmem/restore.go
+++ b/kv/kvmem/restore.go
@@ -39,10 +39,7 @@
 	s.entries, s.previous, s.history = map[string]kv.Entry{}, map[string]kv.Entry{}, nil
 	s.leases = map[kv.LeaseID]*leaseState{}
 	for id, ttl := range c.leases {
-		id = kv.LeaseIDOf(era, id.Number())
-		lease := &leaseState{ttl: ttl, keys: map[string]struct{}{}}
-		lease.timer = time.AfterFunc(ttl, func() { s.expire(id) })
-		s.leases[id] = lease
+		s.addLease(kv.LeaseIDOf(era, id.Number()), ttl)
 	}
 	for key, entry := range c.entries {
 		entry.Version, entry.Lease = kv.VersionOf(era, entry.Version.Revision()), kv.LeaseIDOf(era, entry.Lease.Number())
@@ -56,11 +53,7 @@
 }
 
 // Era returns the present era.
-func (s *Store) Era() kv.Era {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.revision.Era()
-}
+func (s *Store) Era() kv.Era { return s.Revision().Era() }
 
 // Revision returns the newest version that the store has given out in the present era.
 func (s *Store) Revision() kv.Version {
--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -63,35 +62,31 @@
 
 // TestRepeatsWhileHostsRestart guards against hosts that together repeat more requests than the retry budget allows,
 // because each started process spends a share of its own that its predecessor has spent already.
-func TestRepeatsWhileHostsRestart(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			random := rand.New(rand.NewPCG(seed, 2))
-			d := emptyDeployment(t)
-			d.extra = map[string]any{"retry_ratio": budgetRatio, "retry_burst": budgetSlack, "retry_window_seconds": budgetWindow.Seconds()}
-			for range 4 {
-				d.upstreams = append(d.upstreams, d.startUpstream(t))
-			}
-			d.startHosts(t)
-			time.Sleep(budgetWindow + budgetWindow/5) // until each host may repeat its whole share
-			for _, u := range d.upstreams {
-				u.mode.Store([]int32{answersErrors, losesAnswers}[random.IntN(2)])
-			}
-			ctx, end := context.WithTimeout(context.Background(), budgetSpan)
-			defer end()
-			var calling sync.WaitGroup
-			calling.Go(func() { d.callAtRate(ctx, rand.New(rand.NewPCG(seed, 3))) })
-			every(ctx, seed, meanHostGap, func(own *rand.Rand) {
-				name := hostFaults[own.IntN(len(hostFaults))]
-				faults[name](t, d, own, time.Duration(own.Int64N(int64(maxHostFault))))
-			})
-			calling.Wait()
-			d.log.checkBudget(t)
-			d.log.report(t)
-		})
+func TestRepeatsWhileHostsRestart(t *testing.T) { eachSeed(t, playRepeats) }
+
+func playRepeats(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	d := emptyDeployment(t)
+	d.extra = map[string]any{"retry_ratio": budgetRatio, "retry_burst": budgetSlack, "retry_window_seconds": budgetWindow.Seconds()}
+	for range 4 {
+		d.upstreams = append(d.upstreams, d.startUpstream(t))
+	}
+	d.startHosts(t)
+	time.Sleep(budgetWindow + budgetWindow/5) // until each host may repeat its whole share
+	for _, u := range d.upstreams {
+		u.mode.Store([]int32{answersErrors, losesAnswers}[random.IntN(2)])
 	}
+	ctx, end := context.WithTimeout(context.Background(), budgetSpan)
+	defer end()
+	var calling sync.WaitGroup
+	calling.Go(func() { d.callAtRate(ctx, rand.New(rand.NewPCG(seed, 3))) })
+	every(ctx, seed, meanHostGap, func(own *rand.Rand) {
+		name := hostFaults[own.IntN(len(hostFaults))]
+		faults[name](t, d, own, time.Duration(own.Int64N(int64(maxHostFault))))
+	})
+	calling.Wait()
+	d.log.checkBudget(t)
+	d.log.report(t)
 }
 
 // callAtRate sends budgetRate requests a second that may be repeated, each to a random host, until ctx ends.
--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -110,36 +109,32 @@
 
 // TestDeparturesWhileHostsRestart guards against requests for upstreams that have left, at hosts without a fault, while other
 // hosts restart, are paused and are cut off from the store one after the other and at once, and the store drops its history.
-func TestDeparturesWhileHostsRestart(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			d := newDeployment(t, seed)
-			d.trouble.pageDelay.Store(int64(pageDelay))
-			for len(d.upstreams) < departingCount {
-				d.upstreams = append(d.upstreams, d.startUpstream(t))
-			}
-			ctx, end := context.WithTimeout(t.Context(), departingSpan)
-			defer end()
-			callCtx, endCalls := context.WithCancel(context.Background())
-			var calling, faults sync.WaitGroup
-			for n := range *callers {
-				calling.Go(func() { d.callUntil(callCtx, rand.New(rand.NewPCG(seed, uint64(n)))) })
+func TestDeparturesWhileHostsRestart(t *testing.T) { eachSeed(t, playDepartures) }
+
+func playDepartures(t *testing.T, seed uint64) {
+	d := newDeployment(t, seed)
+	d.trouble.pageDelay.Store(int64(pageDelay))
+	for len(d.upstreams) < departingCount {
+		d.upstreams = append(d.upstreams, d.startUpstream(t))
+	}
+	ctx, end := context.WithTimeout(t.Context(), departingSpan)
+	defer end()
+	callCtx, endCalls := context.WithCancel(context.Background())
+	var calling, faults sync.WaitGroup
+	for n := range *callers {
+		calling.Go(func() { d.callUntil(callCtx, rand.New(rand.NewPCG(seed, uint64(n)))) })
+	}
+	faults.Go(func() { every(ctx, seed, meanDepartureGap, func(r *rand.Rand) { d.depart(t, r, servesOnSpan) }) })
+	faults.Go(func() { every(ctx, seed+1, meanRestartGap, func(r *rand.Rand) { d.disturbHost(t, r) }) })
+	faults.Go(func() {
+		every(ctx, seed+2, meanHistoryGap, func(*rand.Rand) {
+			if _, revision, err := d.store.List(context.Background(), "servers/"); err == nil {
+				d.trouble.dropped.Store(uint64(revision))
 			}
-			faults.Go(func() { every(ctx, seed, meanDepartureGap, func(r *rand.Rand) { d.depart(t, r, servesOnSpan) }) })
-			faults.Go(func() { every(ctx, seed+1, meanRestartGap, func(r *rand.Rand) { d.disturbHost(t, r) }) })
-			faults.Go(func() {
-				every(ctx, seed+2, meanHistoryGap, func(*rand.Rand) {
-					if _, revision, err := d.store.List(context.Background(), "servers/"); err == nil {
-						d.trouble.dropped.Store(uint64(revision))
-					}
-				})
-			})
-			faults.Wait()
-			endCalls()
-			calling.Wait()
-			d.log.report(t)
 		})
-	}
+	})
+	faults.Wait()
+	endCalls()
+	calling.Wait()
+	d.log.report(t)
 }
--- a/soak/duties_test.go
+++ b/soak/duties_test.go
@@ -138,18 +138,7 @@
 // TestDutiesOverRestoredStore guards against a fence that two holders use, a fence that goes back, two different
 // reports of one usage window, and duties without a holder, once the store has lost the terms and the reports since
 // its copy.
-func TestDutiesOverRestoredStore(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
-		if *oneSeed != 0 {
-			seed = *oneSeed
-		}
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			playDuties(t, seed)
-		})
-	}
-}
+func TestDutiesOverRestoredStore(t *testing.T) { eachSeed(t, playDuties) }
 
 // playDuties plays one restore. The holder of the duties stops after the copy, and half of the time the next one
 // after the restore.
--- a/soak/rejections_test.go
+++ b/soak/rejections_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -25,19 +24,7 @@
 // TestRejectionsAfterRuns plays a storm in which upstreams run requests and answer 408, 421, 429 or 503 without the
 // header for "not run", beside the other faults. It guards against callers that get one of these statuses for a request
 // that has run, and against a second run of such a request.
-func TestRejectionsAfterRuns(t *testing.T) {
-	first, count := *firstSeed, *seedCount
-	if *oneSeed != 0 {
-		first, count = *oneSeed, 1
-	}
-	for i := range count {
-		seed := first + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			playRejections(t, seed)
-		})
-	}
-}
+func TestRejectionsAfterRuns(t *testing.T) { eachSeed(t, playRejections) }
 
 func playRejections(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 2))
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -35,18 +34,7 @@
 // allowed requests, or send requests to upstreams that have left, once the store has come back from an older copy of
 // itself: it loses what it acknowledged since, gives out revisions and lease numbers again, and answers with the next
 // era.
-func TestRestoredStore(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + uint64(i)
-		if *oneSeed != 0 {
-			seed = *oneSeed
-		}
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			playRestores(t, seed)
-		})
-	}
-}
+func TestRestoredStore(t *testing.T) { eachSeed(t, playRestores) }
 
 // playRestores plays one restore, or two for every third seed.
 func playRestores(t *testing.T, seed uint64) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,10 +93,16 @@
 
 // playSeeds runs the seeds that the flags select, with requests that end upstreams in the given ways.
 func playSeeds(t *testing.T, ways []wayOfEnding) {
-	var seeds []uint64
+	var failed []uint64
 	for _, f := range failedSeeds {
-		seeds = append(seeds, f.seed)
+		failed = append(failed, f.seed)
 	}
+	eachSeed(t, func(t *testing.T, seed uint64) { runSeed(t, seed, ways) }, failed...)
+}
+
+// eachSeed plays the given seeds and those that the flags select, or the one that they select alone, each as a test
+// beside the others.
+func eachSeed(t *testing.T, play func(t *testing.T, seed uint64), seeds ...uint64) {
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
@@ -106,7 +112,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, ways)
+			play(t, seed)
 		})
 	}
 }
