--- /dev/null
+++ b/review/testdata/second/main.go
@@ -0,0 +1,42 @@
+// Command second plays the cases of the second review: it starts entry hosts as separate processes beside stand-ins for
+// the platform, the runners and the clients, and checks one rule. Its exit status is 1 if the rule was broken, 0 if it
+// held and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+var cases = map[string]func(*deployment, bool) int{}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
+		os.Exit(2)
+	}
+	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	r := &record{file: file, began: time.Now()}
+	d := newDeployment(r, dir)
+	status := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
+	d.stop()
+	r.log("exit status %d", status)
+	_ = file.Close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	} else {
+		fmt.Fprintln(os.Stderr, "logs in", dir)
+	}
+	os.Exit(status)
+}
