--- a/review/testdata/second/deployment.go
+++ b/review/testdata/second/deployment.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h.cmd = exec.Command(os.Getenv("DAEMON"), "forward")
+	h.cmd = exec.Command("target/cardamompierd", "forward")
 	h.cmd.Env = append(os.Environ(), "CARDAMOMPIER_SETTINGS="+h.settings)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,13 @@
 	}
 	r := &record{file: file, began: time.Now()}
 	d := newDeployment(r, dir)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		d.stop()
+		os.Exit(2)
+	}()
 	status := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	d.stop()
 	r.log("exit status %d", status)
--- a/review/testdata/second/stale.go
+++ b/review/testdata/second/stale.go
@@ -1,11 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
-
-	"encoding/json"
 )
 
 func init() { cases["stale-order"] = staleOrder }
@@ -144,3 +143,11 @@
 	}
 	return status
 }
+
+// plainConfig is a configuration without orders of runners.
+func plainConfig() map[string]any {
+	config := autoscaled(1, 1)
+	delete(config["services"].([]any)[0].(map[string]any), "autoscale")
+	config["routes"].([]any)[0].(map[string]any)["prefix"] = "/s/"
+	return config
+}
