--- a/review/testdata/second/stale.go
+++ b/review/testdata/second/stale.go
@@ -120,16 +120,21 @@
 	return d.checkEpochs(healedAt)
 }
 
+// subjectOf returns the duty and the subject of a call.
+func subjectOf(c dutyCall) string {
+	if c.op != "scale" {
+		return c.op
+	}
+	return fmt.Sprint(c.op, " ", c.body["service"], " ", c.body["zone"])
+}
+
 // checkEpochs checks that no call has a lower epoch number than an earlier one for its duty and subject, but for calls
 // within freezeSlack after the links have healed.
 func (d *deployment) checkEpochs(healedAt time.Time) int {
 	status := 0
 	highest := map[string]uint64{}
 	for _, c := range d.dutyCalls() {
-		subject := c.op
-		if c.op == "scale" {
-			subject = fmt.Sprint(c.op, " ", c.body["service"], " ", c.body["zone"])
-		}
+		subject := subjectOf(c)
 		if c.epoch < highest[subject] {
 			text, _ := json.Marshal(c.body)
 			excused := !healedAt.IsZero() && c.at.After(healedAt) && c.at.Sub(healedAt) <= freezeSlack
