--- a/review/testdata/second/handover.go
+++ b/review/testdata/second/handover.go
@@ -15,7 +15,7 @@
 	// termGap is the time between two SIGTERMs: roll_term with gap_s = 1.0.
 	termGap = time.Second
 	// rollSpan is the time of one rolling restart, with its preparation.
-	rollSpan = 12 * time.Second
+	rollSpan = 8 * time.Second
 )
 
 // awaitCall waits for the first duty call after the given number of calls.
@@ -55,7 +55,7 @@
 		return 2
 	}
 	began := time.Now()
-	for n := 1; n <= 8; n++ {
+	for n := 1; n <= 12; n++ {
 		time.Sleep(time.Until(began.Add(time.Duration(n) * rollSpan).Add(-rollSpan / 2)))
 		before := len(d.dutyCalls())
 		d.store.Put("op/config", autoscaled(n+1, 1+n%2)) // the holder orders runners anew
