--- a/review/testdata/second/deployment.go
+++ b/review/testdata/second/deployment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,11 +37,21 @@
 	return l
 }
 
-// freePort returns an address that nothing listens at.
+// usedPorts holds the addresses that freePort has returned.
+var usedPorts sync.Map
+
+// freePort returns an address that nothing listens at, below the ports of outgoing connections.
 func freePort() string {
-	l := listen()
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		if _, used := usedPorts.LoadOrStore(address, true); used {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
 }
 
 // dutyCall is a call to the platform's API for duties.
--- a/review/testdata/second/store.go
+++ b/review/testdata/second/store.go
@@ -38,6 +38,9 @@
 	expires time.Time
 }
 
+// A page of a range has at most about so many items and bytes.
+const maxPageItems, maxPageBytes = 500, 1 << 20
+
 // store is a stand-in for the platform's metadata store.
 type store struct {
 	mu      sync.Mutex
@@ -170,10 +173,13 @@
 	asOf := s.rev
 	s.mu.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	truncated := len(items) > 500
-	if truncated {
-		items = items[:500]
+	fit, size := 0, 0
+	for fit < len(items) && fit < maxPageItems && (fit == 0 || size+len(items[fit].Value) <= maxPageBytes) {
+		size += len(items[fit].Value)
+		fit++
 	}
+	truncated := fit < len(items)
+	items = items[:fit]
 	reply(w, 200, map[string]any{"items": items, "truncated": truncated, "as_of": asOf})
 }
 
