--- a/review/testdata/second/runner.go
+++ b/review/testdata/second/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -28,22 +29,38 @@
 	// work is the time that another request takes.
 	work time.Duration
 
+	server *http.Server
+	beats  context.CancelFunc
+
 	mu   sync.Mutex
 	runs []*run
 }
 
+// stopBeating ends the runner's reports to the store.
+func (r *runner) stopBeating() { r.beats() }
+
+// close ends the runner and its channels.
+func (r *runner) close() { _ = r.server.Close() }
+
 // startRunner starts a runner and registers it in the store.
 func (d *deployment) startRunner(id, service, zone string) *runner {
 	r := &runner{d: d, id: id, service: service, zone: zone, events: 20, pause: 100 * time.Millisecond, work: 60 * time.Millisecond}
-	r.address = serve(http.HandlerFunc(r.serve))
+	listener := listen()
+	r.address, r.server = listener.Addr().String(), &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go func() { _ = r.server.Serve(listener) }()
+	var ctx context.Context
+	ctx, r.beats = context.WithCancel(context.Background())
 	born := time.Now().UnixMilli()
 	go func() {
-		for seq := 1; ; seq++ {
+		for seq := 1; ctx.Err() == nil; seq++ {
 			d.store.Put("servers/"+id, map[string]any{
 				"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready",
 				"cold_left_ms": 0, "seq": seq, "born": born,
 			})
-			time.Sleep(1200 * time.Millisecond)
+			select {
+			case <-time.After(1200 * time.Millisecond):
+			case <-ctx.Done():
+			}
 		}
 	}()
 	return r
