--- a/review/testdata/second/deployment.go
+++ b/review/testdata/second/deployment.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,16 +36,20 @@
 	return l
 }
 
-// usedPorts holds the addresses that freePort has returned.
-var usedPorts sync.Map
+// nextPort is the next port that freePort tries. Each process has a block of ports of its own, so that scripts that run
+// side by side do not meet.
+var (
+	nextPort = 10000 + os.Getpid()%200*100
+	portLock sync.Mutex
+)
 
 // freePort returns an address that nothing listens at, below the ports of outgoing connections.
 func freePort() string {
+	portLock.Lock()
+	defer portLock.Unlock()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
-		if _, used := usedPorts.LoadOrStore(address, true); used {
-			continue
-		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
@@ -75,6 +78,9 @@
 	calls   []dutyCall
 	onScale func(service, zone string, desired int)
 	hosts   []*host
+
+	processes sync.Mutex // held while a process is started or all are stopped
+	stopped   bool
 }
 
 func newDeployment(r *record, dir string) *deployment {
@@ -166,6 +172,11 @@
 
 // start starts the process of a host with the command of the deploy file.
 func (d *deployment) start(h *host) {
+	d.processes.Lock()
+	defer d.processes.Unlock()
+	if d.stopped {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(d.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
@@ -175,8 +186,7 @@
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.cmd.Start(); err != nil {
-		fmt.Fprintln(os.Stderr, "cannot start the daemon:", err)
-		os.Exit(2)
+		panic(err)
 	}
 	d.record.log("%s started", h.name)
 	done := make(chan struct{})
@@ -188,8 +198,11 @@
 	}(h.cmd)
 }
 
-// stop kills all processes.
+// stop kills all processes; none is started any more.
 func (d *deployment) stop() {
+	d.processes.Lock()
+	defer d.processes.Unlock()
+	d.stopped = true
 	for _, h := range d.hosts {
 		if h.cmd != nil && h.cmd.Process != nil {
 			_ = h.cmd.Process.Signal(syscall.SIGCONT)
--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,8 @@
 		fmt.Fprintln(os.Stderr, "usage: second CASE FOLDER")
 		os.Exit(2)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -31,21 +34,27 @@
 	}
 	r := &record{file: file, began: time.Now()}
 	d := newDeployment(r, dir)
-	ended := make(chan os.Signal, 1)
-	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	var once sync.Once
+	finish := func(status int) {
+		once.Do(func() {
+			d.stop()
+			r.log("exit status %d", status)
+			_ = file.Close()
+			_ = os.RemoveAll(dir)
+			os.Exit(status)
+		})
+	}
 	go func() {
-		<-ended
-		d.stop()
-		os.Exit(2)
+		select {
+		case <-ended:
+			r.log("interrupted")
+		case <-time.After(timeLimit):
+			r.log("not done in time")
+		}
+		finish(2)
 	}()
-	status := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
-	d.stop()
-	r.log("exit status %d", status)
-	_ = file.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(dir)
-	} else {
-		fmt.Fprintln(os.Stderr, "logs in", dir)
-	}
-	os.Exit(status)
+	finish(cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0"))
 }
+
+// timeLimit is the longest time of a case.
+const timeLimit = 115 * time.Second
