--- a/duties.go
+++ b/duties.go
@@ -21,7 +21,7 @@
 // duties returns a function that campaigns for the duties lease and, while this host holds
 // it, reports usage and orders upstreams.
 func (f *ForwardServer) duties() func(context.Context) {
-	api := platform.NewDuties(f.settings.Duties, f.settings.HostID)
+	api := platform.NewDuties(f.settings.Duties, f.settings.HostID, f.logger.Named("duties"))
 	reporter := &usage.Reporter{
 		Store: f.store, Counts: f.counter, Sink: api, Window: seconds(f.settings.UsageWindowSeconds), Now: f.clock.Now, Logger: f.logger.Named("usage"),
 	}
--- a/events/forward.go
+++ b/events/forward.go
@@ -24,9 +24,10 @@
 
 // The events of usage reports and of orders for upstreams have the numbers 2200 to 2299.
 var (
-	UsageReported = define(2200, "usage reported", hclog.Info, "The usage of one time window was reported.")
-	UsageFailed   = define(2201, "usage step failed", hclog.Warn, "A step of a usage report failed; it is retried.")
-	UsageLost     = define(2217, "usage window left out", hclog.Warn, "The key-value service has come back from an older copy and may have lost the counts with which another host reported this time window; it is not reported, because two reports of a window must not differ.")
-	ScaleOrdered  = define(2210, "upstreams ordered", hclog.Info, "This host ordered a number of upstreams in a failure domain.")
-	ScaleRefused  = define(2211, "upstream order failed", hclog.Info, "An order for upstreams was refused or failed; it is retried.")
+	UsageReported  = define(2200, "usage reported", hclog.Info, "The usage of one time window was reported.")
+	UsageFailed    = define(2201, "usage step failed", hclog.Warn, "A step of a usage report failed; it is retried.")
+	UsageLost      = define(2217, "usage window left out", hclog.Warn, "The key-value service has come back from an older copy and may have lost the counts with which another host reported this time window; it is not reported, because two reports of a window must not differ.")
+	DutyUnanswered = define(2218, "duty call unanswered", hclog.Warn, "A usage report or an order to the platform ended without an answer after age_ms; connected, reused, written and closed tell whether it had a connection, one that was open before, whether the whole request was written to it, and whether it is closed now.")
+	ScaleOrdered   = define(2210, "upstreams ordered", hclog.Info, "This host ordered a number of upstreams in a failure domain.")
+	ScaleRefused   = define(2211, "upstream order failed", hclog.Info, "An order for upstreams was refused or failed; it is retried.")
 )
