--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/tcpopt"
 )
 
 // Connections counts connections to upstreams by outcome.
@@ -193,7 +194,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
-		Control: setAckTimeout,
+		Control: tcpopt.AckTimeout(ackTimeout),
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -204,18 +205,6 @@
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes), address: address, idleLimit: defaultIdle}, nil
 }
 
-// setAckTimeout sets the TCP option that closes a connection with unacknowledged bytes.
-func setAckTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
-}
-
 // usable reports whether an idle connection is open and has no unread bytes, which
 // would belong to no request.
 func (c *Conn) usable() bool {
