Duties: bound the calls of a suspended process by its term

An order or a usage report of a suspended holder may reach the platform behind those of its successor.

Cause: a process that is suspended closes no connection, so that the kernel goes on to retransmit the request of a call that nobody can give up. A call could also begin in the last moment of a term.

The contract of cloud.Scaler and cloud.UsageSink states how long a call may take effect, cloud.CallLifetime, and the holder starts none unless its term covers that. A term that is renewed covers it at all times. A report that is held back fails, so that its window is tried again.

--- a/cloud/duties.go
+++ b/cloud/duties.go
@@ -1,6 +1,14 @@
 package cloud
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+// CallLifetime bounds how long after its start a call to a UsageSink or a Scaler can take effect at the platform, also
+// if its process is suspended, so that it cannot end the call. The holder of the duties lease starts no call in the last
+// CallLifetime of its term.
+const CallLifetime = 2 * time.Second
 
 // UsageSink receives usage reports. Only the host that holds the duties lease, which one host holds
 // at a time, calls it.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -69,6 +69,9 @@
 // Valid reports whether the term still lasts; while it does, no other host can hold the lease.
 func (t *Term) Valid() bool { return t.Remaining() > 0 }
 
+// Covers reports whether the term lasts for the given time without a renewal.
+func (t *Term) Covers(d time.Duration) bool { return t.Remaining() >= d }
+
 // Remaining returns the time until the term expires without a renewal; zero or less means expired.
 func (t *Term) Remaining() time.Duration {
 	t.mu.Lock()
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -159,7 +159,7 @@
 	return s.needs[pool][0].count
 }
 
-// sendOrder sends o if its count is new or its resend interval has passed, and if term is valid.
+// sendOrder sends o if its count is new or its resend interval has passed, and if term covers the call.
 // live is the number of upstreams that accept work; demand is only logged.
 func (s *Scaler) sendOrder(ctx context.Context, term *lease.Term, o cloud.ScaleOrder, live int, demand planner.Demand) {
 	key := orderKey{o.Pool, o.FailureDomain, o.Reclaimable}
@@ -174,7 +174,7 @@
 		}
 		o.Count = max(o.Count, last.count)
 	}
-	if known && last.count == o.Count && time.Since(last.at) < resendInterval || !term.Valid() {
+	if known && last.count == o.Count && time.Since(last.at) < resendInterval || !term.Covers(cloud.CallLifetime) {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
--- a/tcpopt/tcpopt.go
+++ b/tcpopt/tcpopt.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// Join returns a Control that applies all of the given ones.
+func Join(controls ...Control) Control {
+	return func(network, address string, conn syscall.RawConn) error {
+		for _, apply := range controls {
+			if err := apply(network, address, conn); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 func control(conn syscall.RawConn, set func(fd int) error) error {
 	var failed error
 	if err := conn.Control(func(fd uintptr) { failed = set(int(fd)) }); err != nil {
--- a/usage/report.go
+++ b/usage/report.go
@@ -70,8 +70,8 @@
 }
 
 // report determines the final counts of a window and sends them to the sink. It
-// sends nothing if the counts are empty or the lease term has expired. No other holder
-// can have reported the window first or a later one.
+// sends nothing if the counts are empty, and fails with cloud.ReasonUnavailable if the lease
+// term does not cover the call. No other holder can have reported the window first or a later one.
 func (r *Reporter) report(ctx context.Context, term *lease.Term, window, first int64) error {
 	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
@@ -79,9 +79,12 @@
 	if err != nil {
 		return err
 	}
-	if !term.Valid() || len(counts) == 0 {
+	if len(counts) == 0 {
 		return nil
 	}
+	if !term.Covers(cloud.CallLifetime) {
+		return &cloud.Error{Op: "usage", Reason: cloud.ReasonUnavailable}
+	}
 	if err := r.Sink.Report(call, term.Fence, window, counts); err != nil {
 		return err
 	}
--- a/usage/report_test.go
+++ b/usage/report_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/clock/clocktest"
+	"github.com/cardamompier/cardamompier/cloud"
 	"github.com/cardamompier/cardamompier/inner"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/kv/kvmem"
@@ -84,3 +85,29 @@
 		})
 	}
 }
+
+// TestNoReportThatOutlivesItsTerm guards against a report that is sent just before its term ends and arrives behind
+// the next holder's, and against a window that is then left out of the term's reports.
+func TestNoReportThatOutlivesItsTerm(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	clock, store := clocktest.New(1), kvmem.New()
+	sink := &recordedReports{at: map[int64]time.Time{}}
+	view := &membership.View{Members: []membership.Member{{ID: "a"}}}
+	counter := NewCounter("a", testWindow, time.Now, inner.NewClient(), inner.NewServer(), func() *membership.View { return view })
+	reporter := &Reporter{Store: store, Counts: counter, Sink: sink, Window: testWindow, Now: time.Now, Logger: hclog.NewNullLogger()}
+	window := windowNumber(time.Now(), testWindow)
+	counter.recordSettled(window, map[string]int64{"account": 1})
+	holder := lease.New(store, "duties", "a", hclog.NewNullLogger(), lease.Options{Elapsed: clock.Elapsed})
+	holder.Run(ctx, func(ctx context.Context, term *lease.Term) {
+		defer cancel()
+		clock.Suspend(term.Remaining() - cloud.CallLifetime + time.Millisecond)
+		err := reporter.report(ctx, term, window, window)
+		if !term.Valid() || cloud.ReasonOf(err) != cloud.ReasonUnavailable || len(sink.at) != 0 {
+			t.Errorf("%v before the end of the term: error %v, %d reports, want an error and none", term.Remaining(), err, len(sink.at))
+		}
+	})
+	if ctx.Err() != context.Canceled {
+		t.Error("the lease was not acquired")
+	}
+}
