Soak: cut the holder of the duties off from the platform

Change: TestDutiesOverCuts cuts the holder off for 4 to 14 s, and half of the time ends its process meanwhile. A cut with retransmissions holds bytes until TCP would send them again, and drops those of a connection that was reset. The fence check excuses 0.3 s, also in TestDutiesOverRestoredStore.

--- a/soak/duties_test.go
+++ b/soak/duties_test.go
@@ -24,6 +24,13 @@
 	handoverDelay = 500 * time.Millisecond
 	// dutiesAfterRestore is how long the duties are watched after a restore: two holders one after the other.
 	dutiesAfterRestore = 15 * time.Second
+	// freezeSlack is the time after a host was resumed, or its links were restored, in which its calls may be late.
+	freezeSlack = 300 * time.Millisecond
+	// minCut and maxCut bound a cut of the holder's links. The next holder begins 6 to 9 s after the last renewal.
+	minCut, maxCut = 4 * time.Second, 14 * time.Second
+	// dutiesAfterCut is how long the duties are watched after a cut. A retransmission after a cut comes at most as long
+	// after it as the cut lasted.
+	dutiesAfterCut = maxCut
 )
 
 // dutyAPI is a stand-in for the platform's API for duties. It checks the calls as they arrive.
@@ -81,7 +88,7 @@
 }
 
 // checkFence checks the fence of a call: no other holder has used it, and it is not lower than one before, unless the
-// holder or the store was disturbed lately. The caller holds a.mu.
+// holder or its links were disturbed within freezeSlack, or the store within contactSpan. The caller holds a.mu.
 func (a *dutyAPI) checkFence(subject string, r *http.Request) {
 	holder := r.Header.Get("Duty-Holder")
 	fence, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
@@ -94,8 +101,8 @@
 		a.d.log.violate("ONE, fence: %s uses fence %d for %s, which %s has used", holder, fence, subject, other)
 	}
 	a.holders[subject][fence] = holder
-	since := time.Now().Add(-contactSpan)
-	if highest := a.highest[subject]; fence < highest && a.d.drill.lastDisturbed() < since.UnixNano() && a.d.isCalm(holder, since) {
+	now := time.Now()
+	if highest := a.highest[subject]; fence < highest && a.d.drill.lastDisturbed() < now.Add(-contactSpan).UnixNano() && a.d.isCalm(holder, now.Add(-freezeSlack)) {
 		a.d.log.violate("ONE, lower: %s uses fence %d for %s after fence %d", holder, fence, subject, highest)
 	}
 	a.highest[subject] = max(a.highest[subject], fence)
@@ -105,7 +112,7 @@
 func (d *deployment) isCalm(name string, since time.Time) bool {
 	for _, h := range d.hosts {
 		if h.name == name {
-			return h.disturbedAt.Load() < since.UnixNano() && !h.store.disturbedSince(since)
+			return h.disturbedAt.Load() < since.UnixNano() && !h.store.disturbedSince(since) && (h.duties == nil || !h.duties.disturbedSince(since))
 		}
 	}
 	return false
@@ -188,3 +195,39 @@
 	api.mu.Unlock()
 	d.log.report(t)
 }
+
+// TestDutiesOverCuts guards against a call that its holder gave up during a cut, or whose process has ended, and that
+// arrives behind the calls of the next holder.
+func TestDutiesOverCuts(t *testing.T) { eachSeed(t, playCut, 101, 106) }
+
+// playCut cuts the holder off from the platform while upstreams that it has ordered have not started, so that it repeats
+// its orders. Half of the time it also ends the holder's process.
+func playCut(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	d := emptyDeployment(t)
+	api := newDutyAPI(t, d)
+	d.duties = api.server.Listener.Addr().String()
+	d.autoscale = map[string]any{"min": 1, "max": 8, "startup_s": 1}
+	d.startHosts(t)
+	await(t, dutySpan, "upstreams are ordered", func() bool { return api.lastHolder() != nil })
+	time.Sleep(spanBetween(random, 0, 2*time.Second))
+	h, cut := api.lastHolder(), spanBetween(random, minCut, maxCut)
+	for _, p := range []*proxy{h.store, h.duties} {
+		p.impair(impairment{blockTo: true, blockFrom: true})
+	}
+	healed := time.Now().Add(cut)
+	if random.IntN(2) == 0 {
+		time.Sleep(spanBetween(random, 0, 3*time.Second))
+		signals := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}
+		h.replace(t, signals[random.IntN(2)], spanBetween(random, 0, time.Second))
+	}
+	time.Sleep(time.Until(healed))
+	for _, p := range []*proxy{h.store, h.duties} {
+		p.impair(impairment{})
+	}
+	time.Sleep(dutiesAfterCut)
+	api.mu.Lock()
+	t.Logf("%s cut off for %v; calls by subject and holder %v, highest fences %v", h.name, cut, api.calls, api.highest)
+	api.mu.Unlock()
+	d.log.report(t)
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -5,6 +5,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // impairment describes how a proxy delays or blocks the bytes that it forwards. The zero value
@@ -28,6 +31,10 @@
 	closed  bool
 	// disturbedAt is when the proxy was last impaired, relieved or reset.
 	disturbedAt time.Time
+	// retransmits makes a block behave as a cut link does with TCP: bytes that were held back arrive at their first
+	// retransmission after it, unless their sender has reset the connection, and no connection opens during it. It is set
+	// before the proxy is used.
+	retransmits bool
 }
 
 // newProxy starts a proxy to the target address and closes it at the end of the test.
@@ -121,6 +128,17 @@
 		return
 	}
 	p.open[caller], p.open[target] = struct{}{}, struct{}{}
+	if cut := p.retransmits && p.current.blockTo; cut {
+		for p.current.blockTo && !p.closed {
+			p.changed.Wait()
+		}
+		delete(p.open, caller)
+		delete(p.open, target)
+		p.mu.Unlock()
+		_ = caller.Close()
+		_ = target.Close()
+		return
+	}
 	p.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(target, caller, func(i impairment) bool { return i.blockTo }) })
@@ -143,12 +161,20 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			sent, held := time.Now(), false
 			p.mu.Lock()
 			for blocked(p.current) && !p.closed {
+				held = true
 				p.changed.Wait()
 			}
 			delay := p.current.delay
 			p.mu.Unlock()
+			if held && p.retransmits {
+				time.Sleep(untilRetransmission(sent))
+				if isReset(from) {
+					return
+				}
+			}
 			time.Sleep(delay)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -160,6 +186,35 @@
 	}
 }
 
+// firstRetransmission is the shortest time after which TCP sends unacknowledged bytes again on Linux. Each further time is
+// twice as long.
+const firstRetransmission = 200 * time.Millisecond
+
+// untilRetransmission returns the time until the next retransmission of bytes that were sent at a time.
+func untilRetransmission(sent time.Time) time.Duration {
+	at, pause := sent, firstRetransmission
+	for time.Until(at) < 0 {
+		at = at.Add(pause)
+		pause *= 2
+	}
+	return time.Until(at)
+}
+
+// isReset reports whether the peer of a connection with no unread bytes has reset it.
+func isReset(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, failed := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		reset = errors.Is(failed, unix.ECONNRESET)
+		return true
+	})
+	return reset || err != nil
+}
+
 // impair sets the impairment for all bytes that are forwarded from now on.
 func (p *proxy) impair(i impairment) {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -141,6 +141,9 @@
 	// extra holds settings of the hosts besides those that all tests have, autoscale the bounds of ordered upstreams, and
 	// accountExtra fields of the client account in the configuration.
 	extra, autoscale, accountExtra map[string]any
+	// duties is the address of the platform's API for duties, which each host reaches by a proxy of its own; empty if
+	// there is none.
+	duties string
 }
 
 // host is an entry host's process with its own proxy to the store.
@@ -149,6 +152,7 @@
 	listen, ready, inner string
 	settings             string
 	store                *proxy
+	duties               *proxy       // nil if the host reaches the platform's API for duties without one
 	disturbedAt          atomic.Int64 // when the process was last paused, stopped or started, in Unix ns
 	starts               atomic.Int64 // how often the process was started
 
@@ -343,6 +347,11 @@
 		"listen": h.listen, "ready_listen": h.ready, "directory_listen": freePort(t), "inner_listen": h.inner,
 		"metrics_listen": freePort(t), "seeds": seeds, "store": h.store.address(), "grace_seconds": graceSeconds, "retry_burst": 500,
 	}
+	if d.duties != "" {
+		h.duties = newProxy(t, d.duties)
+		h.store.retransmits, h.duties.retransmits = true, true
+		all["duties"] = h.duties.address()
+	}
 	maps.Copy(all, d.extra)
 	settings, err := json.Marshal(all)
 	if err != nil {
