--- a/callerlimits/forward_test.go
+++ b/callerlimits/forward_test.go
@@ -81,7 +81,7 @@
 		"tenants":  []map[string]any{{"name": "account", "api_keys": []string{accountKey}}},
 	}
 	record := map[string]any{
-		"service": "desk", "address": upstream, "zone": "a", "state": "ready", "slots": 1000, "born": time.Now().UnixMilli(), "version": "1", "seq": 1,
+		"service": "desk", "address": upstream, "zone": "a", "state": "ready", "slots": 1000, "born": time.Now().UnixMilli(), "version": "1", "cold_left_ms": 0, "seq": 1,
 	}
 	for key, contents := range map[string]any{"op/config": table, "servers/u1": record} {
 		value, err := json.Marshal(contents)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -111,7 +111,7 @@
 			written = ""
 		}
 		value, _ := json.Marshal(map[string]any{
-			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": u.version, "seq": 1,
+			"service": "desk", "address": u.proxy.address(), "zone": "a", "state": state, "slots": 64, "born": u.born.Load(), "version": u.version, "cold_left_ms": 0, "seq": 1,
 		})
 		if lease != 0 && written != string(value) {
 			key := "servers/" + u.id
--- a/upstreamlist_test.go
+++ b/upstreamlist_test.go
@@ -16,7 +16,7 @@
 func TestOddRecordRevivesNoLeavingUpstream(t *testing.T) {
 	const key = "servers/u"
 	record := func(state, fields string) string {
-		return `{"service":"s","address":"10.0.0.1:80","zone":"z","state":"` + state + `"` + fields + `}`
+		return `{"service":"s","address":"10.0.0.1:80","zone":"z","version":"1","cold_left_ms":0,"state":"` + state + `"` + fields + `}`
 	}
 	const slots, born, seq = `,"slots":4`, `,"born":1770000000000`, `,"seq":1`
 	for name, odd := range map[string]string{
--- a/upstreamremoved_test.go
+++ b/upstreamremoved_test.go
@@ -16,7 +16,7 @@
 func TestUpstreamsOfAnOlderCopy(t *testing.T) {
 	const key = "servers/u"
 	record := func(state, born string) string {
-		return `{"service":"s","address":"10.0.0.1:80","zone":"z","state":"` + state + `","slots":4,"seq":1` + born + `}`
+		return `{"service":"s","address":"10.0.0.1:80","zone":"z","state":"` + state + `","version":"1","slots":4,"cold_left_ms":0,"seq":1` + born + `}`
 	}
 	const first, second = `,"born":1770000000000`, `,"born":1770000009000`
 	type step struct {
