Upstreams: know the start of a run after its record was removed

Cause: the start that earlier records have stated was kept with the decoded record, and so was lost with the key.

Change: a key that comes back takes over the start, and the era, of its removal, which removedUpstreams keeps for a minute. Decoding is a function of its own.

Evidence: TestOddRecordAfterRemoval failed before in four of its eleven steps.

Why it works: an upstream that has stated its start states it in each record, so that a record without it is refused, as it is while the key exists.

--- a/upstreamlist.go
+++ b/upstreamlist.go
@@ -17,7 +17,8 @@
 	version kv.Version
 	host    hosts.Host
 	err     error
-	// startedMS is the start of the newest run that a record under the key has stated; zero if none has.
+	// startedMS is the start of the newest run that a record under the key has stated, also one that was removed within
+	// removedSpan; zero if none has.
 	startedMS int64
 	// outdated is true if a newer run's record was lost when the key-value service came back from an older copy.
 	outdated bool
@@ -44,22 +45,15 @@
 	if f.removed == nil {
 		f.removed = removedUpstreams{}
 	}
+	decoded := f.decodeUpstreams(view)
 	f.removed.update(f.decoded, view, time.Now())
 	list := make([]hosts.Host, 0, len(view.Entries))
-	decoded := make(map[string]decodedUpstream, len(view.Entries))
-	for key, entry := range view.Entries {
-		d, known := f.decoded[key]
-		if !known || d.version != entry.Version {
-			if d.decode(entry); d.err != nil {
-				events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", d.err)
-			}
-		}
-		decoded[key] = d
+	for key, d := range decoded {
 		switch {
 		case d.err != nil:
 		case d.outdated:
 			outdatedUpstreams.Inc(outdatedRun)
-		case f.removed.has(entry, d.host.StartedMS):
+		case f.removed.has(view.Entries[key], d.host.StartedMS):
 			outdatedUpstreams.Inc(outdatedRemoved)
 		default:
 			list = append(list, d.host)
@@ -75,6 +69,25 @@
 	f.logDepartures(f.upstreams.Load().DepartedSince(previous), view)
 }
 
+// decodeUpstreams returns the decoded records of a store view by key.
+func (f *ForwardServer) decodeUpstreams(view *replica.View) map[string]decodedUpstream {
+	decoded := make(map[string]decodedUpstream, len(view.Entries))
+	for key, entry := range view.Entries {
+		d, known := f.decoded[key]
+		if !known {
+			removed := f.removed[key]
+			d.startedMS, d.version = removed.startedMS, kv.VersionOf(removed.era, 0)
+		}
+		if !known || d.version != entry.Version {
+			if d.decode(entry); d.err != nil {
+				events.ForwardHostBad.Log(f.logger, "revision", uint64(entry.Version), "error", d.err)
+			}
+		}
+		decoded[key] = d
+	}
+	return decoded
+}
+
 // maxLoggedDepartures limits the log lines for one change of the list.
 const maxLoggedDepartures = 32
 
--- a/upstreamremoved_test.go
+++ b/upstreamremoved_test.go
@@ -93,3 +93,31 @@
 		t.Errorf("the earlier run, started at %d, is live again", h.StartedMS)
 	}
 }
+
+// TestOddRecordAfterRemoval guards against requests for an upstream that leaves, because another writer has written a
+// record without the start of a run under its key once its own one was removed.
+func TestOddRecordAfterRemoval(t *testing.T) {
+	const key = "servers/u"
+	record := func(born string) string {
+		return `{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","version":"1","slots":4,"cold_left_ms":0,"seq":1` + born + `}`
+	}
+	const first, second = `,"born":1770000000000`, `,"born":1770000009000`
+	f, revision := &ForwardServer{logger: hclog.NewNullLogger()}, kv.Version(0)
+	for i, s := range []struct {
+		value string // empty if there is no record
+		live  bool
+	}{
+		{record(first), true}, {"", false}, {record(""), false}, {record(""), false}, {"", false}, {"{", false}, {"", false}, {record(""), false},
+		{record(second), true}, {"", false}, {record(""), false},
+	} {
+		revision++
+		view := &replica.View{Entries: map[string]kv.Entry{}, Revision: revision, ReadAt: time.Now()}
+		if s.value != "" {
+			view.Entries[key] = kv.Entry{Key: key, Value: []byte(s.value), Version: revision}
+		}
+		f.applyUpstreams(view)
+		if _, live := f.upstreams.Load().Live("s", "u"); live != s.live {
+			t.Errorf("step %d: live %v, want %v", i+1, live, s.live)
+		}
+	}
+}
