Replica: bound the pages of a list, not the list

Cause: the time limit of a second held for all pages of a list together, so that a list that takes longer was never read. Hosts that had a copy followed its changes, so that only a start showed it.

TestListOfManyPages (100 pages in 5 s) failed before.

Change: kv.WithPageTimeout bounds the wait for each page; the platform's store reports each page that arrives. A page that does not arrive ends the list after a second, as before (both cases are tested), and counts as a missed deadline.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -45,7 +45,7 @@
 	// retryDelay is the mean pause after a failed read of the key-value service. It is short
 	// compared with the 2 s within which a new configuration must be in force.
 	retryDelay = 250 * time.Millisecond
-	// listTimeout bounds one list call to the key-value service, which answers in a few ms.
+	// listTimeout bounds the wait for each page of a list from the key-value service, which answers in a few ms.
 	listTimeout = time.Second
 	// peerWaitDivisor divides the watch timeout: a peer delays its answer for at most a third of
 	// it. A peer that is cut off from the key-value service is thus detected soon after its copy
@@ -183,7 +183,7 @@
 
 func (r *Replica) list(ctx context.Context) error {
 	began := time.Now()
-	call, cancel := context.WithTimeout(ctx, listTimeout)
+	call, cancel := kv.WithPageTimeout(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := r.store.List(call, r.prefix)
 	if err != nil {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/wait"
 )
 
 // scriptedStore is a key-value store whose lists and watches are answered by functions of the test.
@@ -450,3 +452,45 @@
 		}
 	})
 }
+
+// pagedStore is a key-value store that sends a list in pages, each after a delay.
+type pagedStore struct {
+	kv.Store
+	pages int
+	delay time.Duration
+}
+
+func (s *pagedStore) List(ctx context.Context, _ string) ([]kv.Entry, kv.Version, error) {
+	for range s.pages {
+		if !wait.For(ctx, s.delay) {
+			return nil, 0, &kv.Error{Op: "list", Reason: kv.ReasonUnknown, Cause: context.Cause(ctx)}
+		}
+		kv.PageArrived(ctx)
+	}
+	return []kv.Entry{entry("p/a", 5)}, 5, nil
+}
+
+func (s *pagedStore) Watch(ctx context.Context, _ string, after kv.Version) ([]kv.Event, kv.Version, error) {
+	<-ctx.Done()
+	return nil, after, nil
+}
+
+// TestListOfManyPages guards against a host that gets no copy, and so is never ready, because all pages of the list
+// together take longer than a read may; a page that does not arrive still ends the read in time.
+func TestListOfManyPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(&pagedStore{pages: 100, delay: 50 * time.Millisecond}, "p/", watchTimeout, nil, hclog.NewNullLogger())
+		stop := runReplica(t, r)
+		time.Sleep(6 * time.Second)
+		if r.Current() == nil {
+			t.Error("no copy after 6 s, of a list that takes 5 s")
+		}
+		stop()
+		silent := New(&pagedStore{pages: 2, delay: listTimeout + time.Millisecond}, "p/", watchTimeout, nil, hclog.NewNullLogger())
+		began := time.Now()
+		err := silent.list(t.Context())
+		if took := time.Since(began); took != listTimeout || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("the list ended after %v with error %v, want %v and a deadline", took, err, listTimeout)
+		}
+	})
+}
