Stop: end the drain in time

What callers saw: answers that were still running at the end of the grace period were cut in any case; but the process was killed 2 to 4 ms after it, so that the host's record and its last usage counts were not taken back or sent.

Cause: the drain looked for its end each 250 ms only, so that it took up to that much of the 400 ms that are left for closing.

Change: the drain also ends at its time. The wait is a function of its own.

--- a/forwardstop.go
+++ b/forwardstop.go
@@ -8,11 +8,24 @@
 // drain waits until no request is running and no new one has arrived for drainQuietSpan, and
 // at most until end. Callers with a cached address of this host are served meanwhile.
 func (f *ForwardServer) drain(stopped, end time.Time) {
+	awaitQuiet(func(now time.Time) bool {
+		return now.Sub(time.Unix(0, max(f.lastRequest.Load(), stopped.UnixNano()))) > drainQuietSpan && f.forwarder.Active() == 0
+	}, end)
+}
+
+// awaitQuiet waits until quiet returns true, and at most until end.
+func awaitQuiet(quiet func(now time.Time) bool, end time.Time) {
 	ticker := time.NewTicker(recheckInterval)
 	defer ticker.Stop()
-	for now := range ticker.C {
-		quiet := now.Sub(time.Unix(0, max(f.lastRequest.Load(), stopped.UnixNano()))) > drainQuietSpan
-		if now.After(end) || (quiet && f.forwarder.Active() == 0) {
+	ended := time.NewTimer(time.Until(end))
+	defer ended.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if quiet(now) {
+				return
+			}
+		case <-ended.C:
 			return
 		}
 	}
