Soak: stand-ins listen at an IP address of their own process

Not reproduced.

Change: proxies and servers of the soak listen where its hosts do, at a loopback address derived from the process ID.

Evidence: TestStandInsListenAtAnAddressOfTheirOwn failed before.

--- a/soak/duties_test.go
+++ b/soak/duties_test.go
@@ -51,7 +51,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /usage", a.usage)
 	mux.HandleFunc("POST /scale", a.scale)
-	a.server = httptest.NewServer(mux)
+	a.server = startServer(t, mux)
 	t.Cleanup(a.server.Close)
 	return a
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -40,7 +40,7 @@
 // newProxy starts a proxy to the target address and closes it at the end of the test.
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 
 // move closes all connections and listens at another address.
 func (p *proxy) move() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -240,7 +240,7 @@
 // test it ends the upstreams and the hosts.
 func (d *deployment) startHosts(t *testing.T) {
 	t.Helper()
-	d.server = httptest.NewServer(storeHandler(d.store, &d.trouble))
+	d.server = startServer(t, storeHandler(d.store, &d.trouble))
 	t.Cleanup(func() { d.server.CloseClientConnections(); d.server.Close() })
 	d.publish(t)
 	t.Cleanup(func() {
@@ -313,15 +313,37 @@
 // nextPort counts the ports that freePort has tried.
 var nextPort atomic.Int64
 
-// freePort returns an unused loopback address. The IP address is derived from the process ID, and
-// each port is tried once.
+// loopback returns an IP address of the loopback interface that is derived from the process ID. At 127.0.0.1, a test of
+// another package that runs beside these may take over a port while a host still connects to it.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+}
+
+// listen listens at an unused port of loopback.
+func listen() (net.Listener, error) { return net.Listen("tcp", loopback()+":0") }
+
+// startServer starts an HTTP server at an unused port of loopback.
+func startServer(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	listener, err := listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(handler)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	return server
+}
+
+// freePort returns an unused address of loopback. Each port is tried once.
 func freePort(t *testing.T) string {
 	t.Helper()
 	syscall.ForkLock.RLock() // a process forked now would hold the listener open until its exec
 	defer syscall.ForkLock.RUnlock()
-	pid := os.Getpid()
 	for range portCount {
-		address := fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, firstPort+nextPort.Add(1)%portCount)
+		address := fmt.Sprintf("%s:%d", loopback(), firstPort+nextPort.Add(1)%portCount)
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -79,7 +80,7 @@
 
 // start starts the upstream's server with the given handler, and registers the upstream.
 func (u *upstream) start(t *testing.T, serve http.HandlerFunc) {
-	u.server = httptest.NewServer(serve)
+	u.server = startServer(t, serve)
 	u.proxy = newProxy(t, u.server.Listener.Addr().String())
 	u.born.Store(time.Now().UnixMilli())
 	ctx, stop := context.WithCancel(context.Background())
@@ -221,3 +222,15 @@
 
 // answerOf returns the response body, or the data of each event, for a request.
 func answerOf(id string) string { return "answer to " + id }
+
+// TestStandInsListenAtAnAddressOfTheirOwn guards against hosts whose requests reach an upstream of another package's
+// tests, which run beside these and take over a port of 127.0.0.1 that a stand-in has left.
+func TestStandInsListenAtAnAddressOfTheirOwn(t *testing.T) {
+	u := emptyDeployment(t).startUpstream(t)
+	defer u.crash()
+	for _, address := range []string{u.proxy.address(), u.server.Listener.Addr().String()} {
+		if host, _, err := net.SplitHostPort(address); err != nil || host == "127.0.0.1" {
+			t.Errorf("an upstream listens at %s, error %v, want an IP address that no other package uses", address, err)
+		}
+	}
+}
