--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -128,7 +128,7 @@
 		return
 	}
 	p.open[caller], p.open[target] = struct{}{}, struct{}{}
-	if cut := p.retransmits && p.current.blockTo; cut {
+	if p.retransmits && p.current.blockTo {
 		for p.current.blockTo && !p.closed {
 			p.changed.Wait()
 		}
--- a/tcpopt/tcpopt.go
+++ b/tcpopt/tcpopt.go
@@ -15,7 +15,7 @@
 // the connection is closed or its process ends. Otherwise the kernel goes on to retransmit them for minutes, as the
 // peer may be out of reach. It is a Control.
 func DiscardOnClose(_, _ string, conn syscall.RawConn) error {
-	return control(conn, func(fd int) error {
+	return setOption(conn, func(fd int) error {
 		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 	})
 }
@@ -24,7 +24,7 @@
 // them have not been acknowledged for the given time. The time begins at their first retransmission.
 func AckTimeout(timeout time.Duration) Control {
 	return func(_, _ string, conn syscall.RawConn) error {
-		return control(conn, func(fd int) error {
+		return setOption(conn, func(fd int) error {
 			return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 		})
 	}
@@ -42,7 +42,8 @@
 	}
 }
 
-func control(conn syscall.RawConn, set func(fd int) error) error {
+// setOption applies set to the descriptor of a socket.
+func setOption(conn syscall.RawConn, set func(fd int) error) error {
 	var failed error
 	if err := conn.Control(func(fd uintptr) { failed = set(int(fd)) }); err != nil {
 		return err
