--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -32,19 +32,24 @@
 	// disturbedAt is when the proxy was last impaired, relieved or reset.
 	disturbedAt time.Time
 	// retransmits makes a block behave as a cut link does with TCP: bytes that were held back arrive at their first
-	// retransmission after it, unless their sender has reset the connection, and no connection opens during it. It is set
-	// before the proxy is used.
+	// retransmission after it, unless their sender has reset the connection, and no connection opens during it.
 	retransmits bool
 }
 
 // newProxy starts a proxy to the target address and closes it at the end of the test.
 func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	return startProxy(t, &proxy{target: target})
+}
+
+// startProxy starts a proxy whose target is set, and closes it at the end of the test.
+func startProxy(t *testing.T, p *proxy) *proxy {
 	t.Helper()
 	listener, err := listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: listener, target: target, open: map[net.Conn]struct{}{}}
+	p.listener, p.open = listener, map[net.Conn]struct{}{}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept(listener)
 	t.Cleanup(p.close)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -358,7 +358,8 @@
 func (d *deployment) addHost(t *testing.T, i int, store string) {
 	t.Helper()
 	h := &host{
-		name: fmt.Sprintf("n%d", i), listen: freePort(t), ready: freePort(t), inner: freePort(t), store: newProxy(t, store),
+		name: fmt.Sprintf("n%d", i), listen: freePort(t), ready: freePort(t), inner: freePort(t),
+		store: startProxy(t, &proxy{target: store, retransmits: d.duties != ""}),
 	}
 	seeds := []string{h.inner}
 	if i > 0 {
@@ -370,8 +371,7 @@
 		"metrics_listen": freePort(t), "seeds": seeds, "store": h.store.address(), "grace_seconds": graceSeconds, "retry_burst": 500,
 	}
 	if d.duties != "" {
-		h.duties = newProxy(t, d.duties)
-		h.store.retransmits, h.duties.retransmits = true, true
+		h.duties = startProxy(t, &proxy{target: d.duties, retransmits: true})
 		all["duties"] = h.duties.address()
 	}
 	maps.Copy(all, d.extra)
