Clients: reject a status that HTTP does not have

What callers saw: an upstream answered with status 000 (099, +20, -00, or 101 without being asked to switch protocols). With the forwarding front end a caller got what follows that head as the answer if it looked like one, a second send of an order that may have run if it looked like a rejection, and otherwise nothing until its deadline. The chat front end's client of plain services returned the body as a reply with status 0; the engine's client believed a rejection in the body ("refused", so not run).

Cause: net/http accepts three characters that are a number, and 000 is below 200, which connpool took for an informational head and skipped. http.Transport returns it as a final response. The clients of the platform's store and of the cloud reported a write that was answered so as one without effect ("unavailable"), the duties as malformed, and kvhttp took its body for the result.

Evidence, on the code before: TestInvalidStatus fails for all five statuses. The answer in the body reached /order, /read; a rejection in the body let an order be sent twice (200 by the second upstream); without a body 504 after 2.0 s, want 502 at once.

A rejected head of an upstream is counted by reason, the attempt counts as one that may have run. jsonhttp is given the transport, since it imports none of the system's packages. Statuses from 600 on stay what they were, server errors (RFC 9110, section 15).

Why it works: the check is made before anything of the head is believed, in the two places by which answers of HTTP are read.

--- a/cloud/cloudhttp/cloudhttp.go
+++ b/cloud/cloudhttp/cloudhttp.go
@@ -10,6 +10,7 @@
 
 	"github.com/cardamompier/cardamompier/cloud"
 	"github.com/cardamompier/cardamompier/jsonhttp"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 // Paths of the cloud API's endpoints.
@@ -30,7 +31,9 @@
 var _ cloud.API = (*Client)(nil)
 
 // NewClient returns a client of the cloud API at a base URL.
-func NewClient(base string) *Client { return &Client{calls: jsonhttp.NewClient(base)} }
+func NewClient(base string) *Client {
+	return &Client{calls: jsonhttp.NewClient(base, stricthttp.NewTransport)}
+}
 
 // Offers implements cloud.API.
 func (c *Client) Offers(ctx context.Context) ([]cloud.Offer, error) {
--- a/cmd/cardamompier/rollouts.go
+++ b/cmd/cardamompier/rollouts.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, &endpointError{Address: address, Cause: err}
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := hostClient.Do(req)
 	if err != nil {
 		return nil, &endpointError{Address: address, Cause: err}
 	}
--- a/cmd/cardamompier/status.go
+++ b/cmd/cardamompier/status.go
@@ -13,6 +13,7 @@
 	"github.com/cardamompier/cardamompier"
 	"github.com/cardamompier/cardamompier/kv"
 	"github.com/cardamompier/cardamompier/membership"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 const (
@@ -92,6 +93,9 @@
 
 func idOf(m membership.Member) string { return m.ID }
 
+// hostClient reads from entry hosts.
+var hostClient = &http.Client{Transport: stricthttp.NewDefaultTransport()}
+
 func readAllStatuses(ctx context.Context, members []membership.Member) []hostStatus {
 	out := make([]hostStatus, len(members))
 	var group errgroup.Group
@@ -116,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := hostClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,8 +34,8 @@
 type Dispatcher struct {
 	hosts     *hosts.Poller
 	logger    hclog.Logger
-	transport *http.Transport
-	pools     sync.Map // from pool name to *pool
+	transport http.RoundTripper // to engines
+	pools     sync.Map          // from pool name to *pool
 	budgets   retry.Budgets
 	isolation *Isolation
 	replies   *upstream.ReplyBudget
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -43,6 +43,8 @@
 	onChoice func()
 	// limitsPanic makes the limits panic.
 	limitsPanic atomic.Bool
+	// answersEarly is whether the upstreams answer before they read the body of a request.
+	answersEarly bool
 
 	mu       sync.Mutex
 	received []receivedRequest
@@ -90,7 +92,19 @@
 
 func newFixture(t *testing.T, answer answerFunc) *fixture {
 	t.Helper()
-	f := &fixture{}
+	return startFixture(t, &fixture{}, 1000, answer)
+}
+
+// newUploadFixture returns a fixture for bodies of up to maxUpload bytes, whose upstreams answer before they read the body.
+func newUploadFixture(t *testing.T, answer answerFunc) *fixture {
+	t.Helper()
+	return startFixture(t, &fixture{answersEarly: true}, maxUpload, answer)
+}
+
+const maxUpload = 8 << 20
+
+func startFixture(t *testing.T, f *fixture, maxBody int64, answer answerFunc) *fixture {
+	t.Helper()
 	f.setAnswer(answer)
 	var list []hosts.Host
 	for _, id := range []string{"u1", "u2"} {
@@ -103,7 +117,7 @@
 		go f.serveUpstream(listener, id)
 	}
 	table := routes.New(routes.Contents{
-		Version: 1, Limits: routes.Limits{BodyBytes: 1000},
+		Version: 1, Limits: routes.Limits{BodyBytes: maxBody},
 		Routes: []*routes.Route{
 			route("/order/", routes.NonIdempotent, 1), route("/read/", routes.Idempotent, 2),
 			route("/stream/", routes.Stream, 1), route("/resume/", routes.ResumableStream, 2),
@@ -158,9 +172,11 @@
 			if err != nil {
 				return
 			}
-			body, err := io.ReadAll(req.Body)
-			if err != nil {
-				return
+			var body []byte
+			if !f.answersEarly {
+				if body, err = io.ReadAll(req.Body); err != nil {
+					return
+				}
 			}
 			f.mu.Lock()
 			n := len(f.received)
--- a/hosts/hosthttp/hosthttp.go
+++ b/hosts/hosthttp/hosthttp.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/hosts"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 // Path is the URL path of the host list.
@@ -30,7 +31,7 @@
 // NewClient returns a client that reads the host list from the server at base, for example
 // "http://127.0.0.1:7501".
 func NewClient(base string) *Client {
-	return &Client{url: base + Path, http: &http.Client{Timeout: readTimeout}}
+	return &Client{url: base + Path, http: &http.Client{Timeout: readTimeout, Transport: stricthttp.NewDefaultTransport()}}
 }
 
 // List returns all hosts of the list, or a *hosts.Error after at most 2 s. It implements
--- a/inner/client.go
+++ b/inner/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 const (
@@ -29,6 +31,9 @@
 	idleTimeout = 30 * time.Second
 )
 
+// dialer sends the opening handshakes.
+var dialer = &http.Client{Transport: stricthttp.NewDefaultTransport()}
+
 // Replaced counts connections to other entry hosts that this host closed to open new ones, by reason.
 var Replaced = metrics.New("inner_connections_replaced_total", "Connections to other entry hosts that this host closed to open new ones, by reason.")
 
@@ -201,7 +206,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, res, err := websocket.Dial(ctx, "ws://"+p.address+Path, nil)
+	conn, res, err := websocket.Dial(ctx, "ws://"+p.address+Path, &websocket.DialOptions{HTTPClient: dialer})
 	if err != nil {
 		p.recordDialError(err)
 		return nil, err
--- a/jsonhttp/client_test.go
+++ b/jsonhttp/client_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 // gatedConn delivers no bytes to the server while its gate is closed, as a connection that went silent.
@@ -75,7 +76,7 @@
 	server.Listener = listener
 	server.Start()
 	defer server.Close()
-	client := jsonhttp.NewClient(server.URL)
+	client := jsonhttp.NewClient(server.URL, stricthttp.NewTransport)
 	call := func(path string) error {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -30,9 +30,10 @@
 	http *http.Client
 }
 
-// NewClient returns a client of the service at the URL base, such as "http://127.0.0.1:7500".
-func NewClient(base string) *Client {
-	transport := &http.Transport{IdleConnTimeout: idleConnTimeout}
+// NewClient returns a client of the service at the URL base, such as "http://127.0.0.1:7500". wrap returns the transport
+// that checks the responses, such as stricthttp.NewTransport.
+func NewClient(base string, wrap func(*http.Transport) http.RoundTripper) *Client {
+	transport := wrap(&http.Transport{IdleConnTimeout: idleConnTimeout})
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/kv/kvhttp/client.go
+++ b/kv/kvhttp/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
 	"github.com/cardamompier/cardamompier/kv"
+	"github.com/cardamompier/cardamompier/stricthttp"
 )
 
 const (
@@ -36,7 +37,7 @@
 // "http://127.0.0.1:7500".
 func NewClient(baseURL string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout}
-	return &Client{baseURL: baseURL, http: &http.Client{Transport: transport}}
+	return &Client{baseURL: baseURL, http: &http.Client{Transport: stricthttp.NewTransport(transport)}}
 }
 
 // Close closes the idle connections.
--- a/upstream/connpool/head.go
+++ b/upstream/connpool/head.go
@@ -8,7 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/stricthttp"
+	"github.com/cardamompier/cardamompier/upstream"
 )
 
 const (
@@ -26,11 +27,8 @@
 	maxInformational = 4
 )
 
-// Malformed counts rejected heads of upstreams' responses, by reason.
-var Malformed = metrics.New("upstream_malformed_heads_total", "Rejected heads of upstreams' responses, by reason.")
-
 // HeadReason is the reason why the head of a response was rejected. Its values are
-// the labels of the counter Malformed.
+// labels of upstream.MalformedHeads.
 type HeadReason string
 
 // The reasons for which the head of a response is rejected.
@@ -48,6 +46,8 @@
 	// HeadMismatchedOnly means that too many responses to other requests arrived, or one
 	// that was too long.
 	HeadMismatchedOnly HeadReason = "strays_only"
+	// HeadInvalidStatus means that HTTP does not have the status, or that the upstream switches protocols unasked.
+	HeadInvalidStatus HeadReason = "invalid_status"
 )
 
 // HeadError is the cause of a failed exchange in which the upstream sent bytes, but
@@ -59,7 +59,7 @@
 
 // headError counts a rejected response head and returns its error.
 func headError(reason HeadReason) error {
-	Malformed.Inc(string(reason))
+	upstream.MalformedHeads.Inc(string(reason))
 	return &HeadError{Reason: reason}
 }
 
@@ -73,7 +73,15 @@
 	if err := c.awaitHead(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, req)
+	res, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	var invalid *stricthttp.HeadError
+	if errors.As(stricthttp.CheckStatus(req, res.StatusCode), &invalid) {
+		return nil, headError(HeadReason(invalid.Reason))
+	}
+	return res, nil
 }
 
 // awaitHead waits until the read buffer holds a whole response head. It returns an
--- a/upstream/enginehttp/client.go
+++ b/upstream/enginehttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
+	"github.com/cardamompier/cardamompier/stricthttp"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
@@ -40,20 +41,20 @@
 var _ upstream.Engine = (*Client)(nil)
 
 // NewTransport returns an HTTP transport, which all engine clients of a process share.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport() http.RoundTripper {
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		ReadBufferSize:         readBufferSize,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // NewClient returns a client for the engine on host id. address is an IP address and port. Exported KV
 // caches are charged to the given budget.
-func NewClient(id, address string, transport *http.Transport, replies *upstream.ReplyBudget) *Client {
+func NewClient(id, address string, transport http.RoundTripper, replies *upstream.ReplyBudget) *Client {
 	return &Client{id: id, base: "http://" + address, http: &http.Client{Transport: transport}, replies: replies}
 }
 
@@ -189,6 +190,9 @@
 	if ctx.Err() != nil {
 		return upstream.ReasonTimeout
 	}
+	if upstream.CountMalformedHead(err) {
+		return upstream.ReasonProtocol
+	}
 	return upstream.ReasonBroken
 }
 
--- a/upstream/plainhttp/client.go
+++ b/upstream/plainhttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
+	"github.com/cardamompier/cardamompier/stricthttp"
 	"github.com/cardamompier/cardamompier/upstream"
 )
 
@@ -63,8 +64,8 @@
 	single := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadSize}
 	return &Client{
 		id: id, base: "http://" + address, replies: replies,
-		pooled: &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
-		single: &http.Client{Transport: single, CheckRedirect: returnRedirect},
+		pooled: &http.Client{Transport: stricthttp.NewTransport(pooled), CheckRedirect: returnRedirect},
+		single: &http.Client{Transport: stricthttp.NewTransport(single), CheckRedirect: returnRedirect},
 	}
 }
 
@@ -73,8 +74,8 @@
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Do sends a call to the service once and returns the response. Errors are of type
-// *upstream.Error. The reason is ReasonProtocol if the response carries another request's
-// id, or if its body exceeds 8 MiB or what is left of the budget.
+// *upstream.Error. The reason is ReasonProtocol if the head of the response is invalid or carries
+// another request's id, or if its body exceeds 8 MiB or what is left of the budget.
 func (c *Client) Do(ctx context.Context, call upstream.Call) (upstream.Reply, error) {
 	var written atomic.Bool
 	req, err := c.request(traceWrites(ctx, &written), call)
@@ -160,5 +161,8 @@
 	if ctx.Err() != nil {
 		return upstream.ReasonTimeout
 	}
+	if upstream.CountMalformedHead(err) {
+		return upstream.ReasonProtocol
+	}
 	return upstream.ReasonBroken
 }
--- a/weights/weightshttp/weightshttp.go
+++ b/weights/weightshttp/weightshttp.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/cardamompier/cardamompier/jsonhttp"
+	"github.com/cardamompier/cardamompier/stricthttp"
 	"github.com/cardamompier/cardamompier/weights"
 )
 
@@ -23,7 +24,9 @@
 var _ weights.Store = (*Client)(nil)
 
 // NewClient returns a Client of the weight store at the URL base.
-func NewClient(base string) *Client { return &Client{calls: jsonhttp.NewClient(base)} }
+func NewClient(base string) *Client {
+	return &Client{calls: jsonhttp.NewClient(base, stricthttp.NewTransport)}
+}
 
 // Models implements weights.Store.
 func (c *Client) Models(ctx context.Context) ([]weights.Model, error) {
