Crash evidence: an invalid head is no lost attempt

What callers saw: a request whose upstreams answered three times in a row with an invalid head, such as one with status 000, was refused for a minute like content that crashes upstreams (503, request_quarantined), although the upstreams went on working.

Cause: each attempt without a usable answer adds a loss to the evidence against its content. A loss stands for an answer that was cut; an upstream that sends a whole head has not crashed by then.

Change: after an invalid head the upstream is checked as before. If its process has ended, that counts as a crash; if it opens a connection, the attempt counts for nothing. The outcome still counts against the upstream, and the attempt as one that may have run.

Result: all eight get 502.

Why it works: the content is judged by whether the upstream ended, which the check shows, and not by what it answered.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -120,22 +120,24 @@
 // reportAnswered reports that an upstream's answer is complete.
 func (e *exchange) reportAnswered() { e.f.Crashes.Answered(e.keys, time.Now()) }
 
-// reportLoss handles an attempt that ended before a whole event or answer arrived, at the
-// given upstream. It reports the loss unless the upstream announced its end.
+// reportLoss handles an attempt that ended with the given error before a whole event or answer
+// arrived, at the given upstream. It reports the loss unless the upstream announced its end.
 // begun is whether the upstream had begun its answer; reportLoss then waits for the check and
 // returns whether the request may have caused the crash, so that it must not be sent again.
-func (e *exchange) reportLoss(t selectedUpstream, begun bool) (suspect bool) {
+func (e *exchange) reportLoss(t selectedUpstream, begun bool, cause error) (suspect bool) {
 	if e.abandoned() {
 		e.reportBroken(t)
 		return false
 	}
 	c := e.crashAt(t)
 	c.Begun = begun
+	var head *connpool.HeadError
+	answered := errors.As(cause, &head) && head.Whole()
 	if !begun {
-		go e.f.reportCrash(t.Host, c, e.meta.RequestID)
+		go e.f.reportCrash(t.Host, c, e.meta.RequestID, answered)
 		return false
 	}
-	return e.f.reportCrash(t.Host, c, e.meta.RequestID) && !e.f.Crashes.Proven(e.keys[1:])
+	return e.f.reportCrash(t.Host, c, e.meta.RequestID, answered) && !e.f.Crashes.Proven(e.keys[1:])
 }
 
 // reportBroken reports an answer that broke off after a part of it was relayed, and an attempt that was
@@ -170,9 +172,11 @@
 }
 
 // reportCrash adds the evidence of a lost attempt and returns whether the upstream's process has
-// ended for certain.
-func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string) bool {
+// ended for certain. An upstream that answered, though not validly, and still opens connections
+// has not crashed.
+func (f *Forwarder) reportCrash(h hosts.Host, c quarantine.Crash, requestID string, answered bool) bool {
 	reached, ended, counts := f.examine(h)
+	counts = counts && (!answered || ended || reached != connpool.Opened)
 	if counts {
 		f.Crashes.AddLoss(c)
 	}
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -287,3 +287,17 @@
 		t.Errorf("upstreams received %d requests, want 1", n)
 	}
 }
+
+// TestBrokenHeadsQuarantineNothing guards against sound requests that are refused, like those that crash upstreams, because
+// upstreams that go on working answer them with broken heads.
+func TestBrokenHeadsQuarantineNothing(t *testing.T) {
+	f := newFixture(t, func(_ int, _ receivedRequest, conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n")
+	})
+	for range 8 {
+		if status, body, _, err := f.send(t, "/order/x", "b"); err != nil || status != http.StatusBadGateway {
+			t.Errorf("got status %d, body %q and error %v, want 502", status, body, err)
+		}
+		time.Sleep(300 * time.Millisecond) // for the check of the upstream, and beyond simultaneous losses
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -286,7 +286,7 @@
 // before a whole event or answer. It is a *suspectError if the request may have crashed the
 // upstream.
 func (e *exchange) lossError(t selectedUpstream, err error) error {
-	if e.reportLoss(t, true) {
+	if e.reportLoss(t, true, err) {
 		return &suspectError{cause: err}
 	}
 	return e.contextCause(err)
--- a/forward/send.go
+++ b/forward/send.go
@@ -361,7 +361,7 @@
 	}
 	e.sends++
 	e.possibleRuns++
-	e.reportLoss(t, false)
+	e.reportLoss(t, false, err)
 	return attemptFailed, err
 }
 
--- a/upstream/connpool/head.go
+++ b/upstream/connpool/head.go
@@ -57,6 +57,9 @@
 // Error returns the reason for which the response head was rejected.
 func (e *HeadError) Error() string { return "response head rejected: " + string(e.Reason) }
 
+// Whole reports whether the upstream sent a whole head, though not a valid one. It was running then.
+func (e *HeadError) Whole() bool { return e.Reason == HeadInvalidStatus }
+
 // headError counts a rejected response head and returns its error.
 func headError(reason HeadReason) error {
 	upstream.MalformedHeads.Inc(string(reason))
