Clients: reject heads with invalid names of fields

What callers saw: an upstream answered with a blank in the name of a field. If the field was "Content-Length : 2" or "Transfer-Encoding : chunked", the caller got the chunks' own lines or bytes behind the body as the answer; with another field, the answer as if its head were sound. A rejection in such a head was believed: an order was sent to a second upstream although nothing proved that the first had not run it. A line that begins with a blank was passed on within the field before it.

Cause: net/textproto accepts blanks in names and leaves the names as they are, so that nothing knows them as the ones that frame a body. Folded lines are joined to the line before. Control bytes in names were rejected already (502); the tests cover them, and only the reason in the counter is new.

Evidence, on the code before: TestInvalidFieldName fails for a rejection, an informational head, an answer to another request, chunks, a length, folded lines and blanks in and before the end of a name; it passes for control bytes, an empty name and a line without a colon. TestInvalidFieldNameReachesNoClient, with the transport not wrapped, fails for blanks at every client.

Change: connpool checks the lines of a head, which it has whole, before the parser sees them. stricthttp's transport checks the parsed names, also of informational heads; it can't see folded lines, which remain accepted there. The attempt is one that may have run, counted as invalid_field_name. FuzzHead also compares the size of the head that awaitHead now returns.

Result: both tests pass, with and without closing the connection after the answer.

Why it works: every head passes the check before its framing, its request id or its statements are used.

--- a/forward/broken_head_test.go
+++ b/forward/broken_head_test.go
@@ -73,3 +73,29 @@
 		}
 	}
 }
+
+// TestInvalidFieldName covers answers with a blank or a control byte in the name of a field. It guards against callers that
+// get such an answer, with the field or with a body that is not the upstream's, or a statement that it makes.
+func TestInvalidFieldName(t *testing.T) {
+	const ok = "HTTP/1.1 200 X\r\nRequest-Id: r1\r\n" + sealHeader
+	answers := map[string]string{
+		"rejection":                "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n",
+		"informational":            "HTTP/1.1 103 X\r\nBad Name: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+		"answer to another":        "HTTP/1.1 200 X\r\nRequest-Id: r0\r\nContent-Length : 0\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+		"chunks as a body":         ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"more than the length":     ok + "Content-Length : 2\r\n\r\nok and more",
+		"length in a folded line":  ok + " Content-Length: 2\r\n\r\nok and more",
+		"folded line with a tab":   ok + "\tContent-Length: 2\r\n\r\nok and more",
+		"first line with a blank":  "HTTP/1.1 200 X\r\n Request-Id: r1\r\n" + sealHeader + "Content-Length: 2\r\n\r\nok",
+		"name that is empty":       ok + ": x\r\nContent-Length: 2\r\n\r\nok",
+		"line without a colon":     ok + "Bad\r\nContent-Length: 2\r\n\r\nok",
+		"line ends without return": "HTTP/1.1 200 X\nRequest-Id: r1\n" + "Response-Seal: s\nBad Name: x\nContent-Length: 2\n\nok",
+	}
+	for _, c := range []string{" ", "\t", "\x00", "\x01", "\x0b", "\x1f", "\x7f", "\r", "\xa0"} {
+		answers[fmt.Sprintf("%q in a name", c)] = ok + "Bad" + c + "Name: x\r\nContent-Length: 2\r\n\r\nok"
+		answers[fmt.Sprintf("%q before the colon", c)] = ok + "Name" + c + ": x\r\nContent-Length: 2\r\n\r\nok"
+	}
+	for name, answer := range answers {
+		checkBrokenHead(t, name, func(receivedRequest) string { return answer })
+	}
+}
--- a/stricthttp/clients_test.go
+++ b/stricthttp/clients_test.go
@@ -156,3 +156,13 @@
 		t.Error("the connection stays open")
 	}
 }
+
+// TestInvalidFieldNameReachesNoClient guards against an answer with a blank or a control byte in the name of a field. The
+// field may be the one that frames the body.
+func TestInvalidFieldNameReachesNoClient(t *testing.T) {
+	for _, name := range []string{"Bad Name", "Name ", "Name\t", "Bad\x01Name", "Bad\x7fName", "Content-Length "} {
+		checkRejected(t, "HTTP/1.1 200 X\n"+name+": 1\n")
+		checkRejected(t, "HTTP/1.1 503 X\n"+name+": 1\n")
+		checkRejected(t, "HTTP/1.1 103 X\n"+name+": 1\n\nHTTP/1.1 200 X\n")
+	}
+}
--- a/upstream/connpool/head.go
+++ b/upstream/connpool/head.go
@@ -48,6 +48,8 @@
 	HeadMismatchedOnly HeadReason = "strays_only"
 	// HeadInvalidStatus means that HTTP does not have the status, or that the upstream switches protocols unasked.
 	HeadInvalidStatus HeadReason = "invalid_status"
+	// HeadInvalidField means that a line of the head does not begin with a valid name of a field.
+	HeadInvalidField HeadReason = "invalid_field_name"
 )
 
 // HeadError is the cause of a failed exchange in which the upstream sent bytes, but
@@ -58,7 +60,9 @@
 func (e *HeadError) Error() string { return "response head rejected: " + string(e.Reason) }
 
 // Whole reports whether the upstream sent a whole head, though not a valid one. It was running then.
-func (e *HeadError) Whole() bool { return e.Reason == HeadInvalidStatus }
+func (e *HeadError) Whole() bool {
+	return e.Reason == HeadInvalidStatus || e.Reason == HeadInvalidField
+}
 
 // headError counts a rejected response head and returns its error.
 func headError(reason HeadReason) error {
@@ -73,49 +77,65 @@
 // head is buffered, so that the size and the duration of the read are bounded whatever
 // the upstream sends.
 func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
-	if err := c.awaitHead(); err != nil {
+	size, err := c.awaitHead()
+	if err != nil {
+		return nil, err
+	}
+	head, err := c.reader.Peek(size)
+	if err != nil {
 		return nil, err
 	}
+	if err := stricthttp.CheckFieldLines(head); err != nil {
+		return nil, invalidHead(err)
+	}
 	res, err := http.ReadResponse(c.reader, req)
 	if err != nil {
 		return nil, err
 	}
-	var invalid *stricthttp.HeadError
-	if errors.As(stricthttp.CheckStatus(req, res.StatusCode), &invalid) {
-		return nil, headError(HeadReason(invalid.Reason))
+	if err := stricthttp.CheckStatus(req, res.StatusCode); err != nil {
+		return nil, invalidHead(err)
 	}
 	return res, nil
 }
 
-// awaitHead waits until the read buffer holds a whole response head. It returns an
-// error if the head exceeds a limit on size, lines or time.
-func (c *Conn) awaitHead() error {
+// invalidHead maps the error of a check of package stricthttp to a HeadError.
+func invalidHead(err error) error {
+	var invalid *stricthttp.HeadError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	return headError(HeadReason(invalid.Reason))
+}
+
+// awaitHead waits until the read buffer holds a whole response head and returns its size in
+// bytes. It returns an error if the head exceeds a limit on size, lines or time.
+func (c *Conn) awaitHead() (size int, err error) {
 	deadlineSet := false
 	for searched := 0; ; {
 		data, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if n := min(len(data), len(protocolPrefix)); !bytes.Equal(data[:n], protocolPrefix[:n]) {
-			return headError(HeadNotHTTP)
+			return 0, headError(HeadNotHTTP)
 		}
 		if end, ok := headEnd(data, searched); ok {
 			if bytes.Count(data[:end], []byte("\n")) > maxHeadLines {
-				return headError(HeadTooManyLines)
+				return 0, headError(HeadTooManyLines)
 			}
 			if deadlineSet {
-				return c.SetReadDeadline(time.Time{})
+				return end, c.SetReadDeadline(time.Time{})
 			}
-			return nil
+			return end, nil
 		}
 		if searched = len(data); searched > 0 && !deadlineSet {
 			deadlineSet = true
 			if err := c.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
-				return err
+				return 0, err
 			}
 		}
 		if _, err := c.reader.Peek(searched + 1); err != nil {
-			return headReadError(err, deadlineSet)
+			return 0, headReadError(err, deadlineSet)
 		}
 	}
 }
--- a/upstream/connpool/head_test.go
+++ b/upstream/connpool/head_test.go
@@ -220,7 +220,8 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		conn := newConn(&endlessConn{prefix: data, repeat: []byte("x")})
-		if conn.awaitHead() != nil {
+		size, err := conn.awaitHead()
+		if err != nil {
 			return
 		}
 		source := conn.Conn.(*endlessConn)
@@ -231,8 +232,8 @@
 			t.Fatal(err)
 		}
 		end, ok := headEnd(buffered, 0)
-		if !ok {
-			t.Fatal("awaitHead succeeded, but headEnd finds no end of the head")
+		if !ok || end != size {
+			t.Fatalf("awaitHead found a head of %d bytes, and headEnd one of %d, %t", size, end, ok)
 		}
 		if _, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(buffered[:end])), nil); errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Fatalf("http.ReadResponse reads past the end of head %q, after %d bytes read", buffered[:end], bytesRead)
