Connections: do not take a reset under an upload for the end of an answer

What callers saw: an upstream answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the request was still being written. The caller got the part as a complete answer; a repeatable request was not repeated, a stream ended as complete between two events. The client of plain services returned such a part as a reply.

Cause: Linux reports the error of a connection to one call only. If the write of the request gets ECONNRESET, the next read returns 0 bytes, like the end of the peer's direction. Without a length or chunks, that end is the end of the answer.

Change: stricthttp.Conn keeps the error that a write returned. At the end of the peer's direction it waits for the result of a write that is under way, which it ends by closing the connection, and returns the error instead of the end. All connections of connpool and of stricthttp's transports are such. EPIPE is no loss: a reset after an end in order is reported so.

Why it works: the kernel gives the error to the writer or to the reader, and the reader now asks the writer before it believes an end.

--- a/stricthttp/clients_test.go
+++ b/stricthttp/clients_test.go
@@ -166,3 +166,38 @@
 		checkRejected(t, "HTTP/1.1 103 X\n"+name+": 1\n\nHTTP/1.1 200 X\n")
 	}
 }
+
+// TestResetUnderUpload covers a reply without a length of which a part arrives before its connection is reset, while the
+// call is still being written, and one that ends in order.
+func TestResetUnderUpload(t *testing.T) {
+	const plays, size = 24, 4 << 20
+	for name, c := range map[string]struct {
+		end   func(*net.TCPConn)
+		whole bool
+	}{
+		"reset":                    {func(*net.TCPConn) {}, false},
+		"end in order":             {func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) }, true},
+		"end in order, then reset": {func(conn *net.TCPConn) { _ = conn.CloseWrite() }, true},
+	} {
+		replies := 0
+		for range plays {
+			address := serve(t, func(_ *http.Request, conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nConnection: close\r\n\r\npart")
+				tcp := conn.(*net.TCPConn)
+				c.end(tcp)
+				time.Sleep(20 * time.Millisecond)
+				_ = tcp.SetLinger(0)
+			})
+			reply, err := plainhttp.NewClient("u", address, upstream.NewReplyBudget()).Do(t.Context(), upstream.Call{
+				Method: http.MethodPost, Path: "/", RequestID: "r1", OrderKey: "k", Body: make([]byte, size),
+			})
+			if err == nil && string(reply.Body) == "part" {
+				replies++
+			}
+			reply.Release()
+		}
+		if c.whole && replies < plays || !c.whole && replies > 0 {
+			t.Errorf("%s: %d of %d calls got the reply, want all if it is whole and none otherwise", name, replies, plays)
+		}
+	}
+}
--- a/stricthttp/stricthttp.go
+++ b/stricthttp/stricthttp.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -89,9 +90,22 @@
 // transport is an http.Transport that rejects invalid responses.
 type transport struct{ base *http.Transport }
 
-// NewTransport returns a transport that sends requests by base. Its calls fail with a *HeadError if the head of a
-// response is invalid.
-func NewTransport(base *http.Transport) http.RoundTripper { return &transport{base: base} }
+// NewTransport returns a transport that sends requests by base, whose connections become Conns; base must not be in use.
+// Its calls fail with a *HeadError if the head of a response is invalid.
+func NewTransport(base *http.Transport) http.RoundTripper {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return &transport{base: base}
+}
 
 // NewDefaultTransport returns NewTransport of a transport with the settings of http.DefaultTransport.
 func NewDefaultTransport() http.RoundTripper {
--- a/upstream/connpool/connpool.go
+++ b/upstream/connpool/connpool.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cardamompier/cardamompier/metrics"
+	"github.com/cardamompier/cardamompier/stricthttp"
 	"github.com/cardamompier/cardamompier/tcpopt"
 )
 
@@ -33,6 +34,7 @@
 	labelStale   = "dropped_stale"
 	labelExpired = "dropped_idle"
 	labelSurplus = "dropped_surplus"
+	labelLost    = "lost_under_write"
 
 	// dialTimeout bounds the opening of a connection. The one-way latency between
 	// regions is up to 10 ms. TCP retransmits a lost packet only after 1 s, which is
@@ -202,7 +204,19 @@
 		return nil, err
 	}
 	Connections.Inc(labelOpened)
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, maxHeadBytes), address: address, idleLimit: defaultIdle}, nil
+	c := &Conn{Conn: stricthttp.NewConn(conn), address: address, idleLimit: defaultIdle}
+	c.reader = bufio.NewReaderSize(c, maxHeadBytes)
+	return c, nil
+}
+
+// Read reads from the connection and counts a loss that would look like the end of a response.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	var lost *stricthttp.LossError
+	if errors.As(err, &lost) {
+		Connections.Inc(labelLost)
+	}
+	return n, err
 }
 
 // usable reports whether an idle connection is open and has no unread bytes, which
