--- a/stricthttp/stricthttp.go
+++ b/stricthttp/stricthttp.go
@@ -134,7 +134,9 @@
 	if err != nil {
 		// Closing the body alone may leave the connection to a later request.
 		_ = res.Body.Close()
-		_ = (*conn.Load()).Close()
+		if used := conn.Load(); used != nil {
+			_ = (*used).Close()
+		}
 		return nil, err
 	}
 	return res, nil
