--- a/review/testdata/third/main.go
+++ b/review/testdata/third/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
 )
 
 // cases returns whether the rule held.
@@ -17,6 +20,14 @@
 		fmt.Fprintln(os.Stderr, "usage: third CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
+	runtime.LockOSThread() // the processes end with this thread
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-stopped
+		endAll()
+		os.Exit(2)
+	}()
 	rec := newRecord(os.Args[3])
 	held := cases[os.Args[1]](rec, os.Args[2], os.Getenv("TROUBLE") != "0")
 	endAll()
--- a/review/testdata/third/rig.go
+++ b/review/testdata/third/rig.go
@@ -125,15 +125,19 @@
 var (
 	startedMu sync.Mutex
 	started   []*exec.Cmd
+	folder    string
 )
 
-// endAll kills the processes that this case started.
+// endAll kills the processes that this case started and removes its temporary folder.
 func endAll() {
 	startedMu.Lock()
 	defer startedMu.Unlock()
 	for _, c := range started {
 		_ = c.Process.Kill()
 	}
+	if folder != "" {
+		_ = os.RemoveAll(folder)
+	}
 }
 
 func listen(address string) net.Listener {
@@ -144,7 +148,7 @@
 	return l
 }
 
-// freePort returns a loopback address with a port that is free now.
+// freeAddress returns a loopback address with a port that is free now.
 func freeAddress() string {
 	l := listen("127.0.0.1:0")
 	defer l.Close()
@@ -162,6 +166,9 @@
 	if err != nil {
 		unable(err)
 	}
+	startedMu.Lock()
+	folder = dir
+	startedMu.Unlock()
 	r := &rig{rec: rec, store: newStore(), dir: dir, program: program}
 	r.storeAt = serve(r.store)
 	r.apiAt = serve(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/review/testdata/third/shed.go
+++ b/review/testdata/third/shed.go
@@ -70,7 +70,9 @@
 				id := newID()
 				sent.Add(1)
 				rec.line("sent %s kept %v", id, !first)
+				began := time.Now()
 				a := c.do("POST", ordinaryPath, id, strings.Repeat("x", 600), 3*time.Second)
+				took := time.Since(began)
 				switch {
 				case a.err == nil && a.status == 200:
 					served.Add(1)
@@ -82,10 +84,10 @@
 					time.Sleep(200 * time.Millisecond) // it may reach a runner yet
 					if ran(id) && !first {
 						lost.Add(1)
-						rec.line("LOST %s kept %v: %v, though it ran", id, !first, a.err)
+						rec.line("LOST %s: %v after %d ms, though it ran", id, a.err, took.Milliseconds())
 					} else {
 						crossed.Add(1)
-						rec.line("closed %s kept %v: %v, not run", id, !first, a.err)
+						rec.line("closed %s: %v after %d ms, ran %v", id, a.err, took.Milliseconds(), ran(id))
 					}
 				}
 				if a.err != nil || strings.EqualFold(a.header.Get("Connection"), "close") {
